--- /dev/null
+++ b/base/fault/doc.go
@@ -0,0 +1,2 @@
+// Package fault holds the typed failures that travel between parts and callers.
+package fault
--- /dev/null
+++ b/base/fault/fault.go
@@ -0,0 +1,169 @@
+package fault
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind names a class of failure. It is the last part of a problem's type URI.
+type Kind string
+
+// The kinds of failure that callers and operators can meet.
+const (
+	BadRequest      Kind = "bad_request"
+	BadJSON         Kind = "bad_json"
+	TooLarge        Kind = "body_too_large"
+	Unauthorized    Kind = "unknown_tenant"
+	NoProgram       Kind = "no_such_program"
+	TurnConflict    Kind = "turn_conflict"
+	ProgramEnded    Kind = "program_ended"
+	UnknownModel    Kind = "unknown_model"
+	UnknownService  Kind = "unknown_service"
+	NoPlace         Kind = "no_allowed_place"
+	BudgetSpent     Kind = "budget_spent"
+	LimitReached    Kind = "limit_reached"
+	DeadlineMissed  Kind = "deadline_missed"
+	DeadlineTooNear Kind = "deadline_too_near"
+	Overloaded      Kind = "overloaded"
+	LogUnavailable  Kind = "log_unavailable"
+	OwnerUnknown    Kind = "owner_unavailable"
+	NotOwner        Kind = "not_owner"
+	PeerLost        Kind = "peer_unreachable"
+	OutcomeUnknown  Kind = "outcome_unknown"
+	KeyReused       Kind = "key_reused"
+	BadContinuation Kind = "bad_continuation"
+	TailTooLong     Kind = "tail_too_long"
+	TargetFailed    Kind = "target_failed"
+	NoTarget        Kind = "no_target"
+	Stopping        Kind = "stopping"
+	StaleConfig     Kind = "stale_configuration"
+	Conflict        Kind = "revision_conflict"
+	BadConfig       Kind = "bad_configuration"
+	BadSettings     Kind = "bad_settings"
+	BadKey          Kind = "bad_key"
+	Protocol        Kind = "protocol"
+	Internal        Kind = "internal"
+)
+
+var statuses = map[Kind]int{
+	BadRequest:      http.StatusBadRequest,
+	BadJSON:         http.StatusBadRequest,
+	TooLarge:        http.StatusRequestEntityTooLarge,
+	Unauthorized:    http.StatusUnauthorized,
+	NoProgram:       http.StatusNotFound,
+	TurnConflict:    http.StatusConflict,
+	ProgramEnded:    http.StatusGone,
+	UnknownModel:    http.StatusNotFound,
+	UnknownService:  http.StatusNotFound,
+	NoPlace:         http.StatusForbidden,
+	BudgetSpent:     http.StatusPaymentRequired,
+	LimitReached:    http.StatusForbidden,
+	DeadlineMissed:  http.StatusGatewayTimeout,
+	DeadlineTooNear: http.StatusServiceUnavailable,
+	Overloaded:      http.StatusTooManyRequests,
+	LogUnavailable:  http.StatusServiceUnavailable,
+	OwnerUnknown:    http.StatusServiceUnavailable,
+	NotOwner:        http.StatusMisdirectedRequest,
+	PeerLost:        http.StatusBadGateway,
+	OutcomeUnknown:  http.StatusConflict,
+	KeyReused:       http.StatusUnprocessableEntity,
+	BadContinuation: http.StatusBadRequest,
+	TailTooLong:     http.StatusServiceUnavailable,
+	TargetFailed:    http.StatusBadGateway,
+	NoTarget:        http.StatusServiceUnavailable,
+	Stopping:        http.StatusServiceUnavailable,
+	StaleConfig:     http.StatusServiceUnavailable,
+	Conflict:        http.StatusConflict,
+	BadConfig:       http.StatusUnprocessableEntity,
+	BadSettings:     http.StatusUnprocessableEntity,
+	BadKey:          http.StatusForbidden,
+	Protocol:        http.StatusBadGateway,
+	Internal:        http.StatusInternalServerError,
+}
+
+// Fault is a typed failure.
+type Fault struct {
+	// Kind is never empty.
+	Kind Kind
+	// Detail is fixed text: it never holds content or personal data.
+	Detail string
+	// NotRun is true only if nothing was ever handed to a target.
+	NotRun bool
+	// RetryAfter is zero where a retry is of no use.
+	RetryAfter time.Duration
+	// Head is the last answered turn, for turn conflicts; otherwise 0.
+	Head int
+
+	cause error
+}
+
+// Refuse makes a failure of which nothing was handed to a target.
+func Refuse(kind Kind, detail string) *Fault {
+	return &Fault{Kind: kind, Detail: detail, NotRun: true}
+}
+
+// Fail makes a failure that may have reached a target.
+func Fail(kind Kind, detail string) *Fault {
+	return &Fault{Kind: kind, Detail: detail}
+}
+
+// After sets the advised wait before a retry.
+func (f *Fault) After(wait time.Duration) *Fault {
+	f.RetryAfter = wait
+	return f
+}
+
+// At sets the head turn of a conflict.
+func (f *Fault) At(head int) *Fault {
+	f.Head = head
+	return f
+}
+
+// Because keeps the cause for the logs; callers never see it.
+func (f *Fault) Because(err error) *Fault {
+	f.cause = err
+	return f
+}
+
+// Error implements error.
+func (f *Fault) Error() string {
+	if f.cause == nil {
+		return string(f.Kind) + ": " + f.Detail
+	}
+	return string(f.Kind) + ": " + f.Detail + ": " + f.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (f *Fault) Unwrap() error {
+	return f.cause
+}
+
+// Status is the HTTP status of the failure.
+func (f *Fault) Status() int {
+	return Status(f.Kind)
+}
+
+// Status is the HTTP status that goes with a kind.
+func Status(kind Kind) int {
+	if s, ok := statuses[kind]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// From finds the fault in err; any other error becomes Internal with NotRun unset.
+func From(err error) *Fault {
+	var f *Fault
+	if errors.As(err, &f) {
+		return f
+	}
+	return Fail(Internal, "unexpected failure").Because(err)
+}
+
+// Is reports whether err is a fault of the kind.
+func Is(err error, kind Kind) bool {
+	var f *Fault
+	return errors.As(err, &f) && f.Kind == kind
+}
--- /dev/null
+++ b/base/ident/doc.go
@@ -0,0 +1,2 @@
+// Package ident names slots, programs and attempts.
+package ident
--- /dev/null
+++ b/base/ident/ident.go
@@ -0,0 +1,98 @@
+package ident
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mulleingate.dev/base/fault"
+)
+
+const (
+	randomBytes = 8
+	// MaxLen bounds every identifier a caller may send, in bytes.
+	MaxLen = 128
+)
+
+// Slot is a shard of ownership. Programs and idempotency keys hash to slots.
+type Slot struct {
+	// Zone is the availability zone that prefers to own the slot; never empty.
+	Zone string `json:"zone"`
+	// Number counts from 0 within the zone.
+	Number int `json:"number"`
+}
+
+// String renders the slot as zone.number.
+func (s Slot) String() string {
+	return s.Zone + "." + strconv.Itoa(s.Number)
+}
+
+// Stream is the name of the slot's stream in the platform's log.
+func (s Slot) Stream() string {
+	return "slot." + s.String()
+}
+
+// ParseSlot reads the form that String writes.
+func ParseSlot(text string) (Slot, error) {
+	zone, num, ok := strings.Cut(text, ".")
+	if !ok || zone == "" || len(text) > MaxLen {
+		return Slot{}, fault.Refuse(fault.BadRequest, "malformed slot name")
+	}
+	n, err := strconv.Atoi(num)
+	if err != nil || n < 0 {
+		return Slot{}, fault.Refuse(fault.BadRequest, "malformed slot number")
+	}
+	return Slot{Zone: zone, Number: n}, nil
+}
+
+// NewProgram makes a program id in the slot.
+func NewProgram(slot Slot) string {
+	return slot.String() + "." + Random()
+}
+
+// ProgramSlot returns the slot that a program id names.
+func ProgramSlot(program string) (Slot, error) {
+	cut := strings.LastIndexByte(program, '.')
+	if cut < 0 || len(program) > MaxLen {
+		return Slot{}, fault.Refuse(fault.NoProgram, "malformed program id")
+	}
+	slot, err := ParseSlot(program[:cut])
+	if err != nil {
+		return Slot{}, fault.Refuse(fault.NoProgram, "malformed program id")
+	}
+	return slot, nil
+}
+
+// KeySlot hashes a tenant's idempotency key onto one of the slots.
+func KeySlot(tenant, key string, slots []Slot) Slot {
+	h := xxhash.Sum64String(tenant + "\x00" + key)
+	return slots[h%uint64(len(slots))]
+}
+
+// Random returns a fresh identifier of 16 hexadecimal digits.
+func Random() string {
+	raw := make([]byte, randomBytes)
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
+
+// Winner is the rendezvous (highest random weight) choice among names for key.
+// It returns "" when there are no names.
+func Winner(key string, names []string) string {
+	best, bestScore := "", uint64(0)
+	for _, name := range names {
+		score := Weight(key, name)
+		if best == "" || score > bestScore || (score == bestScore && name < best) {
+			best, bestScore = name, score
+		}
+	}
+	return best
+}
+
+// Weight is the rendezvous weight of name for key.
+func Weight(key, name string) uint64 {
+	return xxhash.Sum64String(key + "\x00" + name)
+}
--- /dev/null
+++ b/base/sample/sample.go
@@ -0,0 +1,118 @@
+package sample
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"mulleingate.dev/base/seal"
+	"mulleingate.dev/base/types"
+)
+
+// Keys are the keys of a deployment that exists for development and tests only.
+type Keys struct {
+	Root     []byte
+	Operator ed25519.PrivateKey
+}
+
+// NewKeys derives keys from a seed, so that separate processes agree on them.
+func NewKeys(seed string) Keys {
+	root := sha256.Sum256([]byte("root " + seed))
+	op := sha256.Sum256([]byte("operator " + seed))
+	return Keys{Root: root[:], Operator: ed25519.NewKeyFromSeed(op[:])}
+}
+
+// Public is the operator's public key.
+func (k Keys) Public() ed25519.PublicKey {
+	return k.Operator.Public().(ed25519.PublicKey)
+}
+
+// Token is the bearer token of a tenant in samples.
+func Token(tenant string) string {
+	return "token-" + tenant
+}
+
+// Hash is a bearer token as configuration stores it.
+func Hash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// Shape says what a sample configuration is for.
+type Shape struct {
+	Region   string
+	Zones    []string
+	Slots    int
+	Tenants  []string
+	Models   []string
+	Services []types.Service
+}
+
+// Ghent is the deployment of the two teams who book blood donors.
+func Ghent() Shape {
+	return Shape{
+		Region: "be-central", Zones: []string{"hall-gent", "hall-mechelen", "hall-namur"}, Slots: 4,
+		Tenants: []string{"flanders", "wallonia"}, Models: []string{"planner"},
+		Services: []types.Service{
+			{Name: "booking", ProbePath: "/v1/probe", Price: 50, Timeout: types.Duration(5 * time.Second)},
+			{Name: "calendar", Repeatable: true, Price: 5, Timeout: types.Duration(2 * time.Second), HedgeAfter: types.Duration(200 * time.Millisecond)},
+		},
+	}
+}
+
+// Ndokwa is the deployment of the trust that sells airtime.
+func Ndokwa() Shape {
+	return Shape{
+		Region: "ng-south", Zones: []string{"enugu-a", "enugu-b", "onitsha-a", "aba-a"}, Slots: 4,
+		Tenants: []string{"trust", "telco"}, Models: []string{"assistant"},
+		Services: []types.Service{
+			{Name: "topup", ProbePath: "/v1/probe", Price: 50, Timeout: types.Duration(5 * time.Second)},
+			{Name: "balance", Repeatable: true, Price: 5, Timeout: types.Duration(2 * time.Second), HedgeAfter: types.Duration(200 * time.Millisecond)},
+		},
+	}
+}
+
+// Config makes the configuration of a shape. Personal data stays in its region, and
+// calls of callers on the line go before planning.
+func Config(shape Shape, keys Keys) (types.Config, error) {
+	root, err := seal.NewRoot(keys.Root)
+	if err != nil {
+		return types.Config{}, err
+	}
+	cfg := types.Config{
+		Services: shape.Services,
+		Policy: types.Policy{
+			Place: `data_class != "personal" || region == "` + shape.Region + `"`,
+			Order: `kind == "booking" || kind == "recharge" ? 1 : 0`,
+			Spend: `budget < 2000000 ? budget : 2000000`,
+		},
+		Defaults: Defaults(),
+		Keys:     []types.DataKey{root.NewKey("k1")},
+	}
+	yes, no, one := true, false, int64(1)
+	cfg.Policy.Samples = []types.Sample{
+		{Name: "home", Input: types.RuleInput{DataClass: "personal", Region: shape.Region, Use: "run"}, Want: types.SampleWant{Place: &yes}},
+		{Name: "abroad", Input: types.RuleInput{DataClass: "personal", Region: "elsewhere", Use: "run"}, Want: types.SampleWant{Place: &no}},
+		{Name: "line", Input: types.RuleInput{Kind: "booking"}, Want: types.SampleWant{Order: &one}},
+	}
+	for _, zone := range shape.Zones {
+		cfg.Zones = append(cfg.Zones, types.Zone{Name: zone, Region: shape.Region, Slots: shape.Slots})
+	}
+	for _, tenant := range shape.Tenants {
+		cfg.Tenants = append(cfg.Tenants, types.Tenant{Name: tenant, TokenHashes: []string{Hash(Token(tenant))}})
+	}
+	for _, model := range shape.Models {
+		cfg.Models = append(cfg.Models, types.Model{Name: model, MinWarm: 1})
+	}
+	return cfg, nil
+}
+
+// Defaults are limits that suit both deployments.
+func Defaults() types.Defaults {
+	return types.Defaults{
+		Turns: 600, Depth: 3, FanOut: 16, Idle: types.Duration(30 * time.Minute), Deadline: types.Duration(24 * time.Hour),
+		MaxTokens: 256, GrantChunk: 20_000, TailBytes: 4 << 20, LogWait: types.Duration(50 * time.Millisecond),
+		KeyRetention: types.Duration(24 * time.Hour),
+	}
+}
--- /dev/null
+++ b/gate/admin/admin.go
@@ -0,0 +1,179 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/ident"
+	"mulleingate.dev/base/server"
+	"mulleingate.dev/base/types"
+	"mulleingate.dev/gate/admit"
+	"mulleingate.dev/gate/meter"
+	"mulleingate.dev/gate/trail"
+)
+
+// Figures are all counters and histograms.
+type Figures interface {
+	Report() meter.Report
+}
+
+// Steps finds decisions.
+type Steps interface {
+	Find(id string) []trail.Step
+}
+
+// Owners tells which slots are held.
+type Owners interface {
+	Held() map[ident.Slot]int64
+}
+
+// View tells what is believed of other boxes.
+type View interface {
+	All() map[string]time.Time
+	Live() []types.Member
+	Settled() bool
+}
+
+// Policies tells of the configuration in force.
+type Policies interface {
+	Number() int64
+	Age() time.Duration
+	Ready() error
+}
+
+// Targets tells of the engines.
+type Targets interface {
+	Status() []admit.Status
+}
+
+// Admin answers operators.
+type Admin struct {
+	self     types.Member
+	version  string
+	figures  Figures
+	steps    Steps
+	owners   Owners
+	view     View
+	policies Policies
+	targets  Targets
+	started  time.Time
+}
+
+// New makes the handler's owner.
+func New(self types.Member, version string, figures Figures, steps Steps, owners Owners, view View, policies Policies, targets Targets) *Admin {
+	return &Admin{
+		self: self, version: version, figures: figures, steps: steps, owners: owners, view: view,
+		policies: policies, targets: targets, started: time.Now(),
+	}
+}
+
+// Start implements a service.
+func (a *Admin) Start(context.Context) error {
+	return nil
+}
+
+// Stop implements a service.
+func (a *Admin) Stop(context.Context) error {
+	return nil
+}
+
+// Box is another box as this one sees it.
+type Box struct {
+	Name    string    `json:"name"`
+	Zone    string    `json:"zone,omitempty"`
+	Live    bool      `json:"live"`
+	Leaving bool      `json:"leaving"`
+	Heard   time.Time `json:"heard"`
+}
+
+// Slot is a held slot.
+type Slot struct {
+	Slot  string `json:"slot"`
+	Epoch int64  `json:"epoch"`
+}
+
+// Status is the state of a box.
+type Status struct {
+	Box         string         `json:"box"`
+	Zone        string         `json:"zone"`
+	Version     string         `json:"version"`
+	Ready       bool           `json:"ready"`
+	Why         string         `json:"why,omitempty"`
+	Up          types.Duration `json:"up"`
+	Revision    int64          `json:"revision"`
+	RevisionAge types.Duration `json:"revision_age"`
+	Slots       []Slot         `json:"slots"`
+	Boxes       []Box          `json:"boxes"`
+	Targets     []admit.Status `json:"targets"`
+}
+
+// Routes lists the routes.
+func (a *Admin) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodGet, Path: "/live", Handler: a.live},
+		{Method: http.MethodGet, Path: "/ready", Handler: a.ready},
+		{Method: http.MethodGet, Path: "/metrics", Handler: func(w http.ResponseWriter, _ *http.Request) {
+			server.Write(w, http.StatusOK, a.figures.Report())
+		}},
+		{Method: http.MethodGet, Path: "/status", Handler: func(w http.ResponseWriter, _ *http.Request) {
+			server.Write(w, http.StatusOK, a.Status())
+		}},
+		{Method: http.MethodGet, Path: "/explain/:id", Handler: func(w http.ResponseWriter, r *http.Request) {
+			server.Write(w, http.StatusOK, a.steps.Find(pathvar.Vars(r)["id"]))
+		}},
+	}
+}
+
+func (a *Admin) live(w http.ResponseWriter, _ *http.Request) {
+	server.Write(w, http.StatusOK, struct{}{})
+}
+
+func (a *Admin) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := a.notReady(); err != nil {
+		server.Fail(w, "", err)
+		return
+	}
+	server.Write(w, http.StatusOK, struct{}{})
+}
+
+func (a *Admin) notReady() error {
+	if err := a.policies.Ready(); err != nil {
+		return err
+	}
+	if !a.view.Settled() {
+		return fault.Refuse(fault.OwnerUnknown, "the other boxes were not heard out yet").After(time.Second)
+	}
+	return nil
+}
+
+// Status collects the state of the box.
+func (a *Admin) Status() Status {
+	st := Status{
+		Box: a.self.Name, Zone: a.self.Zone, Version: a.version, Ready: true,
+		Up: types.Duration(time.Since(a.started)), Revision: a.policies.Number(),
+		RevisionAge: types.Duration(a.policies.Age()), Targets: a.targets.Status(),
+	}
+	if err := a.notReady(); err != nil {
+		st.Ready, st.Why = false, fault.From(err).Detail
+	}
+	for id, epoch := range a.owners.Held() {
+		st.Slots = append(st.Slots, Slot{Slot: id.String(), Epoch: epoch})
+	}
+	sort.Slice(st.Slots, func(i, j int) bool { return st.Slots[i].Slot < st.Slots[j].Slot })
+	live := map[string]types.Member{}
+	for _, m := range a.view.Live() {
+		live[m.Name] = m
+	}
+	for name, heard := range a.view.All() {
+		m, ok := live[name]
+		st.Boxes = append(st.Boxes, Box{Name: name, Zone: m.Zone, Live: ok, Leaving: m.Leaving, Heard: heard})
+	}
+	sort.Slice(st.Boxes, func(i, j int) bool { return st.Boxes[i].Name < st.Boxes[j].Name })
+	return st
+}
--- /dev/null
+++ b/gate/admit/learn.go
@@ -0,0 +1,107 @@
+package admit
+
+import (
+	"math"
+	"time"
+)
+
+// pauses learns how long programs of a kind pause between turns, and how likely they
+// are to go on. Nothing else is known of a program's shape ahead of time.
+type pauses struct {
+	kinds map[string]*kindPause
+	last  map[string]lastTurn
+}
+
+type lastTurn struct {
+	at   time.Time
+	kind string
+}
+
+type kindPause struct {
+	mean time.Duration
+	// turns and ends give the chance of another turn.
+	turns, ends float64
+}
+
+const (
+	pauseGain  = 0.1
+	firstPause = 2 * time.Second
+	// forgetBy fades old evidence, so that about the last thousand turns count.
+	forgetBy = 0.999
+)
+
+func newPauses() *pauses {
+	return &pauses{kinds: map[string]*kindPause{}, last: map[string]lastTurn{}}
+}
+
+func (p *pauses) kind(name string) *kindPause {
+	k, ok := p.kinds[name]
+	if !ok {
+		k = &kindPause{mean: firstPause, turns: 1}
+		p.kinds[name] = k
+	}
+	return k
+}
+
+// expect notes that a turn begins, and returns the likely pause after it and the chance
+// that there is another.
+func (p *pauses) expect(now time.Time, program, kind string) (time.Duration, float64) {
+	k := p.kind(kind)
+	if last, ok := p.last[program]; ok && !last.at.IsZero() {
+		seen := now.Sub(last.at)
+		k.mean += time.Duration(pauseGain * float64(seen-k.mean))
+	}
+	k.turns = k.turns*forgetBy + 1
+	p.last[program] = lastTurn{kind: kind}
+	return k.mean, 1 - k.ends/math.Max(k.turns, 1)
+}
+
+func (p *pauses) answered(now time.Time, program string) {
+	if last, ok := p.last[program]; ok {
+		last.at = now
+		p.last[program] = last
+	}
+}
+
+func (p *pauses) end(program string) {
+	last, ok := p.last[program]
+	if !ok {
+		return
+	}
+	k := p.kind(last.kind)
+	k.ends = k.ends*forgetBy + 1
+	delete(p.last, program)
+}
+
+// fair keeps what each tenant has been given, weighed by its share.
+type fair struct {
+	shares Places
+	spent  map[string]float64
+	// floor is the least any tenant counts as having used, so that one that was idle
+	// cannot save its share up.
+	floor float64
+}
+
+const (
+	// quantum is the service, in tokens for a share of 1, below which tenants count as equal.
+	quantum  = 20_000
+	maxSaved = 10 * quantum
+)
+
+func newFair(shares Places) *fair {
+	return &fair{shares: shares, spent: map[string]float64{}}
+}
+
+func (f *fair) used(tenant string, tokens int64) {
+	f.spent[tenant] = math.Max(f.spent[tenant], f.floor) + float64(tokens)/float64(f.shares.Share(tenant))
+	most := 0.0
+	for _, used := range f.spent {
+		most = math.Max(most, used)
+	}
+	f.floor = math.Max(f.floor, most-maxSaved)
+}
+
+// level is the tenant's weighed use in quanta; lower goes first.
+func (f *fair) level(tenant string) int64 {
+	return int64(math.Max(f.spent[tenant], f.floor) / quantum)
+}
--- /dev/null
+++ b/gate/admit/query.go
@@ -0,0 +1,100 @@
+package admit
+
+import (
+	"sort"
+	"time"
+)
+
+// Status describes one engine as this box believes it to be.
+type Status struct {
+	Name    string        `json:"name"`
+	Zone    string        `json:"zone"`
+	Leaving bool          `json:"leaving"`
+	Ejected bool          `json:"ejected"`
+	Mine    int           `json:"mine"`
+	Limit   int           `json:"limit"`
+	Running int           `json:"running"`
+	Queued  int           `json:"queued"`
+	Slow    float64       `json:"slow"`
+	Cached  int           `json:"cached_programs"`
+	Age     time.Duration `json:"report_age"`
+}
+
+// Status lists the engines.
+func (l *Loop) Status() []Status {
+	var out []Status
+	l.query(func(l *Loop) {
+		now := time.Now()
+		for _, e := range l.sorted() {
+			out = append(out, Status{
+				Name: e.target.Name, Zone: e.target.Zone, Leaving: e.leaving, Ejected: l.eject.Ejected(now, e.target.Name),
+				Mine: e.mine, Limit: e.limit.Limit(), Running: e.load.Running, Queued: e.load.Queued, Slow: e.slow,
+				Cached: len(e.cached), Age: now.Sub(e.heard),
+			})
+		}
+	})
+	return out
+}
+
+// Mine returns this box's streams under way by target.
+func (l *Loop) Mine() map[string]int {
+	out := map[string]int{}
+	l.query(func(l *Loop) {
+		for name, e := range l.engines {
+			out[name] = e.mine
+		}
+	})
+	return out
+}
+
+// Leaving lists the engines that are known to leave.
+func (l *Loop) Leaving() []string {
+	var out []string
+	l.query(func(l *Loop) {
+		for name, e := range l.engines {
+			if e.leaving {
+				out = append(out, name)
+			}
+		}
+	})
+	sort.Strings(out)
+	return out
+}
+
+// Holders returns which engines are believed to cache which programs.
+func (l *Loop) Holders() map[string][]string {
+	out := map[string][]string{}
+	l.query(func(l *Loop) {
+		for name, e := range l.engines {
+			for program := range e.cached {
+				out[name] = append(out[name], program)
+			}
+		}
+	})
+	return out
+}
+
+// HoldersOf returns the engines believed to cache a program.
+func (l *Loop) HoldersOf(program string) []string {
+	var out []string
+	l.query(func(l *Loop) {
+		for name, e := range l.engines {
+			if _, ok := e.cached[program]; ok {
+				out = append(out, name)
+			}
+		}
+	})
+	return out
+}
+
+func (l *Loop) query(run func(l *Loop)) {
+	done := make(chan struct{})
+	l.send(queryMsg{run: func(l *Loop) {
+		run(l)
+		close(done)
+	}})
+	select {
+	case <-done:
+	case <-l.done:
+	}
+}
--- /dev/null
+++ b/gate/admit/queue.go
@@ -0,0 +1,153 @@
+package admit
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/lease"
+	"mulleingate.dev/gate/route"
+)
+
+// request is a call in the queue.
+type request struct {
+	ask     lease.Ask
+	rank    int64
+	arrived time.Time
+	reply   chan answer
+	stop    func() bool
+	done    bool
+}
+
+func (r *request) answer(a answer) {
+	if r.done {
+		return
+	}
+	r.done = true
+	r.stop()
+	r.reply <- a
+}
+
+func (l *Loop) enter(m askMsg) {
+	now := time.Now()
+	if err := l.early(now, m.ask); err != nil {
+		l.counts.Count("admit.refused", 1)
+		m.reply <- answer{err: err}
+		return
+	}
+	req := &request{ask: m.ask, rank: route.Rank(l.opts.Order, m.ask.Work), arrived: now, reply: m.reply}
+	req.stop = context.AfterFunc(m.ctx, func() { l.send(goneMsg{req: req}) })
+	l.queue = append(l.queue, req)
+}
+
+// early refuses what has no allowed target, and what would wait too long.
+func (l *Loop) early(now time.Time, ask lease.Ask) error {
+	places, live := l.allowed(ask)
+	if places == 0 {
+		return fault.Refuse(fault.NoPlace, "the policy allows no target for the data")
+	}
+	if live == 0 {
+		return fault.Refuse(fault.NoTarget, "no allowed target serves the model now").After(time.Second)
+	}
+	if len(l.queue) >= maxQueue {
+		return fault.Refuse(fault.Overloaded, "the queue is full").After(time.Second)
+	}
+	wait := l.expected(ask)
+	if ask.Fresh && wait > l.opts.MaxWait {
+		return fault.Refuse(fault.Overloaded, "no new programs are taken now").After(retryAfter(wait - l.opts.MaxWait))
+	}
+	if now.Add(wait).After(ask.Deadline) {
+		return fault.Refuse(fault.DeadlineTooNear, "the deadline cannot be met").After(retryAfter(wait))
+	}
+	return nil
+}
+
+func retryAfter(wait time.Duration) time.Duration {
+	return max(wait, retryLeast)
+}
+
+// expected estimates the wait of a call that enters now: what waits before it, over the
+// rate at which places come free, plus the queues of the targets themselves.
+func (l *Loop) expected(ask lease.Ask) time.Duration {
+	places, least := 0, time.Duration(1<<62)
+	for _, e := range l.engines {
+		if !l.usable(e, ask) {
+			continue
+		}
+		places += max(1, e.limit.Limit())
+		least = min(least, e.backlog())
+	}
+	if places == 0 {
+		return 0
+	}
+	rank := route.Rank(l.opts.Order, ask.Work)
+	before := 0
+	for _, req := range l.queue {
+		if req.rank >= rank {
+			before++
+		}
+	}
+	return time.Duration(before)*l.service/time.Duration(places) + least
+}
+
+// leave takes a call out whose caller has gone or whose time is up.
+func (l *Loop) leave(req *request) {
+	if i := slices.Index(l.queue, req); i >= 0 {
+		l.queue = slices.Delete(l.queue, i, i+1)
+		l.counts.Count("admit.timed_out", 1)
+	}
+	req.answer(answer{err: fault.Refuse(fault.DeadlineMissed, "no target was free in time").After(l.service)})
+}
+
+// serve places what can be placed, in order.
+func (l *Loop) serve() {
+	if len(l.queue) == 0 {
+		return
+	}
+	now := time.Now()
+	l.sortQueue(now)
+	left := l.queue[:0]
+	full := 0
+	for i, req := range l.queue {
+		if full > maxMisses {
+			left = append(left, l.queue[i:]...)
+			break
+		}
+		given := l.place(now, req)
+		if given == nil {
+			full++
+			left = append(left, req)
+			continue
+		}
+		l.counts.Time("admit.wait", given.Waited)
+		req.answer(answer{lease: given})
+	}
+	clear(l.queue[len(left):])
+	l.queue = left
+}
+
+// maxMisses bounds the calls looked at in vain in one round.
+const maxMisses = 32
+
+// sortQueue puts starved calls first, then goes by priority, the tenants' fair shares and rank.
+func (l *Loop) sortQueue(now time.Time) {
+	sort.SliceStable(l.queue, func(i, j int) bool {
+		a, b := l.queue[i], l.queue[j]
+		as, bs := now.Sub(a.arrived) > l.opts.Starve, now.Sub(b.arrived) > l.opts.Starve
+		if as != bs {
+			return as
+		}
+		if as {
+			return a.arrived.Before(b.arrived)
+		}
+		if a.ask.Work.Priority != b.ask.Work.Priority {
+			return a.ask.Work.Priority > b.ask.Work.Priority
+		}
+		if at, bt := l.fair.level(a.ask.Input.Tenant), l.fair.level(b.ask.Input.Tenant); at != bt {
+			return at < bt
+		}
+		return a.rank > b.rank
+	})
+}
--- /dev/null
+++ b/gate/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds gate's commands, one a file.
+package cmds
--- /dev/null
+++ b/gate/cmds/run.go
@@ -0,0 +1,44 @@
+package cmds
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"mulleingate.dev/gate/conf"
+	"mulleingate.dev/gate/parts"
+)
+
+func init() {
+	register(&run{})
+}
+
+// run runs a box until it is told to stop.
+type run struct {
+	settings string
+}
+
+func (*run) Aliases() []string { return []string{"run"} }
+func (*run) Help() string      { return "run a box" }
+
+func (r *run) Flags(cmd *cobra.Command) {
+	cmd.Flags().StringVarP(&r.settings, "settings", "s", "box.json", "settings file")
+}
+
+func (r *run) Execute(ctx context.Context, _ io.Writer, _ []string) error {
+	set, err := conf.Load(r.settings)
+	if err != nil {
+		return err
+	}
+	logger := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: set.Log.Slog()}))
+	slog.SetDefault(logger)
+	box := parts.New(set, logger)
+	if err := box.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return box.Stop(context.Background())
+}
--- /dev/null
+++ b/gate/cmds/tryout.go
@@ -0,0 +1,62 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"mulleingate.dev/base/client"
+	"mulleingate.dev/base/sample"
+	"mulleingate.dev/base/types"
+	"mulleingate.dev/gate/conf"
+)
+
+// tryOut makes a program through the first box, runs a turn through the second and a
+// booking through the last.
+func tryOut(ctx context.Context, out io.Writer, sets []conf.Settings) error {
+	caller := &caller{http: client.New("tryout", nil), token: sample.Token("flanders")}
+	var state types.ProgramState
+	body := types.NewProgram{Model: "planner", DataClass: "personal", Kind: "booking", Budget: 100_000}
+	if err := caller.call(ctx, sets[0], "/v1/programs", "", body, &state); err != nil {
+		return err
+	}
+	var answer types.TurnAnswer
+	turn := types.TurnRequest{
+		Turn: 1, MaxTokens: 32, Continuation: state.Continuation,
+		Messages: []types.Message{{Role: "user", Content: "move my slot to Friday"}},
+	}
+	if err := caller.call(ctx, sets[1], "/v1/programs/"+state.ID+"/turns", "", turn, &answer); err != nil {
+		return err
+	}
+	var booked types.ServiceAnswer
+	call := types.ServiceCall{Input: json.RawMessage(`{"chair":7}`), Continuation: answer.Continuation}
+	if err := caller.call(ctx, sets[len(sets)-1], "/v1/programs/"+state.ID+"/calls/booking", "friday-1", call, &booked); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(out, "program %s\nanswer %s\nbooking %s\n", state.ID, answer.Choices[0].Message.Content, booked.Output)
+	return err
+}
+
+type caller struct {
+	http  *client.Client
+	token string
+}
+
+func (c *caller) call(ctx context.Context, set conf.Settings, path, key string, in, out any) error {
+	req, err := client.Request(ctx, http.MethodPost, "http://"+set.Listen.Callers.String()+path, in)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return client.Decode(resp, out)
+}
--- /dev/null
+++ b/gate/front/forward.go
@@ -0,0 +1,157 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mulleingate.dev/base/client"
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/ident"
+	"mulleingate.dev/base/types"
+	"mulleingate.dev/gate/peer"
+)
+
+const (
+	maxHops     = 3
+	searchPause = 50 * time.Millisecond
+	copyBuffer  = 16 << 10
+	// maxRepeats bounds how often a forward whose answer was lost is sent again.
+	maxRepeats = 3
+)
+
+// onOwner runs local if this box owns the slot, and forwards to the owner otherwise. It
+// searches again, for a set time, while ownership moves. Every request that comes here is
+// joined or answered from memory when it is repeated, so a lost answer is asked for again.
+func (f *Front) onOwner(c *call, slot ident.Slot, path string, local func() error) error {
+	ctx, stop := context.WithTimeout(c.r.Context(), f.opts.OwnerWait)
+	defer stop()
+	var find search
+	for {
+		err := f.once(c, slot, path, local, &find)
+		if err == nil {
+			return nil
+		}
+		p := fault.From(err)
+		if !find.again(c, p) {
+			return find.settled(p)
+		}
+		select {
+		case <-ctx.Done():
+			return find.settled(p)
+		case <-time.After(searchPause):
+		}
+	}
+}
+
+// once tries the box that seems to own the slot now.
+func (f *Front) once(c *call, slot ident.Slot, path string, local func() error, find *search) error {
+	member, here, err := f.owners.Locate(slot)
+	find.here = here
+	if err != nil {
+		return err
+	}
+	if here {
+		return local()
+	}
+	return f.forward(c, member, path)
+}
+
+// search is what a request has met on its way to the owner.
+type search struct {
+	// here says that the last try was on this box.
+	here bool
+	// touched says that some try may have reached a target.
+	touched bool
+	repeats int
+}
+
+// again reports whether another try may help and can do no harm.
+func (s *search) again(c *call, p *fault.Fault) bool {
+	if p.NotRun {
+		return movable(p) && c.hop == 0
+	}
+	s.touched = true
+	s.repeats++
+	return !s.here && p.Kind == fault.PeerLost && s.repeats <= maxRepeats && c.hop == 0
+}
+
+// movable reports whether another box may take the request.
+func movable(p *fault.Fault) bool {
+	return p.Kind == fault.NotOwner || p.Kind == fault.OwnerUnknown || p.Kind == fault.Stopping || p.Kind == fault.PeerLost
+}
+
+// settled is the failure as the caller sees it.
+func (s *search) settled(p *fault.Fault) error {
+	out := *p
+	out.NotRun = p.NotRun && !s.touched
+	if p.Kind == fault.PeerLost || p.Kind == fault.NotOwner {
+		out.Kind, out.Detail = fault.OwnerUnknown, "the owner of the program could not be reached"
+		out.RetryAfter = time.Second
+	}
+	return &out
+}
+
+// forward sends the request to another box and copies the answer through.
+func (f *Front) forward(c *call, to types.Member, path string) error {
+	if c.hop >= maxHops {
+		return fault.Refuse(fault.NotOwner, "forwarded too often")
+	}
+	req, err := http.NewRequestWithContext(c.r.Context(), c.r.Method, f.dialer.URL(to.Peer, path), bytes.NewReader(c.body))
+	if err != nil {
+		return fault.Refuse(fault.Internal, "forward cannot be built").Because(err)
+	}
+	for _, name := range []string{"Authorization", "Content-Type", "Idempotency-Key"} {
+		if v := c.r.Header.Get(name); v != "" {
+			req.Header.Set(name, v)
+		}
+	}
+	req.Header.Set(peer.HopHeader, strconv.Itoa(c.hop+1))
+	req.Header.Set(peer.RequestHeader, c.id)
+	f.counts.Count("front.forwarded", 1)
+	resp, err := f.dialer.Do(req)
+	if err != nil {
+		return away(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return client.Decode(resp, nil)
+	}
+	return f.copyThrough(c, resp)
+}
+
+func away(err error) error {
+	p := *fault.From(err)
+	p.Kind = fault.PeerLost
+	return &p
+}
+
+// copyThrough streams the answer. A stream that breaks is asked for again: its sequence
+// then starts anew, which tells the caller to drop what it had.
+func (f *Front) copyThrough(c *call, resp *http.Response) error {
+	if !c.sent {
+		c.w.Header().Set("Content-Type", resp.Header.Get("Content-Type"))
+		c.w.WriteHeader(resp.StatusCode)
+		c.sent = true
+	}
+	out := http.NewResponseController(c.w)
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			if _, werr := c.w.Write(buf[:n]); werr != nil {
+				return fault.Fail(fault.DeadlineMissed, "caller is gone").Because(werr)
+			}
+			_ = out.Flush()
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return away(fault.Fail(fault.TargetFailed, "answer broke off").Because(err))
+		}
+	}
+}
--- /dev/null
+++ b/gate/front/request.go
@@ -0,0 +1,77 @@
+package front
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/ident"
+	"mulleingate.dev/gate/peer"
+)
+
+const bearerPrefix = "Bearer "
+
+func bearer(r *http.Request) string {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	if !ok {
+		return ""
+	}
+	return token
+}
+
+// requestID takes a forwarded id as it is; callers get a fresh one.
+func requestID(r *http.Request, fromPeer bool) string {
+	if id := r.Header.Get(peer.RequestHeader); fromPeer && id != "" && len(id) <= ident.MaxLen {
+		return id
+	}
+	return ident.Random()
+}
+
+func hop(r *http.Request, fromPeer bool) int {
+	if !fromPeer {
+		return 0
+	}
+	n, err := strconv.Atoi(r.Header.Get(peer.HopHeader))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fault.Refuse(fault.TooLarge, "body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+	}
+	if err != nil {
+		return nil, fault.Refuse(fault.BadRequest, "body could not be read").Because(err)
+	}
+	return raw, nil
+}
+
+func (c *call) decode(out any) error {
+	if err := json.Unmarshal(c.body, out); err != nil {
+		return fault.Refuse(fault.BadJSON, "body is not the expected JSON")
+	}
+	return nil
+}
+
+func (c *call) path(name string) string {
+	return pathvar.Vars(c.r)[name]
+}
+
+// key is the caller's idempotency key.
+func (c *call) key() (string, error) {
+	key := c.r.Header.Get("Idempotency-Key")
+	if len(key) > ident.MaxLen {
+		return "", fault.Refuse(fault.BadRequest, "Idempotency-Key is longer than 128 bytes")
+	}
+	return key, nil
+}
--- /dev/null
+++ b/gate/lease/message.go
@@ -0,0 +1,40 @@
+package lease
+
+import "mulleingate.dev/base/types"
+
+// Message is what other services tell the queue.
+type Message interface{ isMessage() }
+
+// Report is an engine's load report with its cache events.
+type Report struct {
+	Load   types.LoadReport
+	Events []types.CacheEvent
+}
+
+// Targets replaces the list of engines.
+type Targets struct{ List []types.Target }
+
+// Leaving says that an engine takes no new work.
+type Leaving struct{ Name string }
+
+// Others is what another box has under way, by target.
+type Others struct {
+	Box     string
+	Streams map[string]int
+}
+
+// Forget drops what is believed of programs' caches.
+type Forget struct{ Programs []string }
+
+// Cached is the whole list of what an engine holds.
+type Cached struct {
+	Target string
+	Tokens map[string]int
+}
+
+func (Report) isMessage()  {}
+func (Targets) isMessage() {}
+func (Leaving) isMessage() {}
+func (Others) isMessage()  {}
+func (Forget) isMessage()  {}
+func (Cached) isMessage()  {}
--- /dev/null
+++ b/gate/parts/meter.go
@@ -0,0 +1,20 @@
+package parts
+
+import (
+	"mulleingate.dev/gate/kernel"
+	"mulleingate.dev/gate/meter"
+	"mulleingate.dev/gate/trail"
+)
+
+func init() {
+	register("meter", func(*Env) kernel.Part {
+		return kernel.Part{Make: func(*kernel.Kernel) (kernel.Service, error) {
+			return meter.New(), nil
+		}}
+	})
+	register("trail", func(env *Env) kernel.Part {
+		return kernel.Part{Make: func(*kernel.Kernel) (kernel.Service, error) {
+			return trail.New(env.Settings.Limits.TrailSteps), nil
+		}}
+	})
+}
--- /dev/null
+++ b/gate/parts/prog.go
@@ -0,0 +1,57 @@
+package parts
+
+import (
+	"context"
+
+	"mulleingate.dev/base/wire"
+	"mulleingate.dev/gate/admit"
+	"mulleingate.dev/gate/engine"
+	"mulleingate.dev/gate/kernel"
+	"mulleingate.dev/gate/member"
+	"mulleingate.dev/gate/meter"
+	"mulleingate.dev/gate/plain"
+	"mulleingate.dev/gate/policy"
+	"mulleingate.dev/gate/prog"
+	"mulleingate.dev/gate/slots"
+	"mulleingate.dev/gate/trail"
+)
+
+// pools is the routing to plain services as a service.
+type pools struct{ *plain.Pools }
+
+func (pools) Start(context.Context) error { return nil }
+func (pools) Stop(context.Context) error  { return nil }
+
+func init() {
+	register("prog", func(env *Env) kernel.Part {
+		needs := []string{"slots", "admit", "engine", "policy", "meter", "trail"}
+		return kernel.Part{Needs: needs, Make: func(k *kernel.Kernel) (kernel.Service, error) {
+			owners := k.Find("slots").(*slots.Slots)
+			svc := prog.New(env.Self.Zone, owners, k.Find("admit").(*admit.Loop), k.Find("engine").(*engine.Engines),
+				k.Find("policy").(*policy.Store), k.Find("meter").(*meter.Meter), k.Find("trail").(*trail.Trail), env.Logger)
+			owners.Watch(svc)
+			return svc, nil
+		}}
+	})
+	register("pools", func(env *Env) kernel.Part {
+		return kernel.Part{Needs: []string{"policy", "meter", "member"}, Make: func(k *kernel.Kernel) (kernel.Service, error) {
+			p := plain.NewPools(env.Self.Zone, k.Find("policy").(*policy.Store), k.Find("meter").(*meter.Meter))
+			view := k.Find("member").(*member.View)
+			view.OnList(p.Take)
+			view.Announce(func(beat *wire.BeatRequest) { beat.LeavingTargets = append(beat.LeavingTargets, p.Left()...) })
+			view.Listen(func(beat *wire.BeatRequest) {
+				for _, name := range beat.GetLeavingTargets() {
+					p.Leaving(name)
+				}
+			})
+			return pools{p}, nil
+		}}
+	})
+	register("plain", func(env *Env) kernel.Part {
+		needs := []string{"slots", "pools", "policy", "meter"}
+		return kernel.Part{Needs: needs, Make: func(k *kernel.Kernel) (kernel.Service, error) {
+			return plain.New(k.Find("slots").(*slots.Slots), k.Find("pools").(pools), k.Find("policy").(*policy.Store),
+				k.Find("meter").(*meter.Meter), env.Logger), nil
+		}}
+	})
+}
--- /dev/null
+++ b/gate/parts/slots.go
@@ -0,0 +1,25 @@
+package parts
+
+import (
+	"time"
+
+	"mulleingate.dev/gate/kernel"
+	"mulleingate.dev/gate/member"
+	"mulleingate.dev/gate/meter"
+	"mulleingate.dev/gate/policy"
+	"mulleingate.dev/gate/slots"
+)
+
+func init() {
+	register("slots", func(env *Env) kernel.Part {
+		return kernel.Part{Needs: []string{"member", "policy", "meter"}, Make: func(k *kernel.Kernel) (kernel.Service, error) {
+			set, plat := env.Settings.Slots, env.Settings.Platform
+			timing := slots.Timing{
+				Tick: time.Duration(set.Tick), FlushAfter: time.Duration(set.FlushAfter), AdoptAfter: time.Duration(set.AdoptAfter),
+				Retention: time.Duration(plat.Retention), AppendShare: plat.AppendShare(), MaxQueued: set.MaxQueued,
+			}
+			return slots.New(env.Self, env.Incarnation, env.Log, k.Find("member").(*member.View),
+				k.Find("policy").(*policy.Store), timing, k.Find("meter").(*meter.Meter), env.Logger), nil
+		}}
+	})
+}
--- /dev/null
+++ b/gate/policy/state.go
@@ -0,0 +1,129 @@
+package policy
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/ident"
+	"mulleingate.dev/base/rules"
+	"mulleingate.dev/base/seal"
+	"mulleingate.dev/base/types"
+)
+
+// State is one revision in force, with what was made from it. It never changes.
+type State struct {
+	Revision types.Revision
+	Rules    *rules.Set
+	Ring     *seal.Ring
+
+	slots    []ident.Slot
+	tenants  map[string]types.Tenant
+	models   map[string]types.Model
+	services map[string]types.Service
+	regions  map[string]string
+	// verdicts keeps place verdicts by input, at most maxVerdicts of them.
+	verdicts sync.Map
+	kept     atomic.Int64
+}
+
+const maxVerdicts = 100_000
+
+func newState(rev types.Revision, root *seal.Root) (*State, error) {
+	cfg := rev.Config
+	set, err := rules.Compile(cfg.Policy)
+	if err != nil {
+		return nil, err
+	}
+	ring, err := seal.NewRing(root, cfg.Keys)
+	if err != nil {
+		return nil, err
+	}
+	st := &State{
+		Revision: rev, Rules: set, Ring: ring, tenants: map[string]types.Tenant{},
+		models: map[string]types.Model{}, services: map[string]types.Service{}, regions: map[string]string{},
+	}
+	st.index(cfg)
+	return st, nil
+}
+
+func (st *State) index(cfg types.Config) {
+	for _, zone := range cfg.Zones {
+		st.regions[zone.Name] = zone.Region
+		for n := range zone.Slots {
+			st.slots = append(st.slots, ident.Slot{Zone: zone.Name, Number: n})
+		}
+	}
+	for _, tenant := range cfg.Tenants {
+		for _, hash := range tenant.TokenHashes {
+			st.tenants[hash] = tenant
+		}
+	}
+	for _, model := range cfg.Models {
+		st.models[model.Name] = model
+	}
+	for _, svc := range cfg.Services {
+		st.services[svc.Name] = svc
+	}
+}
+
+// Tenant finds the tenant of a bearer token.
+func (st *State) Tenant(token string) (types.Tenant, error) {
+	sum := sha256.Sum256([]byte(token))
+	tenant, ok := st.tenants[hex.EncodeToString(sum[:])]
+	if !ok {
+		return types.Tenant{}, fault.Refuse(fault.Unauthorized, "the bearer token is not known")
+	}
+	return tenant, nil
+}
+
+// Model finds a model.
+func (st *State) Model(name string) (types.Model, error) {
+	model, ok := st.models[name]
+	if !ok {
+		return model, fault.Refuse(fault.UnknownModel, "no such model")
+	}
+	return model, nil
+}
+
+// Service finds a tool or plain service.
+func (st *State) Service(name string) (types.Service, error) {
+	svc, ok := st.services[name]
+	if !ok {
+		return svc, fault.Refuse(fault.UnknownService, "no such service")
+	}
+	return svc, nil
+}
+
+// Region is the region of an availability zone.
+func (st *State) Region(zone string) string {
+	return st.regions[zone]
+}
+
+// Slots lists all slots.
+func (st *State) Slots() []ident.Slot {
+	return st.slots
+}
+
+// Share is the fair share of a tenant, at least 1.
+func (st *State) Share(tenant string) int {
+	i := slices.IndexFunc(st.Revision.Config.Tenants, func(t types.Tenant) bool { return t.Name == tenant })
+	if i < 0 {
+		return 1
+	}
+	return max(1, st.Revision.Config.Tenants[i].Share)
+}
+
+// Defaults are the configured limits.
+func (st *State) Defaults() types.Defaults {
+	return st.Revision.Config.Defaults
+}
+
+// KeyRetention is how long idempotency keys are kept.
+func (st *State) KeyRetention() time.Duration {
+	return time.Duration(st.Defaults().KeyRetention)
+}
--- /dev/null
+++ b/gate/trail/trail.go
@@ -0,0 +1,65 @@
+package trail
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mulleingate.dev/gate/route"
+)
+
+// Step is one decision.
+type Step struct {
+	At      time.Time       `json:"at"`
+	Request string          `json:"request,omitempty"`
+	Program string          `json:"program,omitempty"`
+	What    string          `json:"what"`
+	Why     string          `json:"why,omitempty"`
+	Target  string          `json:"target,omitempty"`
+	Weighed []route.Weighed `json:"weighed,omitempty"`
+}
+
+// Trail is the service.
+type Trail struct {
+	mu    sync.Mutex
+	steps []Step
+	next  int
+}
+
+// New makes a trail that keeps the last size steps.
+func New(size int) *Trail {
+	return &Trail{steps: make([]Step, size)}
+}
+
+// Start implements a service.
+func (t *Trail) Start(context.Context) error {
+	return nil
+}
+
+// Stop implements a service.
+func (t *Trail) Stop(context.Context) error {
+	return nil
+}
+
+// Note keeps a step.
+func (t *Trail) Note(step Step) {
+	step.At = time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.steps[t.next] = step
+	t.next = (t.next + 1) % len(t.steps)
+}
+
+// Find returns the steps of a program or request, oldest first.
+func (t *Trail) Find(id string) []Step {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Step
+	for i := range t.steps {
+		step := t.steps[(t.next+i)%len(t.steps)]
+		if !step.At.IsZero() && (step.Program == id || step.Request == id) {
+			out = append(out, step)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/stand/applog/serve.go
@@ -0,0 +1,92 @@
+package applog
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/server"
+	"mulleingate.dev/base/types"
+)
+
+const (
+	maxBody   = 64 << 20
+	maxPage   = 10_000
+	pageStart = 1000
+)
+
+// Routes serves the log over HTTP.
+func (s *Store) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: "/v1/streams/:name", Handler: s.serveAppend},
+		{Method: http.MethodGet, Path: "/v1/streams/:name", Handler: s.serveRead},
+		{Method: http.MethodPut, Path: "/control", Handler: s.serveControl},
+		{Method: http.MethodGet, Path: "/control", Handler: func(w http.ResponseWriter, _ *http.Request) {
+			server.Write(w, http.StatusOK, s.Faults())
+		}},
+		{Method: http.MethodGet, Path: "/control/stats", Handler: func(w http.ResponseWriter, _ *http.Request) {
+			server.Write(w, http.StatusOK, s.Stats())
+		}},
+	}
+}
+
+func streamName(r *http.Request) string {
+	name := pathvar.Vars(r)["name"]
+	if plain, err := url.PathUnescape(name); err == nil {
+		return plain
+	}
+	return name
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
+	var in types.LogAppend
+	if err := server.Read(w, r, maxBody, &in); err != nil {
+		server.Fail(w, "", err)
+		return
+	}
+	// An append that has arrived takes effect even if its caller has gone.
+	at, err := s.Append(context.WithoutCancel(r.Context()), streamName(r), in.Data)
+	if fault.Is(err, fault.LogUnavailable) && !fault.From(err).NotRun {
+		server.Cut(w)
+		return
+	}
+	if err != nil {
+		server.Fail(w, "", err)
+		return
+	}
+	server.Write(w, http.StatusOK, types.LogOffset{Offset: at})
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(strings.TrimSpace(r.URL.Query().Get("from")), 10, 64)
+	if err != nil {
+		server.Fail(w, "", fault.Refuse(fault.BadRequest, "from is not an offset"))
+		return
+	}
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil || limit <= 0 || limit > maxPage {
+		limit = pageStart
+	}
+	page, err := s.Read(r.Context(), streamName(r), from, limit)
+	if err != nil {
+		server.Fail(w, "", err)
+		return
+	}
+	server.Write(w, http.StatusOK, page)
+}
+
+func (s *Store) serveControl(w http.ResponseWriter, r *http.Request) {
+	faults := s.Faults()
+	if err := server.Read(w, r, maxBody, &faults); err != nil {
+		server.Fail(w, "", err)
+		return
+	}
+	s.Set(faults)
+	server.Write(w, http.StatusOK, faults)
+}
--- /dev/null
+++ b/stand/model/serve.go
@@ -0,0 +1,173 @@
+package model
+
+import (
+	"net/http"
+	"net/netip"
+	"strconv"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"mulleingate.dev/base/client"
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/server"
+	"mulleingate.dev/base/types"
+)
+
+const maxBody = 64 << 20
+
+// Server serves an engine over HTTP.
+type Server struct {
+	engine *Engine
+	// weights is the weight store's address; the zero address means there is none.
+	weights netip.AddrPort
+	http    *client.Client
+}
+
+// NewServer makes a server that fetches weights from the store for each load order.
+func NewServer(engine *Engine, weights netip.AddrPort) *Server {
+	return &Server{engine: engine, weights: weights, http: client.New("engine-out", nil)}
+}
+
+// LoadAnswer is the answer of the load route.
+type LoadAnswer struct {
+	Load   types.LoadReport   `json:"load"`
+	Events []types.CacheEvent `json:"events"`
+}
+
+// Routes lists the routes.
+func (s *Server) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: "/v1/chat/completions", Handler: s.serveStart},
+		{Method: http.MethodGet, Path: "/v1/streams/:attempt", Handler: s.serveFollow},
+		{Method: http.MethodPost, Path: "/v1/streams/:attempt/cancel", Handler: s.serveCancel},
+		{Method: http.MethodGet, Path: "/v1/load", Handler: s.serveLoad},
+		{Method: http.MethodPost, Path: "/v1/cache", Handler: s.serveCache},
+		{Method: http.MethodGet, Path: "/v1/cache", Handler: s.serveItems},
+		{Method: http.MethodPost, Path: "/v1/orders", Handler: s.serveOrder},
+		{Method: http.MethodGet, Path: "/v1/models", Handler: s.serveModels},
+		{Method: http.MethodGet, Path: "/control/stats", Handler: s.serveStats},
+		{Method: http.MethodPut, Path: "/control", Handler: s.serveControl},
+	}
+}
+
+func (s *Server) serveStart(w http.ResponseWriter, r *http.Request) {
+	var call types.EngineCall
+	if err := server.Read(w, r, maxBody, &call); err != nil {
+		server.Fail(w, "", err)
+		return
+	}
+	if err := s.engine.Start(call); err != nil {
+		server.Fail(w, call.Attempt, err)
+		return
+	}
+	s.follow(w, r, call.Attempt, 0)
+}
+
+func (s *Server) serveFollow(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+	s.follow(w, r, pathvar.Vars(r)["attempt"], after)
+}
+
+func (s *Server) follow(w http.ResponseWriter, r *http.Request, attempt string, after int) {
+	s.engine.mu.Lock()
+	_, ok := s.engine.streams[attempt]
+	s.engine.mu.Unlock()
+	if !ok {
+		server.Fail(w, attempt, fault.Refuse(fault.NoProgram, "no such stream"))
+		return
+	}
+	out := server.NewStream(w)
+	err := s.engine.Follow(r.Context(), attempt, after, func(ev types.EngineEvent) error { return out.Send(ev) })
+	if err != nil {
+		server.Cut(w)
+		return
+	}
+	_ = out.Close()
+}
+
+func (s *Server) serveCancel(w http.ResponseWriter, r *http.Request) {
+	s.engine.Cancel(pathvar.Vars(r)["attempt"])
+	server.Write(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) serveLoad(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	load, events := s.engine.Load(after)
+	server.Write(w, http.StatusOK, LoadAnswer{Load: load, Events: events})
+}
+
+func (s *Server) serveCache(w http.ResponseWriter, r *http.Request) {
+	var order types.CacheOrder
+	if err := server.Read(w, r, maxBody, &order); err != nil {
+		server.Fail(w, "", err)
+		return
+	}
+	err := s.cacheOrder(r, order)
+	if err != nil {
+		server.Fail(w, "", err)
+		return
+	}
+	server.Write(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) cacheOrder(r *http.Request, order types.CacheOrder) error {
+	if order.Op != OpImport {
+		return s.engine.Cache(order)
+	}
+	var items map[string]Item
+	url := "http://" + order.From.String() + "/v1/cache"
+	if err := s.http.Call(r.Context(), http.MethodGet, url, nil, &items); err != nil {
+		return err
+	}
+	wanted := map[string]Item{}
+	for _, key := range order.Keys {
+		if it, ok := items[key]; ok {
+			wanted[key] = it
+		}
+	}
+	s.engine.Import(wanted)
+	return nil
+}
+
+func (s *Server) serveItems(w http.ResponseWriter, _ *http.Request) {
+	server.Write(w, http.StatusOK, s.engine.Items())
+}
+
+func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order types.EngineOrder
+	if err := server.Read(w, r, maxBody, &order); err != nil {
+		server.Fail(w, "", err)
+		return
+	}
+	if order.Kind == OrderLoad && s.weights.IsValid() {
+		err := s.http.Call(r.Context(), http.MethodPost, "http://"+s.weights.String()+"/v1/fetch", struct{}{}, nil)
+		if err != nil {
+			server.Fail(w, "", err)
+			return
+		}
+	}
+	if err := s.engine.Order(order); err != nil {
+		server.Fail(w, "", err)
+		return
+	}
+	server.Write(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) serveModels(w http.ResponseWriter, _ *http.Request) {
+	server.Write(w, http.StatusOK, s.engine.Models())
+}
+
+func (s *Server) serveStats(w http.ResponseWriter, _ *http.Request) {
+	server.Write(w, http.StatusOK, s.engine.Stats())
+}
+
+func (s *Server) serveControl(w http.ResponseWriter, r *http.Request) {
+	var in Faults
+	if err := server.Read(w, r, maxBody, &in); err != nil {
+		server.Fail(w, "", err)
+		return
+	}
+	s.engine.Set(in)
+	server.Write(w, http.StatusOK, in)
+}
--- /dev/null
+++ b/stand/rig/doc.go
@@ -0,0 +1,2 @@
+// Package rig runs the platform's stand-ins in one process, on loopback.
+package rig
--- /dev/null
+++ b/stand/roster/roster.go
@@ -0,0 +1,140 @@
+package roster
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/server"
+	"mulleingate.dev/base/types"
+)
+
+const (
+	maxBody = 16 << 20
+	history = 64
+)
+
+// Roster is the list. It is safe for use by many goroutines.
+type Roster struct {
+	mu  sync.Mutex
+	lag time.Duration
+	// versions are in order of time; readers get the newest that is older than lag.
+	versions []types.List
+	down     bool
+}
+
+// Control is the body of a control call. Unset fields change nothing.
+type Control struct {
+	Lag    *types.Duration `json:"lag,omitempty"`
+	Down   *bool           `json:"down,omitempty"`
+	List   *types.List     `json:"list,omitempty"`
+	Remove string          `json:"remove,omitempty"`
+	Leave  string          `json:"leave,omitempty"`
+}
+
+// New makes a roster with a first list, visible at once.
+func New(list types.List, lag time.Duration) *Roster {
+	list.At = time.Now().Add(-lag)
+	return &Roster{lag: lag, versions: []types.List{list}}
+}
+
+// List returns the list as of lag ago.
+func (l *Roster) List() (types.List, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return types.List{}, fault.Refuse(fault.TargetFailed, "list is down")
+	}
+	cutoff := time.Now().Add(-l.lag)
+	out := l.versions[0]
+	for _, v := range l.versions {
+		if !v.At.After(cutoff) {
+			out = v
+		}
+	}
+	return out, nil
+}
+
+// Change edits the newest list; readers see it after the lag.
+func (l *Roster) Change(edit func(list *types.List)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last := l.versions[len(l.versions)-1]
+	next := types.List{At: time.Now(), Boxes: slices.Clone(last.Boxes), Targets: slices.Clone(last.Targets)}
+	edit(&next)
+	l.versions = append(l.versions, next)
+	if len(l.versions) > history {
+		l.versions = l.versions[len(l.versions)-history:]
+	}
+}
+
+// Leave marks a box or target as leaving.
+func (l *Roster) Leave(name string) {
+	l.Change(func(list *types.List) {
+		for i := range list.Boxes {
+			list.Boxes[i].Leaving = list.Boxes[i].Leaving || list.Boxes[i].Name == name
+		}
+		for i := range list.Targets {
+			list.Targets[i].Leaving = list.Targets[i].Leaving || list.Targets[i].Name == name
+		}
+	})
+}
+
+// Remove takes a box or target off the list.
+func (l *Roster) Remove(name string) {
+	l.Change(func(list *types.List) {
+		list.Boxes = slices.DeleteFunc(list.Boxes, func(m types.Member) bool { return m.Name == name })
+		list.Targets = slices.DeleteFunc(list.Targets, func(t types.Target) bool { return t.Name == name })
+	})
+}
+
+// Routes serves the list over HTTP.
+func (l *Roster) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodGet, Path: "/v1/list", Handler: l.serveList},
+		{Method: http.MethodPut, Path: "/control", Handler: l.serveControl},
+	}
+}
+
+func (l *Roster) serveList(w http.ResponseWriter, _ *http.Request) {
+	list, err := l.List()
+	if err != nil {
+		server.Fail(w, "", err)
+		return
+	}
+	server.Write(w, http.StatusOK, list)
+}
+
+func (l *Roster) serveControl(w http.ResponseWriter, r *http.Request) {
+	var in Control
+	if err := server.Read(w, r, maxBody, &in); err != nil {
+		server.Fail(w, "", err)
+		return
+	}
+	l.control(in)
+	server.Write(w, http.StatusOK, struct{}{})
+}
+
+func (l *Roster) control(in Control) {
+	l.mu.Lock()
+	if in.Lag != nil {
+		l.lag = time.Duration(*in.Lag)
+	}
+	if in.Down != nil {
+		l.down = *in.Down
+	}
+	l.mu.Unlock()
+	if in.List != nil {
+		l.Change(func(list *types.List) { list.Boxes, list.Targets = in.List.Boxes, in.List.Targets })
+	}
+	if in.Leave != "" {
+		l.Leave(in.Leave)
+	}
+	if in.Remove != "" {
+		l.Remove(in.Remove)
+	}
+}
--- /dev/null
+++ b/stand/weight/doc.go
@@ -0,0 +1,2 @@
+// Package weight is a stand-in of the platform's rate-limited weight store.
+package weight
