desk: give a slot up when a continuation shows a newer claim

Cause: the new stateful fuzz found an honest caller refused with bad_continuation: a box that was paused and displaced still believed it owned the slot, and judged a token of the newer owner by its own stale history. Change: a token carries the epoch it was made under; an owner that meets a higher one answers not_owner and steps down. Where two owners answered the same turn, the caller's token now decides which answer the history goes on from (record field instead). Ruled out: the lost tail of the token (it was in the log of the newer owner). Conclusion: tokens must be judged by epoch before history.

--- a/base/types/record.go
+++ b/base/types/record.go
@@ -70,6 +70,9 @@
 	// Spent is what the whole purse had spent when the turn was answered, in tokens.
 	Spent int64     `json:"spent"`
 	At    time.Time `json:"at"`
+	// Instead says that the turn takes the place of the head, which no caller built on:
+	// two owners answered the same turn, and the caller goes on from this answer.
+	Instead bool `json:"instead,omitempty"`
 }
 
 // Grant raises what an owner may spend, in tokens, as a running total.
--- a/gate/desk/adopt.go
+++ b/gate/desk/adopt.go
@@ -11,6 +11,10 @@
 // Adopt takes over from a continuation what the log does not hold: programs begun and
 // turns answered while it was away. It changes nothing if any part does not fit.
 func (d *Desk) Adopt(cont types.Continuation) ([]types.Record, error) {
+	if cont.Epoch > d.State.Epoch {
+		d.Superseded = true
+		return nil, fault.Refuse(fault.NotOwner, "the continuation shows a newer owner")
+	}
 	begins, err := d.missing(cont)
 	if err != nil {
 		return nil, err
@@ -26,6 +30,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if run, ok := d.Turns[cont.Program]; ok && len(turns) > 0 {
+		return nil, fault.Refuse(fault.TurnConflict, "another turn is running").At(run.Turn - 1)
+	}
 	recs := d.takeBegins(begins)
 	for _, turn := range turns {
 		recs = append(recs, d.write(types.Record{Turn: &turn})...)
@@ -72,20 +79,29 @@
 	return recs
 }
 
-// tail returns the turns that extend the program's history, or why the token does not fit.
+// tail returns the turns that the token adds to the program's history, or why it does
+// not fit. Where two owners answered the head turn, the token says from which answer its
+// caller goes on; nothing before the head is ever replaced.
 func tail(prog *types.Program, cont types.Continuation) ([]types.Turn, error) {
 	head := fold.Head(prog)
-	if cont.Turn <= head {
+	if cont.Turn < head {
 		return nil, onChain(prog, cont)
 	}
 	scratch := *prog
 	scratch.Turns = append([]types.Turn{}, prog.Turns...)
 	var out []types.Turn
 	for _, turn := range cont.Tail {
-		if turn.Number <= head {
+		switch {
+		case turn.Number < head:
 			continue
-		}
-		if !fold.Extends(&scratch, turn) {
+		case turn.Number == head && bytes.Equal(turn.Digest, fold.Last(&scratch)):
+			continue
+		case turn.Number == head && fold.Replaces(&scratch, turn):
+			scratch.Turns = scratch.Turns[:head-1]
+			turn.Instead = true
+		case fold.Extends(&scratch, turn):
+			turn.Instead = false
+		default:
 			return nil, fault.Refuse(fault.BadContinuation, "continuation does not extend the history").At(head)
 		}
 		scratch.Turns = append(scratch.Turns, turn)
--- a/gate/desk/desk.go
+++ b/gate/desk/desk.go
@@ -44,6 +44,8 @@
 	Calls map[string]*CallRun
 	// LogUp is false while the last append has failed.
 	LogUp bool
+	// Superseded is set once a continuation shows a newer claim; the slot is then given up.
+	Superseded bool
 
 	reserved map[string]int64
 	// confirmed is what the log is known to grant. Nothing beyond it is ever reserved.
--- a/gate/desk/sweep.go
+++ b/gate/desk/sweep.go
@@ -158,6 +158,7 @@
 		recs = append(recs, types.Record{Purse: &copied})
 	}
 	for _, turn := range prog.Turns {
+		turn.Instead = false
 		recs = append(recs, types.Record{Turn: &turn})
 	}
 	return recs
--- a/gate/fold/fold.go
+++ b/gate/fold/fold.go
@@ -144,10 +144,14 @@
 	if !ok {
 		return
 	}
-	if !Extends(prog, t) {
+	switch {
+	case t.Instead && Replaces(prog, t):
+		prog.Turns = append(prog.Turns[:len(prog.Turns)-1:len(prog.Turns)-1], t)
+	case Extends(prog, t):
+		prog.Turns = append(prog.Turns, t)
+	default:
 		return
 	}
-	prog.Turns = append(prog.Turns, t)
 	prog.LastAt = t.At
 	if purse, ok := s.Purses[prog.Begin.Root]; ok {
 		purse.Spent = min(max(purse.Spent, t.Spent), purse.Granted)
@@ -213,3 +217,14 @@
 	}
 	return bytes.Equal(t.Digest, Digest(prog.Begin, t, Last(prog)))
 }
+
+// Replaces reports whether the turn is another answer to the program's head turn.
+func Replaces(prog *types.Program, t types.Turn) bool {
+	head := Head(prog)
+	if head == 0 || t.Program != prog.Begin.ID || t.Number != head {
+		return false
+	}
+	before := *prog
+	before.Turns = prog.Turns[:head-1]
+	return bytes.Equal(t.Digest, Digest(prog.Begin, t, Last(&before)))
+}
--- a/gate/plain/plain.go
+++ b/gate/plain/plain.go
@@ -22,8 +22,8 @@
 
 // Replicas sends calls to services.
 type Replicas interface {
-	Once(ctx context.Context, svc types.Service, in types.RuleInput, body run) (json.RawMessage, error)
-	Repeat(ctx context.Context, svc types.Service, in types.RuleInput, body run) (json.RawMessage, error)
+	Once(ctx context.Context, svc types.Service, in types.RuleInput, body Body) (json.RawMessage, error)
+	Repeat(ctx context.Context, svc types.Service, in types.RuleInput, body Body) (json.RawMessage, error)
 	Probe(ctx context.Context, svc types.Service, in types.RuleInput, key string) (json.RawMessage, bool, error)
 }
 
@@ -95,7 +95,7 @@
 	if err := p.pay(ctx, slot, ask); err != nil {
 		return types.ServiceAnswer{}, err
 	}
-	body := run{Key: ident.Random(), Input: ask.Body}
+	body := Body{Key: ident.Random(), Input: ask.Body}
 	if ask.Key != "" {
 		body.Key = scoped(ask)
 	}
@@ -206,7 +206,7 @@
 	}
 	ctx, stop := context.WithTimeout(context.Background(), callTimeout)
 	defer stop()
-	out, err := p.pools.Once(ctx, ask.Service, ask.Input, run{Key: callRun.Intent.Key, Input: ask.Body})
+	out, err := p.pools.Once(ctx, ask.Service, ask.Input, Body{Key: callRun.Intent.Key, Input: ask.Body})
 	p.land(slot, ask, callRun, fl, out, err)
 }
 
--- a/gate/plain/pool.go
+++ b/gate/plain/pool.go
@@ -117,12 +117,13 @@
 	return out
 }
 
-// run is the body of a call to a replica, result its answer.
-type run struct {
+// Body is what a replica gets.
+type Body struct {
 	Key   string          `json:"key"`
 	Input json.RawMessage `json:"input"`
 }
 
+// result is what a replica answers.
 type result struct {
 	Done   bool            `json:"done"`
 	Output json.RawMessage `json:"output,omitempty"`
@@ -130,12 +131,12 @@
 
 // Once sends the call to one replica. Only a failure that proves that nothing was handed
 // over moves it to another.
-func (p *Pools) Once(ctx context.Context, svc types.Service, in types.RuleInput, body run) (json.RawMessage, error) {
+func (p *Pools) Once(ctx context.Context, svc types.Service, in types.RuleInput, body Body) (json.RawMessage, error) {
 	return p.attempts(ctx, svc, in, body, func(err error) bool { return fault.From(err).NotRun })
 }
 
 // Repeat sends a repeatable call, again elsewhere after any failure of the target.
-func (p *Pools) Repeat(ctx context.Context, svc types.Service, in types.RuleInput, body run) (json.RawMessage, error) {
+func (p *Pools) Repeat(ctx context.Context, svc types.Service, in types.RuleInput, body Body) (json.RawMessage, error) {
 	again := func(err error) bool {
 		f := fault.From(err)
 		return f.NotRun || f.Kind == fault.TargetFailed || f.Kind == fault.Protocol
@@ -152,7 +153,7 @@
 }
 
 // hedge sends a second copy if the first has not answered in time; the first answer wins.
-func (p *Pools) hedge(ctx context.Context, svc types.Service, in types.RuleInput, body run, again func(error) bool) (json.RawMessage, error) {
+func (p *Pools) hedge(ctx context.Context, svc types.Service, in types.RuleInput, body Body, again func(error) bool) (json.RawMessage, error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	done := make(chan outcome, 2)
@@ -182,7 +183,7 @@
 	}
 }
 
-func (p *Pools) attempts(ctx context.Context, svc types.Service, in types.RuleInput, body run, again func(error) bool) (json.RawMessage, error) {
+func (p *Pools) attempts(ctx context.Context, svc types.Service, in types.RuleInput, body Body, again func(error) bool) (json.RawMessage, error) {
 	budget := p.budget(svc.Name)
 	budget.Call()
 	pause := backoff.NewExponentialBackOff()
@@ -302,7 +303,7 @@
 	return cost
 }
 
-func (p *Pools) send(ctx context.Context, r *replica, svc types.Service, body run) (json.RawMessage, error) {
+func (p *Pools) send(ctx context.Context, r *replica, svc types.Service, body Body) (json.RawMessage, error) {
 	if svc.Timeout > 0 {
 		var stop context.CancelFunc
 		ctx, stop = context.WithTimeout(ctx, time.Duration(svc.Timeout))
--- /dev/null
+++ b/gate/proof/caller_test.go
@@ -0,0 +1,385 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/ident"
+	"mulleingate.dev/base/types"
+	"mulleingate.dev/gate/plain"
+	"mulleingate.dev/gate/prog"
+)
+
+const (
+	budget     = 4000
+	callWait   = 4 * time.Second
+	searchTime = 2 * time.Second
+)
+
+// program is what an honest caller knows of its program.
+type program struct {
+	id, root, tenant, parent string
+	token                    string
+	history                  []types.Message
+	turn                     int
+	ended                    bool
+	busy                     bool
+	// tokens are all tokens it ever got, for replays.
+	tokens []string
+}
+
+// keyCall is what a caller knows of an idempotency key.
+type keyCall struct {
+	key, tenant, service, input string
+	// maybe says that some request of the key may have run.
+	maybe bool
+	asked int
+}
+
+// oracle holds what callers know and every promise that was broken, by name.
+type oracle struct {
+	w *world
+
+	mu       sync.Mutex
+	programs []*program
+	keys     []*keyCall
+	broken   map[string]string
+	numbers  [boxCount]int64
+	incs     [boxCount]*box
+	ok       int
+	async    sync.WaitGroup
+}
+
+func newOracle(w *world) *oracle {
+	return &oracle{w: w, broken: map[string]string{}}
+}
+
+func (o *oracle) fail(promise, format string, args ...any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.broken[promise]; !ok {
+		o.broken[promise] = fmt.Sprintf(format, args...)
+	}
+}
+
+// route does what the front does: it finds the slot's owner from the box that took the
+// call, and tries again for a while as ownership moves.
+func (o *oracle) route(ctx context.Context, entry int, slot ident.Slot, do func(b *box) error) error {
+	until := time.Now().Add(searchTime)
+	touched := false
+	for {
+		err := o.once(entry, slot, do)
+		if err == nil {
+			return nil
+		}
+		f := fault.From(err)
+		touched = touched || !f.NotRun
+		moved := f.Kind == fault.NotOwner || f.Kind == fault.OwnerUnknown || f.Kind == fault.PeerLost || f.Kind == fault.Stopping
+		if !moved || time.Now().After(until) || ctx.Err() != nil {
+			out := *f
+			out.NotRun = f.NotRun && !touched
+			return &out
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (o *oracle) once(entry int, slot ident.Slot, do func(b *box) error) error {
+	b := o.w.box(entry)
+	if !b.up || b.paused != nil {
+		return fault.Refuse(fault.PeerLost, "entry box is dead")
+	}
+	if err := b.store.Ready(); err != nil {
+		return err
+	}
+	owner, here, err := b.owners.Locate(slot)
+	if err != nil {
+		return err
+	}
+	if here {
+		return do(b)
+	}
+	other, err := b.reach(owner.Peer)
+	if err != nil {
+		return err
+	}
+	return do(other)
+}
+
+// begin makes a program through a box.
+func (o *oracle) begin(entry int, tenant string) {
+	b := o.w.box(entry)
+	if !b.up {
+		return
+	}
+	slot, ok := b.owners.Pick(ident.Random())
+	if !ok {
+		return
+	}
+	now := time.Now()
+	begin := types.Begin{
+		ID: ident.NewProgram(slot), Tenant: tenant, Model: "m", DataClass: "personal", Created: now,
+		Budget: budget, Deadline: now.Add(time.Hour),
+		Limits: types.Limits{Turns: 100, Depth: 2, FanOut: 4, Idle: types.Duration(time.Hour)},
+	}
+	o.begun(entry, slot, begin, "", "")
+}
+
+// agent makes a sub-agent of a program.
+func (o *oracle) agent(entry int, parent *program) {
+	slot, err := ident.ProgramSlot(parent.id)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	begin := types.Begin{
+		ID: ident.NewProgram(slot), Tenant: parent.tenant, Parent: parent.id, Model: "m", DataClass: "personal",
+		Created: now, Deadline: now.Add(time.Hour),
+		Limits: types.Limits{Turns: 100, Depth: 2, FanOut: 4, Idle: types.Duration(time.Hour)},
+	}
+	o.begun(entry, slot, begin, parent.token, parent.root)
+}
+
+func (o *oracle) begun(entry int, slot ident.Slot, begin types.Begin, token, root string) {
+	ctx, stop := context.WithTimeout(context.Background(), callWait)
+	defer stop()
+	var state types.ProgramState
+	err := o.route(ctx, entry, slot, func(b *box) error {
+		var err error
+		state, err = b.progs.Begin(ctx, begin, token)
+		return err
+	})
+	if err != nil {
+		return
+	}
+	if root == "" {
+		root = begin.ID
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ok++
+	o.programs = append(o.programs, &program{
+		id: begin.ID, root: root, tenant: begin.Tenant, parent: begin.Parent, token: state.Continuation, tokens: []string{state.Continuation},
+	})
+}
+
+// turn runs the program's next turn, trying several boxes one after the other. It
+// reports whether the answer came.
+func (o *oracle) turn(p *program, entries []int) (bool, error) {
+	if !o.take(p) {
+		return false, nil
+	}
+	defer o.give(p)
+	slot, err := ident.ProgramSlot(p.id)
+	if err != nil {
+		return false, err
+	}
+	ask := []types.Message{{Role: "user", Content: fmt.Sprintf("%s turn %d len=3", p.id, p.turn+1)}}
+	body := types.TurnRequest{Turn: p.turn + 1, Messages: ask, MaxTokens: 8, Continuation: p.token}
+	for _, entry := range entries {
+		answer, err2 := o.answer(entry, slot, p, body)
+		err = err2
+		if err != nil {
+			o.honest(p, err)
+			continue
+		}
+		o.accept(p, ask, answer)
+		return true, nil
+	}
+	return false, err
+}
+
+func (o *oracle) answer(entry int, slot ident.Slot, p *program, body types.TurnRequest) (types.TurnAnswer, error) {
+	ctx, stop := context.WithTimeout(context.Background(), callWait)
+	defer stop()
+	var answer types.TurnAnswer
+	err := o.route(ctx, entry, slot, func(b *box) error {
+		run, err := b.progs.Turn(ctx, prog.TurnAsk{Program: p.id, Tenant: p.tenant, Request: "r", Body: body})
+		if err != nil {
+			return err
+		}
+		answer, err = run.Answer(ctx)
+		return err
+	})
+	return answer, err
+}
+
+// honest checks that a caller who did nothing wrong is not told that it did.
+func (o *oracle) honest(p *program, err error) {
+	switch fault.From(err).Kind {
+	case fault.TurnConflict, fault.BadContinuation, fault.NoProgram:
+		o.fail("history_never_lost", "%s turn %d: an honest caller was told: %v", p.id, p.turn+1, err)
+	case fault.Internal:
+		o.fail("no_internal_failures", "%s turn %d: %v", p.id, p.turn+1, err)
+	}
+}
+
+// accept checks the answer against the caller's own history.
+func (o *oracle) accept(p *program, ask []types.Message, answer types.TurnAnswer) {
+	all := append(append([]types.Message{}, p.history...), ask...)
+	want := answerText(all, 8)
+	got := answer.Choices[0].Message.Content
+	if got != want {
+		o.fail("own_whole_answer_from_own_history", "%s turn %d: got %q, want %q", p.id, p.turn+1, got, want)
+	}
+	if answer.Turn != p.turn+1 || answer.Program != p.id {
+		o.fail("calls_in_order", "%s: asked for turn %d, got turn %d of %s", p.id, p.turn+1, answer.Turn, answer.Program)
+	}
+	p.history = append(all, types.Message{Role: "assistant", Content: got})
+	p.turn++
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p.token = answer.Continuation
+	p.tokens = append(p.tokens, p.token)
+	o.ok++
+}
+
+// attack sends a turn with a token that is old, altered or of another program, and checks
+// that it changes nothing: the next honest turn still works.
+func (o *oracle) attack(p, other *program, entry, how int) {
+	if !o.take(p) {
+		return
+	}
+	token := p.tokens[how%len(p.tokens)]
+	foreign := false
+	switch how % 3 {
+	case 0:
+		if other.id == p.id {
+			o.give(p)
+			return
+		}
+		token, foreign = other.token, true
+	case 1:
+		raw := []byte(token)
+		raw[len(raw)/2] ^= 1
+		token, foreign = string(raw), true
+	}
+	slot, _ := ident.ProgramSlot(p.id)
+	body := types.TurnRequest{Turn: p.turn + 2, Messages: []types.Message{{Role: "user", Content: "attack"}}, MaxTokens: 8, Continuation: token}
+	_, err := o.answer(entry, slot, p, body)
+	if err == nil {
+		o.fail("foreign_tokens_change_nothing", "%s: turn %d ran with head %d (foreign token: %v)", p.id, body.Turn, p.turn, foreign)
+	}
+	o.give(p)
+}
+
+func (o *oracle) take(p *program) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if p.busy || p.ended {
+		return false
+	}
+	p.busy = true
+	return true
+}
+
+func (o *oracle) give(p *program) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p.busy = false
+}
+
+// call sends a request that may not be repeated.
+func (o *oracle) call(k *keyCall, p *program, entry int) {
+	o.mu.Lock()
+	k.asked++
+	o.mu.Unlock()
+	ctx, stop := context.WithTimeout(context.Background(), callWait)
+	defer stop()
+	svc := types.Service{Name: k.service, Price: 40}
+	if k.service == "probed" {
+		svc.ProbePath = "/v1/probe"
+	}
+	ask := plain.Ask{
+		Service: svc, Input: types.RuleInput{Tenant: k.tenant}, Key: k.key, Body: json.RawMessage(k.input), Chunk: 600,
+	}
+	slot := ident.KeySlot(k.tenant, k.key, o.w.slots())
+	if p != nil {
+		ask.Program = p.id
+		slot, _ = ident.ProgramSlot(p.id)
+	}
+	var answer types.ServiceAnswer
+	err := o.route(ctx, entry, slot, func(b *box) error {
+		if p != nil {
+			cont, err := b.progs.Continuation(p.tenant, p.id, p.token)
+			if err != nil {
+				return err
+			}
+			ask.Adopt = cont
+		}
+		var err error
+		answer, err = b.calls.Call(ctx, slot, ask)
+		return err
+	})
+	o.called(k, answer, err)
+}
+
+func (o *oracle) called(k *keyCall, answer types.ServiceAnswer, err error) {
+	if err != nil {
+		if !fault.From(err).NotRun {
+			o.mu.Lock()
+			k.maybe = true
+			o.mu.Unlock()
+		}
+		return
+	}
+	o.mu.Lock()
+	k.maybe = true
+	o.ok++
+	o.mu.Unlock()
+	if string(answer.Output) != k.input {
+		o.fail("own_whole_answer_from_own_history", "key %s: got %s, want %s", k.key, answer.Output, k.input)
+	}
+	if n := o.w.tools.count(k.tenant + "/" + k.key); n != 1 {
+		o.fail("at_most_once", "key %s: answered, and ran %d times", k.key, n)
+	}
+}
+
+func (w *world) slots() []ident.Slot {
+	var out []ident.Slot
+	for _, zone := range zones {
+		for n := range slotCount {
+			out = append(out, ident.Slot{Zone: zone, Number: n})
+		}
+	}
+	return out
+}
+
+// end closes a program.
+func (o *oracle) end(p *program, entry int) bool {
+	if !o.take(p) {
+		return false
+	}
+	defer o.give(p)
+	slot, _ := ident.ProgramSlot(p.id)
+	ctx, stop := context.WithTimeout(context.Background(), callWait)
+	defer stop()
+	err := o.route(ctx, entry, slot, func(b *box) error {
+		// The token brings what the log does not hold.
+		if _, err := b.progs.State(ctx, p.tenant, p.id, p.token); err != nil {
+			return err
+		}
+		_, err := b.progs.End(ctx, p.tenant, p.id)
+		return err
+	})
+	if err != nil {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.endTree(p)
+	return true
+}
+
+func (o *oracle) endTree(p *program) {
+	p.ended = true
+	for _, q := range o.programs {
+		if q.parent == p.id && !q.ended {
+			o.endTree(q)
+		}
+	}
+}
--- a/gate/slots/owner.go
+++ b/gate/slots/owner.go
@@ -215,6 +215,9 @@
 	recs, err := m.op(time.Now(), o.desk)
 	ticket := o.enqueue(recs, m.mode == desk.Durable || m.mode == desk.Urgent || awaited(recs))
 	m.reply <- doReply{ticket: ticket, err: err}
+	if o.desk.Superseded {
+		o.stepDown("a continuation shows a newer claim")
+	}
 }
 
 // awaited reports whether work waits for one of the records.
