bench: break every promise on purpose and let the fuzz find it

Change: bench mutate copies the checkout, applies one break at a time and plays the fuzz. Boxes reach one another by the list's address, so that a proxy can stand between them. Before: no mutants.

--- /dev/null
+++ b/bench/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds bench's commands, one a file.
+package cmds
--- /dev/null
+++ b/bench/cmds/mutate.go
@@ -0,0 +1,57 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/bench/mutant"
+)
+
+func init() {
+	commands.Register(&mutate{})
+}
+
+// mutate breaks the code once for each promise and runs the fuzz against it.
+type mutate struct {
+	opts mutant.Options
+	only string
+}
+
+func (*mutate) Aliases() []string { return []string{"mutate"} }
+func (*mutate) Help() string {
+	return "break each promise on purpose and show that the fuzz finds it"
+}
+
+func (m *mutate) Flags(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&m.opts.Root, "root", ".", "checkout to copy")
+	cmd.Flags().StringVar(&m.opts.Seed, "seed", "20261202", "seed of the fuzz")
+	cmd.Flags().StringVar(&m.opts.Checks, "checks", "300", "plans to play at most")
+	cmd.Flags().DurationVar(&m.opts.Wait, "wait", 3*time.Minute, "time for one mutant at most")
+	cmd.Flags().StringVar(&m.only, "only", "", "run this mutant only")
+}
+
+func (m *mutate) Execute(ctx context.Context, out io.Writer, _ []string) error {
+	var chosen []mutant.Mutant
+	for _, mut := range mutant.All() {
+		if m.only == "" || m.only == mut.Name {
+			chosen = append(chosen, mut)
+		}
+	}
+	missed := 0
+	_, _ = fmt.Fprintln(out, "| mutant | promise | found | plans | steps | broken | seconds |\n|---|---|---|---|---|---|---|")
+	err := mutant.Run(ctx, m.opts, chosen, func(res mutant.Result) {
+		if !res.Found {
+			missed++
+		}
+		_, _ = fmt.Fprintf(out, "| %s | %s | %v | %s | %d | %s | %.0f |\n", res.Mutant.Name, res.Mutant.Promise, res.Found, res.Tests, res.Steps, res.Broken, res.Took.Seconds())
+	})
+	if err == nil && missed > 0 {
+		return fault.Fail(fault.Internal, fmt.Sprintf("%d mutants were not found", missed))
+	}
+	return err
+}
--- /dev/null
+++ b/bench/mutant/list.go
@@ -0,0 +1,116 @@
+package mutant
+
+// Mutant is one break: in File, Old becomes New.
+type Mutant struct {
+	Name string
+	// Promise is what the break puts at risk.
+	Promise  string
+	File     string
+	Old, New string
+}
+
+// All lists the mutants.
+func All() []Mutant {
+	return append(ownership(), append(money(), configuration()...)...)
+}
+
+func ownership() []Mutant {
+	return []Mutant{
+		{
+			Name: "no_gap_check", Promise: "one writer per slot", File: "gate/slots/write.go",
+			Old: "if foreign(m.sent.gap) {", New: "if false && foreign(m.sent.gap) {",
+		},
+		{
+			Name: "no_epoch_check", Promise: "one writer per slot", File: "gate/fold/fold.go",
+			Old: "if e.Epoch < s.Epoch {", New: "if false {",
+		},
+		{
+			Name: "dispatch_before_intent", Promise: "at most once", File: "gate/plain/plain.go",
+			Old: "<-ticket.Done()\n\tif err := ticket.Wait(context.Background()); err != nil {",
+			New: "if err := ticket.Wait(context.Background()); false && err != nil {",
+		},
+		{
+			Name: "dispatch_for_nobody", Promise: "not run is true", File: "gate/plain/flight.go",
+			Old: "f.dispatched = f.callers > 0", New: "f.dispatched = true",
+		},
+		{
+			Name: "run_unknown_again", Promise: "at most once", File: "gate/desk/call.go",
+			Old: "return CallStart{Unknown: &key.Intent}, true, nil", New: "return CallStart{}, false, nil",
+		},
+		{
+			Name: "any_turn", Promise: "calls run in order", File: "gate/desk/turn.go",
+			Old: "if ask.Turn != head+1 {", New: "if ask.Turn <= head {",
+		},
+		{
+			Name: "no_tail", Promise: "history is never lost", File: "gate/desk/adopt.go",
+			Old: "cont.Tail = append(cont.Tail, prog.Turns[logged:turn]...)", New: "_ = logged",
+		},
+		{
+			Name: "trust_foreign_token", Promise: "history is never mixed", File: "gate/prog/token.go",
+			Old: "if cont.Tenant != tenant || cont.Program != program {", New: "if false {",
+		},
+		{
+			Name: "no_newer_owner", Promise: "history is never lost", File: "gate/desk/adopt.go",
+			Old: "if cont.Epoch > d.State.Epoch {", New: "if false {",
+		},
+		{
+			Name: "no_snapshots", Promise: "history outlives retention", File: "gate/slots/owner.go",
+			Old: "if keep := o.svc.timing.Retention; keep > 0 && o.desk.LogUp {", New: "if keep := o.svc.timing.Retention; false && keep > 0 {",
+		},
+		{
+			Name: "no_sweep", Promise: "no memory is held", File: "gate/prog/prog.go",
+			Old: "return mine && !live[id]", New: "return false && mine && !live[id]",
+		},
+		{
+			Name: "cut_runs_at_stop", Promise: "a planned stop cuts nothing", File: "gate/desk/turn.go",
+			Old: "if !ok || d.Turns[program] != run {\n\t\treturn nil, fault.Fail(fault.NotOwner, \"the run is not known\")\n\t}\n\tdelete",
+			New: "if !ok || d.Turns[program] != run {\n\t\treturn nil, fault.Fail(fault.Internal, \"the run is not known\")\n\t}\n\tdelete",
+		},
+	}
+}
+
+func money() []Mutant {
+	return []Mutant{
+		{
+			Name: "no_escrow_at_claim", Promise: "never beyond budget", File: "gate/fold/fold.go",
+			Old: "purse.Spent = purse.Granted\n\t}\n}", New: "_ = purse\n\t}\n}",
+		},
+		{
+			Name: "spend_unconfirmed_grants", Promise: "never beyond budget", File: "gate/desk/purse.go",
+			Old: "return ok && purse.Spent+d.reserved[root] <= d.confirmed[root]", New: "return ok && purse != nil",
+		},
+		{
+			Name: "no_reservation", Promise: "never beyond budget", File: "gate/desk/purse.go",
+			Old: "return bound - purse.Spent - d.reserved[purse.Root]", New: "return bound - purse.Spent",
+		},
+		{
+			Name: "free_broken_attempts", Promise: "never beyond budget", File: "gate/desk/turn.go",
+			Old: "d.settle(prog.Begin.Root, need, min(spent, need))", New: "d.settle(prog.Begin.Root, need, 0)",
+		},
+		{
+			Name: "adopted_grant_unspent", Promise: "never beyond budget", File: "gate/desk/adopt.go",
+			Old: "Granted: b.Grant, Spent: b.Grant}", New: "Granted: b.Grant}",
+		},
+	}
+}
+
+func configuration() []Mutant {
+	return []Mutant{
+		{
+			Name: "apply_older_revision", Promise: "configuration never reverts", File: "gate/policy/policy.go",
+			Old: "if rev == nil || rev.Number <= s.Number() {", New: "if rev == nil || rev.Number == s.Number() {",
+		},
+		{
+			Name: "take_older_carry", Promise: "configuration never reverts", File: "base/revs/fold.go",
+			Old: "if rev.Number <= have {\n\t\treturn Known", New: "if rev.Number == have {\n\t\treturn Known",
+		},
+		{
+			Name: "no_compare_and_set", Promise: "one publisher wins", File: "base/revs/fold.go",
+			Old: "if rev.Base != have || rev.Number != have+1 {", New: "if rev.Base > have {",
+		},
+		{
+			Name: "no_carry", Promise: "configuration outlives retention", File: "gate/policy/policy.go",
+			Old: "if rev == nil || s.timing.Retention == 0 || age < s.timing.Retention/carryDiv {", New: "if rev != nil || age == 0 {",
+		},
+	}
+}
--- a/gate/cmds/check.go
+++ b/gate/cmds/check.go
@@ -12,8 +12,8 @@
 )
 
 func init() {
-	register(&check{})
-	register(&version{})
+	commands.Register(&check{})
+	commands.Register(&version{})
 }
 
 // check reads settings and reports all that is wrong with them.
--- a/gate/cmds/dev.go
+++ b/gate/cmds/dev.go
@@ -25,7 +25,7 @@
 )
 
 func init() {
-	register(&dev{})
+	commands.Register(&dev{})
 }
 
 const (
--- a/gate/cmds/run.go
+++ b/gate/cmds/run.go
@@ -13,7 +13,7 @@
 )
 
 func init() {
-	register(&run{})
+	commands.Register(&run{})
 }
 
 // run runs a box until it is told to stop.
--- a/gate/member/member.go
+++ b/gate/member/member.go
@@ -250,6 +250,10 @@
 		b = &box{}
 		v.boxes[beat.GetBox()] = b
 	}
+	// The list's address goes before the box's own word: it is the way that leads there.
+	if !b.listed.IsZero() {
+		addr = b.member.Peer
+	}
 	b.member = types.Member{Name: beat.GetBox(), Zone: beat.GetZone(), Peer: addr, Leaving: beat.GetLeaving()}
 	b.heard = time.Now()
 	b.inc = beat.GetIncarnation()
@@ -312,6 +316,17 @@
 	return out
 }
 
+// Address is where a box is reached.
+func (v *View) Address(name string) (netip.AddrPort, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	b, ok := v.boxes[name]
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	return b.member.Peer, true
+}
+
 // Owner is the live box that says it owns the slot, with the highest epoch.
 func (v *View) Owner(slot string) (types.Member, int64, bool) {
 	v.mu.Lock()
--- a/gate/policy/policy.go
+++ b/gate/policy/policy.go
@@ -33,6 +33,7 @@
 // View is the part of membership that configuration needs.
 type View interface {
 	Live() []types.Member
+	Address(name string) (netip.AddrPort, bool)
 	Announce(fill func(*wire.BeatRequest))
 	Listen(hear func(*wire.BeatRequest))
 }
@@ -178,8 +179,8 @@
 	if beat.GetRevision() <= s.Number() {
 		return
 	}
-	addr, err := netip.ParseAddrPort(beat.GetAddr())
-	if err != nil {
+	addr, ok := s.view.Address(beat.GetBox())
+	if !ok {
 		return
 	}
 	select {
--- a/gate/proof/caller_test.go
+++ b/gate/proof/caller_test.go
@@ -244,7 +244,8 @@
 	if !o.take(p) {
 		return
 	}
-	token := p.tokens[how%len(p.tokens)]
+	// An old token is no offence by itself; asking for a turn out of order with it is.
+	token, turn := p.tokens[how%len(p.tokens)], p.turn+2
 	foreign := false
 	switch how % 3 {
 	case 0:
@@ -252,14 +253,14 @@
 			o.give(p)
 			return
 		}
-		token, foreign = other.token, true
+		token, turn, foreign = other.token, p.turn+1, true
 	case 1:
 		raw := []byte(token)
 		raw[len(raw)/2] ^= 1
-		token, foreign = string(raw), true
+		token, turn, foreign = string(raw), p.turn+1, true
 	}
 	slot, _ := ident.ProgramSlot(p.id)
-	body := types.TurnRequest{Turn: p.turn + 2, Messages: []types.Message{{Role: "user", Content: "attack"}}, MaxTokens: 8, Continuation: token}
+	body := types.TurnRequest{Turn: turn, Messages: []types.Message{{Role: "user", Content: "attack"}}, MaxTokens: 8, Continuation: token}
 	_, err := o.answer(entry, slot, p, body)
 	if err == nil {
 		o.fail("foreign_tokens_change_nothing", "%s: turn %d ran with head %d (foreign token: %v)", p.id, body.Turn, p.turn, foreign)
--- a/gate/proof/fuzz_test.go
+++ b/gate/proof/fuzz_test.go
@@ -179,13 +179,16 @@
 	switch s.Op {
 	case opCrash:
 		w.crash(entry)
+		later(func() { w.replace(entry) })
 	case opStop:
-		o.async.Go(func() { w.stop(entry) })
+		o.async.Go(func() {
+			w.stop(entry)
+			time.Sleep(last)
+			w.replace(entry)
+		})
 		time.Sleep(100 * time.Millisecond)
 	case opStart:
-		if !w.box(entry).up {
-			w.start(entry)
-		}
+		w.replace(entry)
 	case opPause:
 		b := w.box(entry)
 		w.pause(entry)
--- a/gate/proof/world_test.go
+++ b/gate/proof/world_test.go
@@ -64,6 +64,8 @@
 	// up is false after a crash; paused blocks everything that goes in or out.
 	up     bool
 	paused chan struct{}
+	// stopping is set during a planned stop: the balancer sends no more calls.
+	stopping bool
 
 	view   *member.View
 	store  *policy.Store
@@ -161,6 +163,13 @@
 	b.halt()
 }
 
+// replace starts box i if it is down, as the platform does within seconds.
+func (w *world) replace(i int) {
+	if !w.box(i).up {
+		w.start(i)
+	}
+}
+
 // halt ends all goroutines of the box.
 func (b *box) halt() {
 	ctx, stop := context.WithCancel(context.Background())
@@ -180,6 +189,9 @@
 		return
 	}
 	b.resume()
+	w.mu.Lock()
+	b.stopping = true
+	w.mu.Unlock()
 	b.view.Leave()
 	ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
 	defer stop()
@@ -239,9 +251,7 @@
 	w.models.breakNext(0)
 	for i := range boxCount {
 		w.box(i).resume()
-		if !w.box(i).up {
-			w.start(i)
-		}
+		w.replace(i)
 	}
 }
 
--- /dev/null
+++ b/stand/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds stand's commands, one a file.
+package cmds
