--- /dev/null
+++ b/bench/cmds/cost.go
@@ -0,0 +1,123 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulleingate.dev/base/client"
+	"mulleingate.dev/base/sample"
+	"mulleingate.dev/base/types"
+	"mulleingate.dev/bench/probe"
+	"mulleingate.dev/bench/report"
+	"mulleingate.dev/stand/model"
+)
+
+const (
+	costWorkers  = 48
+	costLength   = 8 * time.Second
+	restPrograms = 5000
+	restWorkers  = 32
+)
+
+// costFigures measures a box on one core: turns a second, and memory.
+func costFigures(ctx context.Context, b *builder, table *report.Table) error {
+	f, err := b.fleet(ctx, want{
+		boxes: 1, engines: 4, env: []string{"GOMAXPROCS=1"},
+		shape: func(s *sample.Shape) { s.Zones, s.Slots = s.Zones[:1], 4 },
+		engine: func(s *model.Spec) {
+			s.StepTime, s.BatchCost, s.MaxBatch, s.CacheSize = types.Duration(time.Millisecond), 0, 64, 10_000_000
+		},
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	cli := client.New("cost", nil)
+	idle, err := probe.Read(f.PID(0))
+	if err != nil {
+		return err
+	}
+	table.Rows = append(table.Rows, []string{"memory of an idle box", mib(idle.RSS)})
+	if err := rest(ctx, cli, entry(f, 0)); err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+	full, err := probe.Read(f.PID(0))
+	if err != nil {
+		return err
+	}
+	table.Rows = append(table.Rows, []string{
+		fmt.Sprintf("memory per program at rest (%d programs of one turn)", restPrograms),
+		fmt.Sprintf("%.1f KiB", float64(full.RSS-idle.RSS)/restPrograms/1024),
+	})
+	return busy(ctx, cli, f.PID(0), entry(f, 0), table)
+}
+
+func mib(n int64) string {
+	return fmt.Sprintf("%.1f MiB", float64(n)/(1<<20))
+}
+
+// rest makes programs that have had one turn.
+func rest(ctx context.Context, cli *client.Client, from string) error {
+	var left atomic.Int64
+	left.Store(restPrograms)
+	var mu sync.Mutex
+	var failed error
+	var group sync.WaitGroup
+	for range restWorkers {
+		group.Go(func() {
+			for left.Add(-1) >= 0 {
+				s, err := begin(ctx, cli, from)
+				if err == nil {
+					err = s.next(ctx, from, "a short question len=4")
+				}
+				if err != nil {
+					mu.Lock()
+					failed = err
+					mu.Unlock()
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	return failed
+}
+
+// busy runs short turns in closed loop and reads what the box used.
+func busy(ctx context.Context, cli *client.Client, pid int, from string, table *report.Table) error {
+	ctx, stop := context.WithTimeout(ctx, costLength)
+	defer stop()
+	before, err := probe.Read(pid)
+	if err != nil {
+		return err
+	}
+	var turns atomic.Int64
+	var group sync.WaitGroup
+	for range costWorkers {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				s, err := begin(ctx, cli, from)
+				for i := 0; err == nil && i < 8; i++ {
+					if err = s.next(ctx, from, "a short question len=4"); err == nil {
+						turns.Add(1)
+					}
+				}
+			}
+		})
+	}
+	group.Wait()
+	after, err := probe.Read(pid)
+	if err != nil {
+		return err
+	}
+	secs := after.At.Sub(before.At).Seconds()
+	perTurn := (after.CPU - before.CPU) / time.Duration(max(1, turns.Load()))
+	table.Rows = append(table.Rows,
+		[]string{"turns a second of a box on one core (closed loop, 4 tokens)", fmt.Sprintf("%.0f", float64(turns.Load())/secs)},
+		[]string{"share of the core used, processor time per turn", fmt.Sprintf("%.0f%%, %s", 100*probe.Between(before, after).Core, micros(perTurn))})
+	return nil
+}
--- /dev/null
+++ b/bench/cmds/faults.go
@@ -0,0 +1,103 @@
+package cmds
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"syscall"
+	"time"
+
+	"mulleingate.dev/bench/fleet"
+	"mulleingate.dev/stand/applog"
+	"mulleingate.dev/stand/model"
+)
+
+func splitPlus(text string) []string {
+	return strings.Split(text, "+")
+}
+
+// faults are the faults that an experiment can have in mid run.
+var faults = map[string]func(ctx context.Context, f *fleet.Fleet, b *fleet.Balancer){
+	"none":         func(context.Context, *fleet.Fleet, *fleet.Balancer) {},
+	"box_killed":   boxKilled,
+	"box_stopped":  boxStopped,
+	"engine_slow":  engineSlow,
+	"engine_leave": engineLeave,
+	"log_down":     logDown,
+	"zone_cut":     zoneCut,
+	"config":       configChange,
+}
+
+func faultNames() string {
+	names := make([]string, 0, len(faults))
+	for name := range faults {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return strings.Join(names, ", ")
+}
+
+// inject starts the fault after a while; the returned function ends waiting for it.
+func inject(f *fleet.Fleet, b *fleet.Balancer, name string, after time.Duration) func() {
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		if pause(ctx, after) {
+			faults[name](ctx, f, b)
+		}
+	}()
+	return stop
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// boxKilled kills a box; the platform replaces it after three seconds.
+func boxKilled(ctx context.Context, f *fleet.Fleet, _ *fleet.Balancer) {
+	f.Kill(0)
+	if pause(ctx, 3*time.Second) {
+		_ = f.Start(0)
+	}
+}
+
+func boxStopped(_ context.Context, f *fleet.Fleet, b *fleet.Balancer) {
+	b.Out(0, true)
+	f.Leave(f.Boxes()[0].Name)
+	f.Signal(0, syscall.SIGTERM)
+}
+
+func engineSlow(_ context.Context, f *fleet.Fleet, _ *fleet.Balancer) {
+	f.Rig.Engines["engine-0"].Set(model.Faults{SlowBy: 4})
+}
+
+func engineLeave(_ context.Context, f *fleet.Fleet, _ *fleet.Balancer) {
+	f.Leave("engine-0")
+}
+
+func logDown(ctx context.Context, f *fleet.Fleet, _ *fleet.Balancer) {
+	f.Rig.Log.Set(applog.Faults{Limit: 400, Down: true})
+	if pause(ctx, 3*time.Second) {
+		f.Rig.Log.Set(applog.Faults{Limit: 400})
+	}
+}
+
+func zoneCut(ctx context.Context, f *fleet.Fleet, _ *fleet.Balancer) {
+	zone := f.Boxes()[0].Zone
+	f.CutZone(zone, true)
+	if pause(ctx, 3*time.Second) {
+		f.CutZone(zone, false)
+	}
+}
+
+func configChange(ctx context.Context, f *fleet.Fleet, _ *fleet.Balancer) {
+	for {
+		if _, err := f.Republish(ctx); err != nil || !pause(ctx, 500*time.Millisecond) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/bench/cmds/figures.go
@@ -0,0 +1,173 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mulleingate.dev/base/client"
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/sample"
+	"mulleingate.dev/base/types"
+	"mulleingate.dev/bench/fleet"
+	"mulleingate.dev/bench/report"
+	"mulleingate.dev/gate/conf"
+	"mulleingate.dev/stand/applog"
+	"mulleingate.dev/stand/model"
+	"mulleingate.dev/stand/rig"
+)
+
+func init() {
+	commands.Register(&figures{})
+}
+
+// figures measures what a box adds and costs, and how fast ownership and configuration move.
+type figures struct {
+	only string
+}
+
+func (*figures) Aliases() []string { return []string{"figures"} }
+func (*figures) Help() string {
+	return "measure added latency, cost of a box, takeover, configuration, intents and cut-off zones"
+}
+
+func (f *figures) Flags(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.only, "only", "", "one of latency, cost, takeover, config, log, zone")
+}
+
+// figure measures one matter and adds rows to the table.
+type figure struct {
+	name string
+	run  func(ctx context.Context, b *builder, table *report.Table) error
+}
+
+func (f *figures) Execute(ctx context.Context, out io.Writer, _ []string) error {
+	b, err := newBuilder(ctx)
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	table := &report.Table{Head: []string{"figure", "value"}}
+	all := []figure{
+		{"latency", latencyFigures}, {"cost", costFigures}, {"takeover", takeoverFigures},
+		{"config", configFigures}, {"log", logFigures}, {"zone", zoneFigures},
+	}
+	for _, fig := range all {
+		if f.only != "" && f.only != fig.name {
+			continue
+		}
+		if err := fig.run(ctx, b, table); err != nil {
+			return err
+		}
+	}
+	table.Markdown(out)
+	return nil
+}
+
+// builder builds fleets for measurements.
+type builder struct {
+	gate, dir string
+}
+
+func newBuilder(ctx context.Context) (*builder, error) {
+	dir, err := os.MkdirTemp("", "bench")
+	if err != nil {
+		return nil, fault.Fail(fault.Internal, "no temporary folder").Because(err)
+	}
+	gate, err := fleet.Build(ctx, dir)
+	if err != nil {
+		return nil, err
+	}
+	return &builder{gate: gate, dir: dir}, nil
+}
+
+func (b *builder) close() {
+	_ = os.RemoveAll(b.dir)
+}
+
+// want says what fleet a measurement needs.
+type want struct {
+	boxes, engines int
+	proxied        bool
+	env            []string
+	engine         func(*model.Spec)
+	shape          func(*sample.Shape)
+	edit           func(*conf.Settings)
+}
+
+func (b *builder) fleet(ctx context.Context, w want) (*fleet.Fleet, error) {
+	dir, err := os.MkdirTemp(b.dir, "fleet")
+	if err != nil {
+		return nil, fault.Fail(fault.Internal, "no temporary folder").Because(err)
+	}
+	shape := sample.Ghent()
+	if w.shape != nil {
+		w.shape(&shape)
+	}
+	return fleet.New(ctx, fleet.Spec{
+		Shape: shape, Boxes: w.boxes, Gate: b.gate, Dir: dir, Proxied: w.proxied, Env: w.env, Edit: w.edit,
+		Rig: rig.Spec{
+			Zones: shape.Zones, Engines: w.engines, Model: "planner", Engine: w.engine, Lag: 200 * time.Millisecond,
+			Log: applog.Faults{Limit: 400}, Services: map[string]int{"booking": 2, "calendar": 1},
+		},
+	})
+}
+
+// session is one program and its caller.
+type session struct {
+	http  *client.Client
+	id    string
+	token string
+	turn  int
+}
+
+func begin(ctx context.Context, http *client.Client, entry string) (*session, error) {
+	var state types.ProgramState
+	body := types.NewProgram{Model: "planner", DataClass: "personal", Kind: "booking", Budget: 1_000_000}
+	if err := post(ctx, http, entry+"/v1/programs", "", body, &state); err != nil {
+		return nil, err
+	}
+	return &session{http: http, id: state.ID, token: state.Continuation}, nil
+}
+
+func (s *session) next(ctx context.Context, entry, text string) error {
+	var answer types.TurnAnswer
+	body := types.TurnRequest{
+		Turn: s.turn + 1, Messages: []types.Message{{Role: "user", Content: text}}, MaxTokens: 64, Continuation: s.token,
+	}
+	if err := post(ctx, s.http, entry+"/v1/programs/"+s.id+"/turns", "", body, &answer); err != nil {
+		return err
+	}
+	s.turn++
+	s.token = answer.Continuation
+	return nil
+}
+
+func post(ctx context.Context, http *client.Client, url, key string, in, out any) error {
+	req, err := client.Request(ctx, "POST", url, in)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+sample.Token("flanders"))
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return client.Decode(resp, out)
+}
+
+func entry(f *fleet.Fleet, i int) string {
+	return "http://" + f.Boxes()[i].Settings.Listen.Callers.String()
+}
+
+func micros(d time.Duration) string {
+	return fmt.Sprintf("%.3f ms", float64(d)/float64(time.Millisecond))
+}
--- /dev/null
+++ b/bench/fleet/config.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"context"
+
+	"mulleingate.dev/base/logc"
+	"mulleingate.dev/base/revs"
+	"mulleingate.dev/base/types"
+)
+
+// Publish publishes a configuration on the given base.
+func (f *Fleet) Publish(ctx context.Context, base int64, cfg types.Config) (types.Revision, error) {
+	log := logc.New(f.Rig.LogAddr, callWait)
+	draft := revs.Draft{Base: base, Author: "bench", Config: cfg}
+	return revs.Publish(ctx, log, f.Keys.Operator, revs.Keys(f.Keys.Public()), draft)
+}
+
+// Republish publishes the configuration in force as a new revision, and returns its number.
+func (f *Fleet) Republish(ctx context.Context) (int64, error) {
+	log := logc.New(f.Rig.LogAddr, callWait)
+	fold, _, err := revs.History(ctx, log, revs.Keys(f.Keys.Public()))
+	if err != nil {
+		return 0, err
+	}
+	rev, err := f.Publish(ctx, fold.Current.Number, fold.Current.Config)
+	return rev.Number, err
+}
+
+// InForce reports whether every running box has at least the revision.
+func (f *Fleet) InForce(ctx context.Context, number int64) bool {
+	for i := range f.boxes {
+		if !f.Up(i) {
+			continue
+		}
+		st, err := f.Status(ctx, i)
+		if err != nil || st.Revision < number {
+			return false
+		}
+	}
+	return true
+}
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -15,8 +15,6 @@
 
 	"mulleingate.dev/base/client"
 	"mulleingate.dev/base/fault"
-	"mulleingate.dev/base/logc"
-	"mulleingate.dev/base/revs"
 	"mulleingate.dev/base/sample"
 	"mulleingate.dev/base/server"
 	"mulleingate.dev/base/types"
@@ -134,13 +132,6 @@
 	return f.Ready(ctx)
 }
 
-// Publish publishes a configuration on the given base.
-func (f *Fleet) Publish(ctx context.Context, base int64, cfg types.Config) (types.Revision, error) {
-	log := logc.New(f.Rig.LogAddr, callWait)
-	draft := revs.Draft{Base: base, Author: "bench", Config: cfg}
-	return revs.Publish(ctx, log, f.Keys.Operator, revs.Keys(f.Keys.Public()), draft)
-}
-
 func (f *Fleet) newBox(i int, ports []netip.AddrPort) *Box {
 	zone := f.spec.Shape.Zones[i%len(f.spec.Shape.Zones)]
 	set := conf.Defaults()
--- /dev/null
+++ b/bench/report/doc.go
@@ -0,0 +1,2 @@
+// Package report writes figures as tables, CSV and plots.
+package report
--- /dev/null
+++ b/bench/report/table.go
@@ -0,0 +1,78 @@
+package report
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"mulleingate.dev/base/fault"
+)
+
+// Table is rows under a head.
+type Table struct {
+	Head []string
+	Rows [][]string
+}
+
+// Markdown writes the table.
+func (t Table) Markdown(out io.Writer) {
+	_, _ = fmt.Fprintln(out, "| "+strings.Join(t.Head, " | ")+" |")
+	_, _ = fmt.Fprintln(out, "|"+strings.Repeat("---|", len(t.Head)))
+	for _, row := range t.Rows {
+		_, _ = fmt.Fprintln(out, "| "+strings.Join(row, " | ")+" |")
+	}
+}
+
+// CSV writes the table to a file.
+func (t Table) CSV(path string) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return fault.Fail(fault.Internal, "file cannot be written").Because(err)
+	}
+	defer func() { _ = file.Close() }()
+	w := csv.NewWriter(file)
+	if err := w.WriteAll(append([][]string{t.Head}, t.Rows...)); err != nil {
+		return fault.Fail(fault.Internal, "file cannot be written").Because(err)
+	}
+	return nil
+}
+
+// Series is one line of a plot.
+type Series struct {
+	Name string
+	X, Y []float64
+}
+
+const (
+	plotWidth  = 7 * vg.Inch
+	plotHeight = 4 * vg.Inch
+)
+
+// Plot draws lines to a file; its ending (.svg, .png) says the format.
+func Plot(path, title, x, y string, all []Series) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Legend.Top, p.Legend.Left = true, true
+	args := make([]any, 0, 2*len(all))
+	for _, s := range all {
+		points := make(plotter.XYs, len(s.X))
+		for i := range s.X {
+			points[i].X, points[i].Y = s.X[i], s.Y[i]
+		}
+		args = append(args, s.Name, points)
+	}
+	if err := plotutil.AddLinePoints(p, args...); err != nil {
+		return fault.Fail(fault.Internal, "plot failed").Because(err)
+	}
+	if err := p.Save(plotWidth, plotHeight, path); err != nil {
+		return fault.Fail(fault.Internal, "plot cannot be written").Because(err)
+	}
+	return nil
+}
