--- /dev/null
+++ b/ctl/cmds/manual.go
@@ -0,0 +1,46 @@
+package cmds
+
+import (
+	"context"
+	"io"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/cobra/doc"
+
+	"mulleingate.dev/base/fault"
+)
+
+func init() {
+	commands.Register(&manual{})
+}
+
+// manual writes the manual pages from the command tree.
+type manual struct {
+	dir, format string
+}
+
+func (*manual) Aliases() []string { return []string{"manual"} }
+func (*manual) Help() string      { return "write the manual, as man pages or markdown" }
+
+func (m *manual) Flags(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&m.dir, "dir", ".", "folder to write to")
+	cmd.Flags().StringVar(&m.format, "format", "markdown", "markdown or man")
+}
+
+func (m *manual) Execute(_ context.Context, out io.Writer, _ []string) error {
+	root := commands.Root("mgctl", "Operates mulleingate by publishing configuration and policies", version, out)
+	root.DisableAutoGenTag = true
+	var err error
+	switch m.format {
+	case "markdown":
+		err = doc.GenMarkdownTree(root, m.dir)
+	case "man":
+		err = doc.GenManTree(root, &doc.GenManHeader{Title: "MGCTL", Section: "1", Source: "mulleingate"}, m.dir)
+	default:
+		return fault.Refuse(fault.BadRequest, "format: not markdown or man")
+	}
+	if err != nil {
+		return fault.Fail(fault.Internal, "manual cannot be written").Because(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/ctl/cmds/status.go
@@ -0,0 +1,120 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mulleingate.dev/base/client"
+	"mulleingate.dev/base/types"
+)
+
+func init() {
+	commands.RegisterIn(groupStatus, &status{name: "boxes", help: "list the boxes", head: "BOX\tZONE\tREADY\tUP\tREVISION\tCONFIRMED\tSLOTS\tWHY", rows: boxRows})
+	commands.RegisterIn(groupStatus, &status{name: "slots", help: "list the owned slots", head: "SLOT\tEPOCH\tBOX", rows: slotRows})
+	commands.RegisterIn(groupStatus, &status{
+		name: "targets", help: "list the engines as each box believes them to be",
+		head: "BOX\tTARGET\tZONE\tSTATE\tMINE\tLIMIT\tRUNNING\tQUEUED\tSLOW\tCACHED\tREPORT", rows: targetRows,
+	})
+	commands.RegisterIn(groupStatus, &figures{})
+}
+
+// status shows one side of the boxes' status.
+type status struct {
+	common
+	name, help, head string
+	rows             func(w io.Writer, b boxStatus)
+}
+
+func (s *status) Aliases() []string        { return []string{s.name} }
+func (s *status) Help() string             { return s.help }
+func (s *status) Flags(cmd *cobra.Command) { s.flags(cmd) }
+
+// boxStatus is a box's answer, or why there is none.
+type boxStatus struct {
+	Addr        netip.AddrPort `json:"addr"`
+	Failed      string         `json:"failed,omitempty"`
+	Box         string         `json:"box"`
+	Zone        string         `json:"zone"`
+	Ready       bool           `json:"ready"`
+	Why         string         `json:"why"`
+	Up          types.Duration `json:"up"`
+	Revision    int64          `json:"revision"`
+	RevisionAge types.Duration `json:"revision_age"`
+	Slots       []struct {
+		Slot  string `json:"slot"`
+		Epoch int64  `json:"epoch"`
+	} `json:"slots"`
+	Targets []struct {
+		Name    string        `json:"name"`
+		Zone    string        `json:"zone"`
+		Leaving bool          `json:"leaving"`
+		Ejected bool          `json:"ejected"`
+		Mine    int           `json:"mine"`
+		Limit   int           `json:"limit"`
+		Running int           `json:"running"`
+		Queued  int           `json:"queued"`
+		Slow    float64       `json:"slow"`
+		Cached  int           `json:"cached_programs"`
+		Age     time.Duration `json:"report_age"`
+	} `json:"targets"`
+}
+
+func (s *status) Execute(ctx context.Context, out io.Writer, _ []string) error {
+	file, err := s.load()
+	if err != nil {
+		return err
+	}
+	cli := client.New("mgctl", nil)
+	all := make([]boxStatus, 0, len(file.Boxes))
+	for _, addr := range file.Boxes {
+		b := boxStatus{Addr: addr}
+		if err := cli.Call(ctx, http.MethodGet, "http://"+addr.String()+"/status", nil, &b); err != nil {
+			b.Failed = err.Error()
+		}
+		all = append(all, b)
+	}
+	return s.print(out, all, s.head, func(w io.Writer) {
+		for _, b := range all {
+			if b.Failed != "" {
+				_, _ = fmt.Fprintf(w, "%s\tdoes not answer\n", b.Addr)
+				continue
+			}
+			s.rows(w, b)
+		}
+	})
+}
+
+func short(d time.Duration) string {
+	return d.Round(time.Millisecond).String()
+}
+
+func boxRows(w io.Writer, b boxStatus) {
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%d\t%s ago\t%d\t%s\n", b.Box, b.Zone, b.Ready, short(time.Duration(b.Up)), b.Revision,
+		short(time.Duration(b.RevisionAge)), len(b.Slots), b.Why)
+}
+
+func slotRows(w io.Writer, b boxStatus) {
+	for _, slot := range b.Slots {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\n", slot.Slot, slot.Epoch, b.Box)
+	}
+}
+
+func targetRows(w io.Writer, b boxStatus) {
+	for _, t := range b.Targets {
+		state := "in_service"
+		switch {
+		case t.Leaving:
+			state = "leaving"
+		case t.Ejected:
+			state = "ejected"
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.2f\t%d\t%s ago\n", b.Box, t.Name, t.Zone, state, t.Mine, t.Limit,
+			t.Running, t.Queued, t.Slow, t.Cached, short(t.Age))
+	}
+}
--- /dev/null
+++ b/ctl/conn/doc.go
@@ -0,0 +1,2 @@
+// Package conn holds where mgctl finds the log, the boxes and the keys.
+package conn
--- a/gate/admit/admit.go
+++ b/gate/admit/admit.go
@@ -220,6 +220,8 @@
 		}
 	case lease.Others:
 		l.others[m.Box] = m.Streams
+	case lease.Moved:
+		l.moved(m)
 	case lease.Forget:
 		l.forget(m.Programs)
 	case lease.Cached:
--- a/gate/admit/engine.go
+++ b/gate/admit/engine.go
@@ -98,6 +98,15 @@
 	}
 }
 
+func (l *Loop) moved(m lease.Moved) {
+	from, okFrom := l.engines[m.From]
+	to, okTo := l.engines[m.To]
+	if okFrom && okTo {
+		to.cached[m.Program] = from.cached[m.Program]
+		delete(from.cached, m.Program)
+	}
+}
+
 // usable reports whether the engine may take the call, apart from limits.
 func (l *Loop) usable(e *engine, ask lease.Ask) bool {
 	if e.leaving || slices.Contains(ask.Avoid, e.target.Name) {
--- a/gate/admit/query.go
+++ b/gate/admit/query.go
@@ -3,6 +3,9 @@
 import (
 	"sort"
 	"time"
+
+	"mulleingate.dev/base/types"
+	"mulleingate.dev/gate/lease"
 )
 
 // Status describes one engine as this box believes it to be.
@@ -98,3 +101,23 @@
 	case <-l.done:
 	}
 }
+
+// Refuge finds the usable engine with the most free cache, for a prefix that has to move.
+func (l *Loop) Refuge(ask lease.Ask) (types.Target, bool) {
+	var best *engine
+	l.query(func(l *Loop) {
+		for _, e := range l.sorted() {
+			if l.usable(e, ask) && (best == nil || e.free() > best.free()) {
+				best = e
+			}
+		}
+	})
+	if best == nil {
+		return types.Target{}, false
+	}
+	return best.target, true
+}
+
+func (e *engine) free() int64 {
+	return e.load.CacheSize - e.load.CacheUsed
+}
--- a/gate/engine/engine.go
+++ b/gate/engine/engine.go
@@ -262,3 +262,14 @@
 		}
 	}
 }
+
+// Move copies a program's cache from one engine to another.
+func (s *Engines) Move(program string, from, to types.Target) {
+	order := types.CacheOrder{Op: "import", Keys: []string{program}, From: from.Addr}
+	if err := s.Cache(s.ctx, to, order); err != nil {
+		s.counts.Count("engine.move_failures", 1)
+		return
+	}
+	s.counts.Count("engine.moved", 1)
+	s.taker.Tell(lease.Moved{Program: program, From: from.Name, To: to.Name})
+}
--- a/gate/lease/message.go
+++ b/gate/lease/message.go
@@ -32,6 +32,10 @@
 	Tokens map[string]int
 }
 
+// Moved says that a program's cache was copied from one engine to another.
+type Moved struct{ Program, From, To string }
+
+func (Moved) isMessage()   {}
 func (Report) isMessage()  {}
 func (Targets) isMessage() {}
 func (Leaving) isMessage() {}
--- a/gate/policy/rules.go
+++ b/gate/policy/rules.go
@@ -97,3 +97,11 @@
 	_, err := s.Fresh()
 	return err
 }
+
+// Models lists the configured models.
+func (s *Store) Models() []types.Model {
+	if st := s.current.Load(); st != nil {
+		return st.Revision.Config.Models
+	}
+	return nil
+}
--- /dev/null
+++ b/gate/prog/evacuate.go
@@ -0,0 +1,61 @@
+package prog
+
+import (
+	"time"
+
+	"mulleingate.dev/base/ident"
+	"mulleingate.dev/base/types"
+	"mulleingate.dev/gate/desk"
+	"mulleingate.dev/gate/lease"
+)
+
+// evacuate moves the caches of live programs off engines that leave, to engines where
+// the policy allows them.
+func (p *Prog) evacuate() {
+	leaving := p.queue.Leaving()
+	if len(leaving) == 0 {
+		return
+	}
+	holders := p.queue.Holders()
+	for _, name := range leaving {
+		from, ok := p.engines.Target(name)
+		if !ok {
+			continue
+		}
+		for _, id := range holders[name] {
+			p.move(id, from)
+		}
+	}
+}
+
+func (p *Prog) move(id string, from types.Target) {
+	begin, ok := p.live(id)
+	if !ok {
+		return
+	}
+	to, ok := p.queue.Refuge(lease.Ask{Input: input(begin), Program: id})
+	if !ok {
+		return
+	}
+	p.engines.Move(id, from, to)
+}
+
+// live finds a program that this box owns and that goes on.
+func (p *Prog) live(id string) (types.Begin, bool) {
+	slot, err := ident.ProgramSlot(id)
+	if err != nil {
+		return types.Begin{}, false
+	}
+	if _, mine := p.owner.Held()[slot]; !mine {
+		return types.Begin{}, false
+	}
+	var begin types.Begin
+	found := false
+	_, err = p.owner.Do(p.ctx, slot, desk.Finish, func(_ time.Time, d *desk.Desk) ([]types.Record, error) {
+		if prog, ok := d.State.Programs[id]; ok && prog.Ended == "" {
+			begin, found = prog.Begin, true
+		}
+		return nil, nil
+	})
+	return begin, found && err == nil
+}
--- a/gate/prog/prog.go
+++ b/gate/prog/prog.go
@@ -24,6 +24,9 @@
 // Queue gives places at engines.
 type Queue interface {
 	Acquire(ctx context.Context, ask lease.Ask) (*lease.Lease, error)
+	Leaving() []string
+	Holders() map[string][]string
+	Refuge(ask lease.Ask) (types.Target, bool)
 }
 
 // Engines run model calls.
@@ -32,6 +35,8 @@
 	Cancel(target types.Target, attempt string)
 	Release(programs []string)
 	Sweep(gone func(program string) bool)
+	Target(name string) (types.Target, bool)
+	Move(program string, from, to types.Target)
 }
 
 // Policies is the configuration in force.
@@ -57,6 +62,8 @@
 const (
 	sweepEvery = 10 * time.Second
 	sweepAfter = 2 * time.Second
+	// evacuateEvery is how often caches on leaving engines are looked for.
+	evacuateEvery = time.Second
 )
 
 // Prog is the service.
@@ -88,19 +95,22 @@
 
 // Start begins the regular sweep of engine caches.
 func (p *Prog) Start(context.Context) error {
-	p.done.Go(func() {
-		for {
-			select {
-			case <-p.ctx.Done():
-				return
-			case <-time.After(sweepEvery):
-				p.sweep()
-			}
-		}
-	})
+	p.done.Go(func() { p.every(sweepEvery, p.sweep) })
+	p.done.Go(func() { p.every(evacuateEvery, p.evacuate) })
 	return nil
 }
 
+func (p *Prog) every(interval time.Duration, do func()) {
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-time.After(interval):
+			do()
+		}
+	}
+}
+
 // Stop waits for the runs under way until ctx ends, then cuts them.
 func (p *Prog) Stop(ctx context.Context) error {
 	idle := make(chan struct{})
--- a/gate/proof/stop_test.go
+++ b/gate/proof/stop_test.go
@@ -17,6 +17,7 @@
 		}
 		defer w.close()
 		o := newOracle(w)
+		o.budget = 1_000_000
 		time.Sleep(2 * time.Second)
 		for i := range 12 {
 			o.begin(i%boxCount, "one")
