--- /dev/null
+++ b/base/revs/revs_test.go
@@ -0,0 +1,160 @@
+package revs
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/types"
+)
+
+func key(n byte) ed25519.PrivateKey {
+	seed := make([]byte, ed25519.SeedSize)
+	seed[0] = n
+	return ed25519.NewKeyFromSeed(seed)
+}
+
+func public(k ed25519.PrivateKey) ed25519.PublicKey {
+	return k.Public().(ed25519.PublicKey)
+}
+
+// example is a published configuration of the repository, with a data key.
+func example(t *testing.T, name string) types.Config {
+	t.Helper()
+	raw, err := os.ReadFile("../../examples/" + name + "/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cfg types.Config
+	if err := json.Unmarshal(raw, &cfg); err != nil {
+		t.Fatal(err)
+	}
+	cfg.Keys = []types.DataKey{{ID: "k1", Sealed: []byte("x")}}
+	return cfg
+}
+
+func TestExamplesHold(t *testing.T) {
+	for _, name := range []string{"ghent", "ndokwa"} {
+		if err := Check(example(t, name)); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestCheckNamesWhatIsWrong(t *testing.T) {
+	cases := []struct {
+		path string
+		spot func(cfg *types.Config)
+	}{
+		{"zones[1].name", func(c *types.Config) { c.Zones[1].Name = c.Zones[0].Name }},
+		{"zones[0].slots", func(c *types.Config) { c.Zones[0].Slots = 0 }},
+		{"tenants[0].token_hashes", func(c *types.Config) { c.Tenants[0].TokenHashes = []string{"zz"} }},
+		{"services[0].hedge_after", func(c *types.Config) { c.Services[0].HedgeAfter = 1 }},
+		{"defaults.turns", func(c *types.Config) { c.Defaults.Turns = 0 }},
+		{"keys", func(c *types.Config) { c.Keys = nil }},
+		{"policy.place", func(c *types.Config) { c.Policy.Place = "region ==" }},
+		{"policy.place", func(c *types.Config) { c.Policy.Place = "depth == 0" }},
+		{"policy.order", func(c *types.Config) { c.Policy.Order = `"high"` }},
+		{"policy.samples[0]", func(c *types.Config) { c.Policy.Place = "true" }},
+	}
+	for _, c := range cases {
+		cfg := example(t, "ghent")
+		c.spot(&cfg)
+		err := Check(cfg)
+		if err == nil || !strings.Contains(err.Error(), c.path) {
+			t.Errorf("%s is not named in: %v", c.path, err)
+		}
+	}
+}
+
+// memory is a log that can lose answers.
+type memory struct {
+	entries []types.LogEntry
+	lose    bool
+}
+
+func (m *memory) Append(_ context.Context, _ string, data []byte) (int64, error) {
+	at := int64(len(m.entries) + 1)
+	m.entries = append(m.entries, types.LogEntry{Offset: at, Data: data})
+	if m.lose {
+		return 0, fault.Fail(fault.LogUnavailable, "answer lost")
+	}
+	return at, nil
+}
+
+func (m *memory) Read(_ context.Context, _ string, from int64, _ int) (types.LogPage, error) {
+	page := types.LogPage{First: 1, Next: int64(len(m.entries) + 1)}
+	for _, e := range m.entries {
+		if e.Offset >= from {
+			page.Entries = append(page.Entries, e)
+		}
+	}
+	return page, nil
+}
+
+func TestOnlyOneOperatorWins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+		defer stop()
+		log := &memory{lose: true}
+		keys := Keys(public(key(1)), public(key(2)))
+		cfg := example(t, "ghent")
+		if _, err := Publish(ctx, log, key(1), keys, Draft{Config: cfg, Author: "a"}); err != nil {
+			t.Fatalf("a lost answer was not settled: %v", err)
+		}
+		_, err := Publish(ctx, log, key(2), keys, Draft{Config: cfg, Author: "b"})
+		if !fault.Is(err, fault.Conflict) {
+			t.Errorf("the second operator was told: %v", err)
+		}
+		fold, _, err := History(ctx, log, keys)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff("a", fold.Current.Author); diff != "" {
+			t.Errorf("author in force (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestForgedAndOldRevisionsAreIgnored(t *testing.T) {
+	cfg := example(t, "ghent")
+	sign := func(n int64, k ed25519.PrivateKey, carry bool) types.Revision {
+		rev, err := Sign(types.Revision{Number: n, Base: n - 1, ID: string(rune('a' + n)), Config: cfg}, k)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rev.Carry = carry
+		return rev
+	}
+	fold := New(Keys(public(key(1))))
+	got := []Verdict{
+		fold.Offer(sign(1, key(2), false)),
+		fold.Offer(sign(5, key(1), true)),
+		fold.Offer(sign(4, key(1), true)),
+		fold.Offer(sign(5, key(1), false)),
+		fold.Offer(sign(6, key(1), false)),
+		fold.Offer(sign(8, key(1), false)),
+	}
+	want := []Verdict{Forged, Accepted, Known, Known, Accepted, Lost}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+}
+
+func FuzzFold(f *testing.F) {
+	f.Add([]byte(`{"number":1,"config":{}}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		fold := New(Keys(public(key(1))))
+		if _, verdict := fold.Apply(types.LogEntry{Offset: 1, Data: raw}); verdict == Accepted {
+			t.Error("an unsigned entry was accepted")
+		}
+	})
+}
--- a/ctl/cmds/check.go
+++ b/ctl/cmds/check.go
@@ -9,6 +9,7 @@
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/base/revs"
+	"mulleingate.dev/base/types"
 )
 
 func init() {
@@ -46,6 +47,10 @@
 	if err != nil {
 		return err
 	}
+	if len(cfg.Keys) == 0 {
+		// Publishing makes the first data key.
+		cfg.Keys = []types.DataKey{{ID: "k1"}}
+	}
 	if err := revs.Check(cfg); err != nil {
 		return fault.Refuse(fault.BadConfig, err.Error())
 	}
--- a/ctl/cmds/publish.go
+++ b/ctl/cmds/publish.go
@@ -77,6 +77,13 @@
 	if err != nil {
 		return err
 	}
+	if len(cfg.Keys) == 0 {
+		root, err := file.Root()
+		if err != nil {
+			return err
+		}
+		cfg.Keys = append(cfg.Keys, root.NewKey("k1"))
+	}
 	base := p.base
 	if base < 0 {
 		base = have
--- /dev/null
+++ b/gate/parts/tls_test.go
@@ -0,0 +1,134 @@
+package parts
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"mulleingate.dev/base/server"
+	"mulleingate.dev/base/wire"
+	"mulleingate.dev/gate/conf"
+	"mulleingate.dev/gate/peer"
+)
+
+// authority signs certificates for boxes.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	dir  string
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "ca"}, NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &authority{t: t, cert: cert, key: key, dir: t.TempDir()}
+	a.write("ca.crt", "CERTIFICATE", der)
+	return a
+}
+
+func (a *authority) write(name, kind string, der []byte) {
+	a.t.Helper()
+	raw := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	if err := os.WriteFile(filepath.Join(a.dir, name), raw, 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+// issue writes a certificate that lasts until the given time.
+func (a *authority) issue(name string, until time.Time) conf.Cert {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-2 * time.Hour),
+		NotAfter: until, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	raw, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.write(name+".crt", "CERTIFICATE", der)
+	a.write(name+".key", "EC PRIVATE KEY", raw)
+	path := func(n string) string { return filepath.Join(a.dir, n) }
+	return conf.Cert{Cert: path(name + ".crt"), Key: path(name + ".key"), CA: path("ca.crt")}
+}
+
+// echo answers heartbeats.
+type echo struct{}
+
+func (echo) Beat(_ context.Context, beat *wire.BeatRequest) (*wire.BeatReply, error) {
+	return &wire.BeatReply{Self: beat}, nil
+}
+
+func (echo) Newer(int64) []byte { return nil }
+
+func TestOnlyBoxesOfTheSameAuthorityTalk(t *testing.T) {
+	ours, theirs := newAuthority(t), newAuthority(t)
+	soon := time.Now().Add(time.Hour)
+	tlsConf, err := peerServerTLS(ours.issue("server", soon))
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", peer.NewServer(echo{}, echo{}))
+	srv, err := server.Listen(netip.MustParseAddrPort("127.0.0.1:0"), mux, tlsConf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = srv.Stop(t.Context()) })
+	beat := func(cert conf.Cert) error {
+		clientConf, err := peerClientTLS(cert)
+		if err != nil {
+			return err
+		}
+		_, err = peer.New(clientConf).Beat(t.Context(), srv.Addr(), &wire.BeatRequest{Box: "a"})
+		return err
+	}
+	if err := beat(ours.issue("client", soon)); err != nil {
+		t.Errorf("a box of the same authority was refused: %v", err)
+	}
+	if beat(theirs.issue("stranger", soon)) == nil {
+		t.Error("a box of another authority was let in")
+	}
+	if beat(ours.issue("expired", time.Now().Add(-time.Hour))) == nil {
+		t.Error("an expired certificate was let in")
+	}
+	if _, err := peer.New(nil).Beat(t.Context(), srv.Addr(), &wire.BeatRequest{Box: "a"}); err == nil {
+		t.Error("a box without a certificate was let in")
+	}
+}
