route: keep a program where its prefix is unless the queue there costs more

Drawing among candidates within 10% of a score that includes the whole answer hid a prefix of a thousand tokens, and a load report that mixed prompt with output tokens priced a queue a hundred times too high. Engines without own calls are polled less often. A box is ready only after it has read the list: a test met no_allowed_place before the engines were known, which was not true.

--- a/base/types/platform.go
+++ b/base/types/platform.go
@@ -48,11 +48,13 @@
 	At      time.Time `json:"at"`
 	Running int       `json:"running"`
 	Queued  int       `json:"queued"`
-	// QueuedTokens are prompt tokens not yet prefilled plus output tokens not yet made.
-	QueuedTokens int64 `json:"queued_tokens"`
-	MaxBatch     int   `json:"max_batch"`
-	CacheUsed    int64 `json:"cache_used"`
-	CacheSize    int64 `json:"cache_size"`
+	// PrefillTokens are prompt tokens not computed yet, OutputTokens output not made yet,
+	// over all running and queued streams.
+	PrefillTokens int64 `json:"prefill_tokens"`
+	OutputTokens  int64 `json:"output_tokens"`
+	MaxBatch      int   `json:"max_batch"`
+	CacheUsed     int64 `json:"cache_used"`
+	CacheSize     int64 `json:"cache_size"`
 	// PrefillRate is in tokens a second; StepTime is the time of one decode step.
 	PrefillRate float64  `json:"prefill_rate"`
 	StepTime    Duration `json:"step_time"`
--- a/ctl/cmds/manual.go
+++ b/ctl/cmds/manual.go
@@ -28,14 +28,16 @@
 }
 
 func (m *manual) Execute(_ context.Context, out io.Writer, _ []string) error {
+	// Building the tree declares the flags anew, which resets them.
+	dir, format := m.dir, m.format
 	root := commands.Root("mgctl", "Operates mulleingate by publishing configuration and policies", version, out)
 	root.DisableAutoGenTag = true
 	var err error
-	switch m.format {
+	switch format {
 	case "markdown":
-		err = doc.GenMarkdownTree(root, m.dir)
+		err = doc.GenMarkdownTree(root, dir)
 	case "man":
-		err = doc.GenManTree(root, &doc.GenManHeader{Title: "MGCTL", Section: "1", Source: "mulleingate"}, m.dir)
+		err = doc.GenManTree(root, &doc.GenManHeader{Title: "MGCTL", Section: "1", Source: "mulleingate"}, dir)
 	default:
 		return fault.Refuse(fault.BadRequest, "format: not markdown or man")
 	}
--- a/gate/admit/admit.go
+++ b/gate/admit/admit.go
@@ -220,6 +220,10 @@
 		}
 	case lease.Others:
 		l.others[m.Box] = m.Streams
+	case lease.Dropped:
+		if e, ok := l.engines[m.Target]; ok {
+			delete(e.cached, m.Program)
+		}
 	case lease.Moved:
 		l.moved(m)
 	case lease.Forget:
--- a/gate/admit/queue.go
+++ b/gate/admit/queue.go
@@ -45,7 +45,7 @@
 // early refuses what has no allowed target, and what would wait too long.
 func (l *Loop) early(now time.Time, ask lease.Ask) error {
 	places, live := l.allowed(ask)
-	if places == 0 {
+	if places == 0 && len(l.engines) > 0 {
 		return fault.Refuse(fault.NoPlace, "the policy allows no target for the data")
 	}
 	if live == 0 {
--- a/gate/conf/timing.go
+++ b/gate/conf/timing.go
@@ -54,18 +54,21 @@
 
 // Engines holds the intervals of polling engines.
 type Engines struct {
-	Poll types.Duration `json:"poll"`
-	Sync types.Duration `json:"sync"`
+	// Poll is the interval for engines that the box has calls at, IdlePoll for others.
+	Poll     types.Duration `json:"poll"`
+	IdlePoll types.Duration `json:"idle_poll"`
+	Sync     types.Duration `json:"sync"`
 	// Subset bounds the engines of the own zone, and of others, that the box looks at.
 	Subset int `json:"subset"`
 }
 
 func enginesDefaults() Engines {
-	return Engines{Poll: types.Duration(100 * time.Millisecond), Sync: types.Duration(5 * time.Second), Subset: 32}
+	return Engines{Poll: types.Duration(100 * time.Millisecond), IdlePoll: types.Duration(400 * time.Millisecond), Sync: types.Duration(5 * time.Second), Subset: 32}
 }
 
 func (e Engines) check(rep *report) {
 	rep.need(e.Poll > 0, "engines.poll", "not positive")
+	rep.need(e.IdlePoll >= e.Poll, "engines.idle_poll", "shorter than engines.poll")
 	rep.need(e.Sync > 0, "engines.sync", "not positive")
 	rep.need(e.Subset > 0, "engines.subset", "not positive")
 }
--- a/gate/engine/engine.go
+++ b/gate/engine/engine.go
@@ -35,8 +35,9 @@
 
 // Timing holds the intervals of polling.
 type Timing struct {
-	// Poll is the interval of load reports, Sync that of whole cache lists.
-	Poll, Sync time.Duration
+	// Poll is the interval of load reports of engines that this box has calls at, IdlePoll
+	// that of others, Sync that of whole cache lists.
+	Poll, IdlePoll, Sync time.Duration
 	// Subset bounds how many engines of its own zone, and apart from them of other zones,
 	// a box looks at.
 	Subset int
@@ -60,16 +61,18 @@
 	mu      sync.Mutex
 	targets map[string]types.Target
 	polls   map[string]context.CancelFunc
-	ctx     context.Context
-	stop    context.CancelFunc
-	done    sync.WaitGroup
+	// calls counts this box's calls under way by engine.
+	calls map[string]int
+	ctx   context.Context
+	stop  context.CancelFunc
+	done  sync.WaitGroup
 }
 
 // New makes the service for the box self in zone.
 func New(self, zone string, taker Taker, lists Lists, timing Timing, counts Counts, logger *slog.Logger) *Engines {
 	s := &Engines{
 		self: self, zone: zone, taker: taker, timing: timing, counts: counts, logger: logger,
-		http: client.New("engine", nil), targets: map[string]types.Target{}, polls: map[string]context.CancelFunc{},
+		http: client.New("engine", nil), targets: map[string]types.Target{}, polls: map[string]context.CancelFunc{}, calls: map[string]int{},
 	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	lists.OnList(s.take)
@@ -174,7 +177,8 @@
 				synced = time.Now()
 			}
 		}
-		pause := s.timing.Poll*9/10 + rand.N(s.timing.Poll/5+1)
+		interval := s.interval(name)
+		pause := interval*9/10 + rand.N(interval/5+1)
 		select {
 		case <-ctx.Done():
 			return
@@ -183,6 +187,24 @@
 	}
 }
 
+// interval is short for engines that this box has calls at, so that the cost of polling
+// follows its own work and not the number of engines.
+func (s *Engines) interval(name string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calls[name] > 0 {
+		return s.timing.Poll
+	}
+	return s.timing.IdlePoll
+}
+
+// using counts the calls under way at an engine.
+func (s *Engines) using(name string, change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[name] += change
+}
+
 func (s *Engines) pollOnce(ctx context.Context, target types.Target, after int64) int64 {
 	ctx, stop := context.WithTimeout(ctx, pollWait)
 	defer stop()
@@ -273,3 +295,13 @@
 	s.counts.Count("engine.moved", 1)
 	s.taker.Tell(lease.Moved{Program: program, From: from.Name, To: to.Name})
 }
+
+// Trim releases a program's older prefixes on all engines but the one to keep.
+func (s *Engines) Trim(program, keep string) {
+	for _, name := range s.taker.HoldersOf(program) {
+		if name != keep {
+			s.release(name, []string{program})
+			s.taker.Tell(lease.Dropped{Program: program, Target: name})
+		}
+	}
+}
--- a/gate/engine/stream.go
+++ b/gate/engine/stream.go
@@ -26,6 +26,8 @@
 // stream is resumed by offset. The failure has NotRun set only if the engine cannot have
 // begun the call.
 func (s *Engines) Run(ctx context.Context, target types.Target, call types.EngineCall, emit func(types.EngineEvent)) (types.EngineEvent, error) {
+	s.using(target.Name, 1)
+	defer s.using(target.Name, -1)
 	f := &follower{attempt: call.Attempt, emit: emit, counts: s.counts}
 	req, err := client.Request(ctx, http.MethodPost, url(target, "/v1/chat/completions"), call)
 	if err != nil {
--- a/gate/lease/lease.go
+++ b/gate/lease/lease.go
@@ -30,6 +30,8 @@
 	// Weighed are the candidates with their scores.
 	Weighed []route.Weighed
 	Waited  time.Duration
+	// Rank is the call's place in the order, higher first; engines get it as priority.
+	Rank int64
 
 	// Started is when the place was given.
 	Started time.Time
--- a/gate/lease/message.go
+++ b/gate/lease/message.go
@@ -35,6 +35,10 @@
 // Moved says that a program's cache was copied from one engine to another.
 type Moved struct{ Program, From, To string }
 
+// Dropped says that an engine no longer holds a program's cache.
+type Dropped struct{ Program, Target string }
+
+func (Dropped) isMessage() {}
 func (Moved) isMessage()   {}
 func (Report) isMessage()  {}
 func (Targets) isMessage() {}
--- a/gate/member/member.go
+++ b/gate/member/member.go
@@ -64,6 +64,7 @@
 	heard   []func(*wire.BeatRequest)
 	lists   []func(types.List)
 	rounds  int
+	listed  bool
 	started time.Time
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -142,6 +143,7 @@
 		return
 	}
 	v.mu.Lock()
+	v.listed = true
 	v.take(list)
 	takers := v.lists
 	v.mu.Unlock()
@@ -275,11 +277,12 @@
 	return &wire.BeatReply{Self: v.beat()}, nil
 }
 
-// Settled reports whether heartbeats have gone round and been answered or given up.
+// Settled reports whether the list was read, and heartbeats have gone round and been
+// answered or given up.
 func (v *View) Settled() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.rounds >= 2 && time.Since(v.started) >= v.timing.Suspect
+	return v.listed && v.rounds >= 2 && time.Since(v.started) >= v.timing.Suspect
 }
 
 // live reports whether a box answered lately. A box on the list that had no time yet to
--- a/gate/parts/engine.go
+++ b/gate/parts/engine.go
@@ -32,7 +32,7 @@
 	register("engine", func(env *Env) kernel.Part {
 		return kernel.Part{Needs: []string{"admit", "member", "meter"}, Make: func(k *kernel.Kernel) (kernel.Service, error) {
 			set := env.Settings.Engines
-			timing := engine.Timing{Poll: time.Duration(set.Poll), Sync: time.Duration(set.Sync), Subset: set.Subset}
+			timing := engine.Timing{Poll: time.Duration(set.Poll), IdlePoll: time.Duration(set.IdlePoll), Sync: time.Duration(set.Sync), Subset: set.Subset}
 			return engine.New(env.Self.Name, env.Self.Zone, k.Find("admit").(*admit.Loop),
 				k.Find("member").(*member.View), timing, k.Find("meter").(*meter.Meter), env.Logger), nil
 		}}
--- a/gate/plain/pool.go
+++ b/gate/plain/pool.go
@@ -243,10 +243,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var ready, busy []*replica
-	allowed := 0
+	known, allowed := 0, 0
 	now := time.Now()
 	for _, r := range p.replicas {
-		if r.target.Service != service || !p.allowed(r, in) {
+		if r.target.Service != service {
+			continue
+		}
+		known++
+		if !p.allowed(r, in) {
 			continue
 		}
 		allowed++
@@ -260,7 +264,7 @@
 		ready = append(ready, r)
 	}
 	if len(ready) == 0 {
-		return nil, none(allowed, len(busy))
+		return nil, none(known, allowed, len(busy))
 	}
 	a, b := ready[rand.IntN(len(ready))], ready[rand.IntN(len(ready))]
 	if p.cost(b) < p.cost(a) {
@@ -270,9 +274,9 @@
 	return a, nil
 }
 
-func none(allowed, busy int) error {
+func none(known, allowed, busy int) error {
 	switch {
-	case allowed == 0:
+	case known > 0 && allowed == 0:
 		return fault.Refuse(fault.NoPlace, "the policy allows no target for the data")
 	case busy > 0:
 		return fault.Refuse(fault.Overloaded, "all replicas are at their limit").After(firstTook * firstLimit)
--- a/gate/prog/execute.go
+++ b/gate/prog/execute.go
@@ -140,7 +140,7 @@
 	})
 	call := types.EngineCall{
 		Attempt: id, Model: j.begin.Model, Messages: append(j.history[:len(j.history):len(j.history)], j.ask.Body.Messages...),
-		MaxTokens: j.maxTokens, Priority: route.Rank(route.Age, work), CacheKey: j.ask.Program,
+		MaxTokens: j.maxTokens, Priority: place.Rank, CacheKey: j.ask.Program,
 		Hold: place.Hold, Class: j.begin.Kind,
 	}
 	end, err := p.stream(ctx, j, run, place, call)
@@ -183,9 +183,22 @@
 		p.counts.Time("prog.token_gap", res.PerToken)
 	}
 	place.Finish(res)
+	if movedHere(place) {
+		p.done.Go(func() { p.engines.Trim(j.ask.Program, place.Target.Name) })
+	}
 	return end, nil
 }
 
+// movedHere reports whether another engine holds an older prefix of the program.
+func movedHere(place *lease.Lease) bool {
+	for _, w := range place.Weighed {
+		if w.Cached > 0 && w.Name != place.Target.Name {
+			return true
+		}
+	}
+	return false
+}
+
 // fail ends the run without an answer.
 func (p *Prog) fail(j *job, run *Run, turnRun *desk.TurnRun, spent int64, err error) {
 	ctx, stop := context.WithTimeout(context.Background(), finishWait)
--- a/gate/prog/prog.go
+++ b/gate/prog/prog.go
@@ -37,6 +37,7 @@
 	Sweep(gone func(program string) bool)
 	Target(name string) (types.Target, bool)
 	Move(program string, from, to types.Target)
+	Trim(program, keep string)
 }
 
 // Policies is the configuration in force.
--- a/gate/proof/fakes_test.go
+++ b/gate/proof/fakes_test.go
@@ -157,6 +157,8 @@
 
 func (e *engines) Target(string) (types.Target, bool) { return types.Target{}, false }
 
+func (e *engines) Trim(string, string) {}
+
 func (e *engines) Move(string, types.Target, types.Target) {}
 
 // Release implements cache release.
--- a/gate/route/route.go
+++ b/gate/route/route.go
@@ -38,12 +38,12 @@
 	// Running and Queued are streams by the target's last report.
 	Running, Queued int
 	MaxBatch        int
-	// QueuedTokens is the work in tokens left by that report.
-	QueuedTokens int64
-	PrefillRate  float64
-	Step         time.Duration
-	CacheUsed    int64
-	CacheSize    int64
+	// PrefillTokens and OutputTokens are the work left by that report.
+	PrefillTokens, OutputTokens int64
+	PrefillRate                 float64
+	Step                        time.Duration
+	CacheUsed                   int64
+	CacheSize                   int64
 	// Mine are this box's streams under way, MineThen those when the report was made.
 	Mine, MineThen int
 	// Others are the streams of other boxes, by their heartbeats.
@@ -59,18 +59,24 @@
 }
 
 const (
-	// nearBest is how much worse than the best a candidate may be to be drawn, as a share
-	// of the best score and as a time.
-	nearBest = 0.10
-	nearTime = 3 * time.Millisecond
+	// nearShare is how much worse than the best a candidate may be to be drawn, as a share
+	// of what differs between candidates; nearTime is the least such difference.
+	nearShare = 0.05
+	nearTime  = time.Millisecond
+	// worthWaiting is how much better a full target must be for the call to wait for it:
+	// about the time until one of its places comes free.
+	worthWaiting = 30 * time.Millisecond
 	// farCost is added for another availability zone.
 	farCost = 2 * time.Millisecond
+	// delayShare weighs what a prefill costs the streams already in the batch: each of
+	// them waits for it.
+	delayShare = 1.0
 	// evictShare weighs the prefill that others lose when a new prefix pushes theirs out.
-	evictShare = 0.5
+	evictShare = 1.0
 	// fullAt is the cache use from which a new prefix pushes others out.
-	fullAt = 0.9
+	fullAt = 0.85
 	// typical is the length of a queued stream in steps when nothing is known.
-	typical = 64
+	typical = 32
 	// batchCost is how much one more stream lengthens a step; engines tell no such figure.
 	batchCost = 0.03
 )
@@ -82,20 +88,21 @@
 	return max(reported, c.Mine+c.Others, 0)
 }
 
-// Score is the expected time to the whole answer.
+// Score is the expected cost of the call at the candidate: the time to its whole answer,
+// and what its prefill takes from other programs there.
 func Score(ask Ask, c Candidate) time.Duration {
 	load := float64(c.Load())
-	step := c.Step.Seconds() * c.Slow * (1 + batchCost*math.Min(load+1, float64(c.MaxBatch)))
-	wait := 0.0
+	batch := math.Min(load+1, float64(c.MaxBatch))
+	step := c.Step.Seconds() * c.Slow * (1 + batchCost*batch)
+	wait := float64(c.PrefillTokens) / c.PrefillRate * c.Slow
 	if over := load + 1 - float64(c.MaxBatch); over > 0 {
-		perSlot := math.Max(float64(c.QueuedTokens)/math.Max(load, 1), typical)
-		wait = over / float64(c.MaxBatch) * perSlot * step
+		perSlot := math.Max(float64(c.OutputTokens)/math.Max(load, 1), typical)
+		wait += over / float64(c.MaxBatch) * perSlot * step
 	}
-	missing := float64(max(0, ask.Prompt-c.Cached))
-	prefill := missing / c.PrefillRate * c.Slow
+	prefill := float64(max(0, ask.Prompt-c.Cached)) / c.PrefillRate * c.Slow
+	others := prefill * (delayShare*(batch-1) + evictShare*crowding(c))
 	answer := float64(ask.Expected) * step
-	push := evictShare * missing / c.PrefillRate * crowding(c)
-	total := time.Duration((wait + prefill + answer + push) * float64(time.Second))
+	total := time.Duration((wait + prefill + others + answer) * float64(time.Second))
 	if c.Far {
 		total += farCost
 	}
@@ -139,15 +146,21 @@
 }
 
 // pickScored draws among the near-best, so that boxes with the same stale reports do not
-// all choose the same target.
+// all choose the same target. Where a full target is much better, usually because it holds
+// the prefix, the call waits for it.
 func pickScored(cands []Candidate, weighed []Weighed, rng *rand.Rand) int {
-	best := time.Duration(math.MaxInt64)
+	best, worst, all := time.Duration(math.MaxInt64), time.Duration(0), time.Duration(math.MaxInt64)
 	for i := range cands {
+		all = min(all, weighed[i].Score)
 		if cands[i].Room {
 			best = min(best, weighed[i].Score)
+			worst = max(worst, weighed[i].Score)
 		}
 	}
-	bound := best + max(time.Duration(float64(best)*nearBest), nearTime)
+	if best == math.MaxInt64 || all+worthWaiting < best {
+		return -1
+	}
+	bound := best + max(time.Duration(float64(worst-best)*nearShare), nearTime)
 	chosen, seen := -1, 0
 	for i := range cands {
 		if !cands[i].Room || weighed[i].Score > bound {
--- a/stand/model/engine.go
+++ b/stand/model/engine.go
@@ -164,9 +164,10 @@
 }
 
 func (e *Engine) snapshot() types.LoadReport {
-	left := int64(0)
+	prefill, output := int64(0), int64(0)
 	for _, st := range append(append([]*stream{}, e.waiting...), e.running...) {
-		left += int64(st.prefill + len(st.words) - len(st.events))
+		prefill += int64(st.prefill)
+		output += int64(len(st.words) - len(st.events))
 	}
 	models := make([]string, 0, len(e.models))
 	for m := range e.models {
@@ -175,7 +176,7 @@
 	sort.Strings(models)
 	return types.LoadReport{
 		Name: e.spec.Name, At: time.Now(), Running: len(e.running), Queued: len(e.waiting),
-		QueuedTokens: left, MaxBatch: e.spec.MaxBatch, CacheUsed: e.cache.used, CacheSize: e.spec.CacheSize,
+		PrefillTokens: prefill, OutputTokens: output, MaxBatch: e.spec.MaxBatch, CacheUsed: e.cache.used, CacheSize: e.spec.CacheSize,
 		PrefillRate: e.spec.PrefillRate, StepTime: e.spec.StepTime, Leaving: e.faults.Leaving, Models: models,
 		Fence: e.fence,
 	}
@@ -288,7 +289,8 @@
 	}
 	e.stats.Calls++
 	st := &stream{call: call, prompt: Count(call.Messages), words: Answer(call.Messages, call.MaxTokens)}
-	st.prefill = st.prompt
+	// What is held already need not be computed when the stream gets its place.
+	st.prefill = st.prompt - e.cache.prefix(call.CacheKey, st.prompt)
 	if e.faults.BreakStreams > 0 {
 		e.faults.BreakStreams--
 		st.broken = true
