prog: release caches where a tighter policy no longer allows them

Cause: place binds the state too, but a published tightening left caches where they were. Change: each revision that comes into force is held against the caches of live programs; those in places no longer allowed are released, and the next turn goes elsewhere or is refused. Status, figures and steps are plain types that gate and mgctl share; calls with a token are made in one place; the stand-in platform package is named plat. Before: the engine kept the item.

--- /dev/null
+++ b/base/types/status.go
@@ -0,0 +1,85 @@
+package types
+
+import "time"
+
+// BoxStatus is the state of a box, as its admin address tells it.
+type BoxStatus struct {
+	Box         string         `json:"box"`
+	Zone        string         `json:"zone"`
+	Version     string         `json:"version"`
+	Ready       bool           `json:"ready"`
+	Why         string         `json:"why,omitempty"`
+	Up          Duration       `json:"up"`
+	Revision    int64          `json:"revision"`
+	RevisionAge Duration       `json:"revision_age"`
+	Slots       []SlotStatus   `json:"slots"`
+	Boxes       []PeerStatus   `json:"boxes"`
+	Targets     []EngineStatus `json:"targets"`
+}
+
+// SlotStatus is a slot that the box holds.
+type SlotStatus struct {
+	Slot  string `json:"slot"`
+	Epoch int64  `json:"epoch"`
+}
+
+// PeerStatus is another box as this one sees it.
+type PeerStatus struct {
+	Name    string    `json:"name"`
+	Zone    string    `json:"zone,omitempty"`
+	Live    bool      `json:"live"`
+	Leaving bool      `json:"leaving"`
+	Heard   time.Time `json:"heard"`
+}
+
+// EngineStatus is an engine as this box believes it to be.
+type EngineStatus struct {
+	Name    string        `json:"name"`
+	Zone    string        `json:"zone"`
+	Leaving bool          `json:"leaving"`
+	Ejected bool          `json:"ejected"`
+	Mine    int           `json:"mine"`
+	Limit   int           `json:"limit"`
+	Running int           `json:"running"`
+	Queued  int           `json:"queued"`
+	Slow    float64       `json:"slow"`
+	Cached  int           `json:"cached_programs"`
+	Age     time.Duration `json:"report_age"`
+}
+
+// Figures is all counters and histograms of a box by name.
+type Figures struct {
+	Counters   map[string]int64     `json:"counters"`
+	Gauges     map[string]int64     `json:"gauges"`
+	Histograms map[string]Histogram `json:"histograms"`
+}
+
+// Histogram is a summary, in microseconds.
+type Histogram struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean_us"`
+	P50   float64 `json:"p50_us"`
+	P95   float64 `json:"p95_us"`
+	P99   float64 `json:"p99_us"`
+	Max   int64   `json:"max_us"`
+}
+
+// Step is one decision of a box on a program or request.
+type Step struct {
+	At      time.Time `json:"at"`
+	Request string    `json:"request,omitempty"`
+	Program string    `json:"program,omitempty"`
+	What    string    `json:"what"`
+	Why     string    `json:"why,omitempty"`
+	Target  string    `json:"target,omitempty"`
+	Weighed []Weighed `json:"weighed,omitempty"`
+}
+
+// Weighed is a target that was considered, with its score.
+type Weighed struct {
+	Name   string        `json:"name"`
+	Score  time.Duration `json:"score"`
+	Load   int           `json:"load"`
+	Cached int           `json:"cached"`
+	Room   bool          `json:"room"`
+}
--- a/bench/cmds/experiment.go
+++ b/bench/cmds/experiment.go
@@ -20,7 +20,7 @@
 	"mulleingate.dev/gate/route"
 	"mulleingate.dev/stand/applog"
 	"mulleingate.dev/stand/model"
-	"mulleingate.dev/stand/rig"
+	"mulleingate.dev/stand/plat"
 )
 
 func init() {
@@ -193,7 +193,7 @@
 	}
 	f, err := fleet.New(ctx, fleet.Spec{
 		Shape: shape, Boxes: e.boxes, Gate: gate, Dir: dir, Proxied: true,
-		Rig: rig.Spec{
+		Rig: plat.Spec{
 			Zones: shape.Zones, Engines: e.engines, Model: shape.Models[0], Lag: 500 * time.Millisecond, Engine: engineSpec,
 			Log: applog.Faults{Limit: 400}, Services: map[string]int{look: 4, book: 6},
 		},
--- a/bench/mutant/run.go
+++ b/bench/mutant/run.go
@@ -102,6 +102,9 @@
 	return fuzz(ctx, opts, dir, m), nil
 }
 
+// shownOutput bounds what is shown of a run that failed by itself, in bytes.
+const shownOutput = 300
+
 var (
 	afterTests = regexp.MustCompile(`failed after (\d+) tests`)
 	planSteps  = regexp.MustCompile(`broken after \[([^\]]*)\]`)
@@ -118,6 +121,9 @@
 	out, err := cmd.CombinedOutput()
 	res := Result{Mutant: m, Took: time.Since(began)}
 	res.Found = err != nil && bytes.Contains(out, []byte("--- FAIL"))
+	if err != nil && !res.Found {
+		res.Broken = "DID NOT RUN: " + string(bytes.TrimSpace(out[:min(len(out), shownOutput)]))
+	}
 	if !res.Found {
 		return res
 	}
--- a/ctl/cmds/explain.go
+++ b/ctl/cmds/explain.go
@@ -14,6 +14,7 @@
 
 	"mulleingate.dev/base/client"
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/types"
 )
 
 func init() {
@@ -30,24 +31,10 @@
 func (*explain) Help() string               { return "tell why: targets weighed, retries, refusals; takes an id" }
 func (e *explain) Flags(cmd *cobra.Command) { e.flags(cmd) }
 
-// step is one decision of a box.
+// step is one decision, and the box that took it.
 type step struct {
-	Box     string    `json:"box"`
-	At      time.Time `json:"at"`
-	Request string    `json:"request"`
-	Program string    `json:"program"`
-	What    string    `json:"what"`
-	Why     string    `json:"why"`
-	Target  string    `json:"target"`
-	Weighed []weighed `json:"weighed"`
-}
-
-type weighed struct {
-	Name   string        `json:"name"`
-	Score  time.Duration `json:"score"`
-	Load   int           `json:"load"`
-	Cached int           `json:"cached"`
-	Room   bool          `json:"room"`
+	Box string `json:"box"`
+	types.Step
 }
 
 func (e *explain) Execute(ctx context.Context, out io.Writer, args []string) error {
@@ -62,14 +49,13 @@
 	var all []step
 	silent := 0
 	for _, box := range file.Boxes {
-		var steps []step
+		var steps []types.Step
 		if err := cli.Call(ctx, http.MethodGet, "http://"+box.String()+"/explain/"+url.PathEscape(args[0]), nil, &steps); err != nil {
 			silent++
 			continue
 		}
 		for _, s := range steps {
-			s.Box = box.String()
-			all = append(all, s)
+			all = append(all, step{Box: box.String(), Step: s})
 		}
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].At.Before(all[j].At) })
@@ -83,7 +69,7 @@
 	})
 }
 
-func scores(all []weighed) string {
+func scores(all []types.Weighed) string {
 	parts := make([]string, 0, len(all))
 	for _, c := range all {
 		text := fmt.Sprintf("%s=%s(load %d, cached %d)", c.Name, c.Score.Round(time.Millisecond), c.Load, c.Cached)
--- a/ctl/cmds/figures.go
+++ b/ctl/cmds/figures.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"mulleingate.dev/base/client"
+	"mulleingate.dev/base/types"
 )
 
 // figures prints the boxes' counters and histograms.
@@ -30,16 +31,10 @@
 	cmd.Flags().StringVar(&f.match, "match", "", "print only names that hold this text")
 }
 
+// boxFigures is a box's answer.
 type boxFigures struct {
-	Addr       netip.AddrPort   `json:"addr"`
-	Counters   map[string]int64 `json:"counters"`
-	Gauges     map[string]int64 `json:"gauges"`
-	Histograms map[string]struct {
-		Count int64   `json:"count"`
-		P50   float64 `json:"p50_us"`
-		P95   float64 `json:"p95_us"`
-		P99   float64 `json:"p99_us"`
-	} `json:"histograms"`
+	Addr netip.AddrPort `json:"addr"`
+	types.Figures
 }
 
 func (f *figures) Execute(ctx context.Context, out io.Writer, _ []string) error {
@@ -51,7 +46,7 @@
 	var all []boxFigures
 	for _, addr := range file.Boxes {
 		b := boxFigures{Addr: addr}
-		if err := cli.Call(ctx, http.MethodGet, "http://"+addr.String()+"/metrics", nil, &b); err != nil {
+		if err := cli.Call(ctx, http.MethodGet, "http://"+addr.String()+"/metrics", nil, &b.Figures); err != nil {
 			_, _ = fmt.Fprintf(out, "# %s does not answer\n", addr)
 			continue
 		}
--- a/ctl/cmds/status.go
+++ b/ctl/cmds/status.go
@@ -37,32 +37,9 @@
 
 // boxStatus is a box's answer, or why there is none.
 type boxStatus struct {
-	Addr        netip.AddrPort `json:"addr"`
-	Failed      string         `json:"failed,omitempty"`
-	Box         string         `json:"box"`
-	Zone        string         `json:"zone"`
-	Ready       bool           `json:"ready"`
-	Why         string         `json:"why"`
-	Up          types.Duration `json:"up"`
-	Revision    int64          `json:"revision"`
-	RevisionAge types.Duration `json:"revision_age"`
-	Slots       []struct {
-		Slot  string `json:"slot"`
-		Epoch int64  `json:"epoch"`
-	} `json:"slots"`
-	Targets []struct {
-		Name    string        `json:"name"`
-		Zone    string        `json:"zone"`
-		Leaving bool          `json:"leaving"`
-		Ejected bool          `json:"ejected"`
-		Mine    int           `json:"mine"`
-		Limit   int           `json:"limit"`
-		Running int           `json:"running"`
-		Queued  int           `json:"queued"`
-		Slow    float64       `json:"slow"`
-		Cached  int           `json:"cached_programs"`
-		Age     time.Duration `json:"report_age"`
-	} `json:"targets"`
+	Addr   netip.AddrPort `json:"addr"`
+	Failed string         `json:"failed,omitempty"`
+	types.BoxStatus
 }
 
 func (s *status) Execute(ctx context.Context, out io.Writer, _ []string) error {
@@ -74,7 +51,7 @@
 	all := make([]boxStatus, 0, len(file.Boxes))
 	for _, addr := range file.Boxes {
 		b := boxStatus{Addr: addr}
-		if err := cli.Call(ctx, http.MethodGet, "http://"+addr.String()+"/status", nil, &b); err != nil {
+		if err := cli.Call(ctx, http.MethodGet, "http://"+addr.String()+"/status", nil, &b.BoxStatus); err != nil {
 			b.Failed = err.Error()
 		}
 		all = append(all, b)
--- a/gate/admin/admin.go
+++ b/gate/admin/admin.go
@@ -13,19 +13,16 @@
 	"mulleingate.dev/base/ident"
 	"mulleingate.dev/base/server"
 	"mulleingate.dev/base/types"
-	"mulleingate.dev/gate/admit"
-	"mulleingate.dev/gate/meter"
-	"mulleingate.dev/gate/trail"
 )
 
 // Figures are all counters and histograms.
 type Figures interface {
-	Report() meter.Report
+	Report() types.Figures
 }
 
 // Steps finds decisions.
 type Steps interface {
-	Find(id string) []trail.Step
+	Find(id string) []types.Step
 }
 
 // Owners tells which slots are held.
@@ -49,7 +46,7 @@
 
 // Targets tells of the engines.
 type Targets interface {
-	Status() []admit.Status
+	Status() []types.EngineStatus
 }
 
 // Admin answers operators.
@@ -83,36 +80,6 @@
 	return nil
 }
 
-// Box is another box as this one sees it.
-type Box struct {
-	Name    string    `json:"name"`
-	Zone    string    `json:"zone,omitempty"`
-	Live    bool      `json:"live"`
-	Leaving bool      `json:"leaving"`
-	Heard   time.Time `json:"heard"`
-}
-
-// Slot is a held slot.
-type Slot struct {
-	Slot  string `json:"slot"`
-	Epoch int64  `json:"epoch"`
-}
-
-// Status is the state of a box.
-type Status struct {
-	Box         string         `json:"box"`
-	Zone        string         `json:"zone"`
-	Version     string         `json:"version"`
-	Ready       bool           `json:"ready"`
-	Why         string         `json:"why,omitempty"`
-	Up          types.Duration `json:"up"`
-	Revision    int64          `json:"revision"`
-	RevisionAge types.Duration `json:"revision_age"`
-	Slots       []Slot         `json:"slots"`
-	Boxes       []Box          `json:"boxes"`
-	Targets     []admit.Status `json:"targets"`
-}
-
 // Routes lists the routes.
 func (a *Admin) Routes() []rest.Route {
 	return []rest.Route{
@@ -153,8 +120,8 @@
 }
 
 // Status collects the state of the box.
-func (a *Admin) Status() Status {
-	st := Status{
+func (a *Admin) Status() types.BoxStatus {
+	st := types.BoxStatus{
 		Box: a.self.Name, Zone: a.self.Zone, Version: a.version, Ready: true,
 		Up: types.Duration(time.Since(a.started)), Revision: a.policies.Number(),
 		RevisionAge: types.Duration(a.policies.Age()), Targets: a.targets.Status(),
@@ -163,7 +130,7 @@
 		st.Ready, st.Why = false, fault.From(err).Detail
 	}
 	for id, epoch := range a.owners.Held() {
-		st.Slots = append(st.Slots, Slot{Slot: id.String(), Epoch: epoch})
+		st.Slots = append(st.Slots, types.SlotStatus{Slot: id.String(), Epoch: epoch})
 	}
 	sort.Slice(st.Slots, func(i, j int) bool { return st.Slots[i].Slot < st.Slots[j].Slot })
 	live := map[string]types.Member{}
@@ -172,7 +139,7 @@
 	}
 	for name, heard := range a.view.All() {
 		m, ok := live[name]
-		st.Boxes = append(st.Boxes, Box{Name: name, Zone: m.Zone, Live: ok, Leaving: m.Leaving, Heard: heard})
+		st.Boxes = append(st.Boxes, types.PeerStatus{Name: name, Zone: m.Zone, Live: ok, Leaving: m.Leaving, Heard: heard})
 	}
 	sort.Slice(st.Boxes, func(i, j int) bool { return st.Boxes[i].Name < st.Boxes[j].Name })
 	return st
--- a/gate/admit/query.go
+++ b/gate/admit/query.go
@@ -8,28 +8,13 @@
 	"mulleingate.dev/gate/lease"
 )
 
-// Status describes one engine as this box believes it to be.
-type Status struct {
-	Name    string        `json:"name"`
-	Zone    string        `json:"zone"`
-	Leaving bool          `json:"leaving"`
-	Ejected bool          `json:"ejected"`
-	Mine    int           `json:"mine"`
-	Limit   int           `json:"limit"`
-	Running int           `json:"running"`
-	Queued  int           `json:"queued"`
-	Slow    float64       `json:"slow"`
-	Cached  int           `json:"cached_programs"`
-	Age     time.Duration `json:"report_age"`
-}
-
 // Status lists the engines.
-func (l *Loop) Status() []Status {
-	var out []Status
+func (l *Loop) Status() []types.EngineStatus {
+	var out []types.EngineStatus
 	l.query(func(l *Loop) {
 		now := time.Now()
 		for _, e := range l.sorted() {
-			out = append(out, Status{
+			out = append(out, types.EngineStatus{
 				Name: e.target.Name, Zone: e.target.Zone, Leaving: e.leaving, Ejected: l.eject.Ejected(now, e.target.Name),
 				Mine: e.mine, Limit: e.limit.Limit(), Running: e.load.Running, Queued: e.load.Queued, Slow: e.slow,
 				Cached: len(e.cached), Age: now.Sub(e.heard),
--- a/gate/cmds/dev.go
+++ b/gate/cmds/dev.go
@@ -21,7 +21,7 @@
 	"mulleingate.dev/base/types"
 	"mulleingate.dev/gate/conf"
 	"mulleingate.dev/gate/parts"
-	"mulleingate.dev/stand/rig"
+	"mulleingate.dev/stand/plat"
 )
 
 func init() {
@@ -57,7 +57,7 @@
 	logger := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: conf.Log{Level: d.level}.Slog()}))
 	slog.SetDefault(logger)
 	shape := sample.Ghent()
-	platform, err := rig.New(rig.Spec{
+	platform, err := plat.New(plat.Spec{
 		Zones: shape.Zones, Engines: devEngines, Model: shape.Models[0], Lag: 200 * time.Millisecond,
 		Services: map[string]int{"booking": 1, "calendar": 1},
 	})
@@ -86,7 +86,7 @@
 	return nil
 }
 
-func publish(ctx context.Context, platform *rig.Rig, shape sample.Shape, keys sample.Keys) error {
+func publish(ctx context.Context, platform *plat.Platform, shape sample.Shape, keys sample.Keys) error {
 	cfg, err := sample.Config(shape, keys)
 	if err != nil {
 		return err
@@ -97,8 +97,8 @@
 	return err
 }
 
-func fleet(ctx context.Context, platform *rig.Rig, shape sample.Shape, keys sample.Keys, logger *slog.Logger) ([]*parts.Box, []conf.Settings, error) {
-	ports, err := rig.FreePorts(portsEach * len(shape.Zones))
+func fleet(ctx context.Context, platform *plat.Platform, shape sample.Shape, keys sample.Keys, logger *slog.Logger) ([]*parts.Box, []conf.Settings, error) {
+	ports, err := plat.FreePorts(portsEach * len(shape.Zones))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -120,7 +120,7 @@
 }
 
 // devSettings are settings with short intervals, so that a fleet is ready at once.
-func devSettings(platform *rig.Rig, keys sample.Keys, name, zone string, ports []netip.AddrPort) conf.Settings {
+func devSettings(platform *plat.Platform, keys sample.Keys, name, zone string, ports []netip.AddrPort) conf.Settings {
 	set := conf.Defaults()
 	set.Box = conf.Box{Name: name, Zone: zone}
 	set.Listen = conf.Listen{Callers: ports[0], Peers: ports[1], Admin: ports[2]}
--- a/gate/cmds/tryout.go
+++ b/gate/cmds/tryout.go
@@ -45,18 +45,6 @@
 }
 
 func (c *caller) call(ctx context.Context, set conf.Settings, path, key string, in, out any) error {
-	req, err := client.Request(ctx, http.MethodPost, "http://"+set.Listen.Callers.String()+path, in)
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Authorization", "Bearer "+c.token)
-	if key != "" {
-		req.Header.Set("Idempotency-Key", key)
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return client.Decode(resp, out)
+	url := "http://" + set.Listen.Callers.String() + path
+	return c.http.CallAs(ctx, client.Auth{Token: c.token, Key: key}, http.MethodPost, url, in, out)
 }
--- a/gate/engine/engine.go
+++ b/gate/engine/engine.go
@@ -300,8 +300,13 @@
 func (s *Engines) Trim(program, keep string) {
 	for _, name := range s.taker.HoldersOf(program) {
 		if name != keep {
-			s.release(name, []string{program})
-			s.taker.Tell(lease.Dropped{Program: program, Target: name})
+			s.Drop(program, name)
 		}
 	}
 }
+
+// Drop releases a program's cache on one engine.
+func (s *Engines) Drop(program, name string) {
+	s.release(name, []string{program})
+	s.taker.Tell(lease.Dropped{Program: program, Target: name})
+}
--- a/gate/lease/lease.go
+++ b/gate/lease/lease.go
@@ -28,7 +28,7 @@
 	// Hold says that the cache should be kept after the answer.
 	Hold bool
 	// Weighed are the candidates with their scores.
-	Weighed []route.Weighed
+	Weighed []types.Weighed
 	Waited  time.Duration
 	// Rank is the call's place in the order, higher first; engines get it as priority.
 	Rank int64
--- a/gate/meter/meter.go
+++ b/gate/meter/meter.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"mulleingate.dev/base/types"
 )
 
 const (
@@ -72,26 +74,9 @@
 	return m.reg.GetOrRegister(name, make())
 }
 
-// Histogram is a summary, in microseconds.
-type Histogram struct {
-	Count int64   `json:"count"`
-	Mean  float64 `json:"mean_us"`
-	P50   float64 `json:"p50_us"`
-	P95   float64 `json:"p95_us"`
-	P99   float64 `json:"p99_us"`
-	Max   int64   `json:"max_us"`
-}
-
-// Report is all figures by name.
-type Report struct {
-	Counters   map[string]int64     `json:"counters"`
-	Gauges     map[string]int64     `json:"gauges"`
-	Histograms map[string]Histogram `json:"histograms"`
-}
-
 // Report reads all figures.
-func (m *Meter) Report() Report {
-	out := Report{Counters: map[string]int64{}, Gauges: map[string]int64{}, Histograms: map[string]Histogram{}}
+func (m *Meter) Report() types.Figures {
+	out := types.Figures{Counters: map[string]int64{}, Gauges: map[string]int64{}, Histograms: map[string]types.Histogram{}}
 	m.reg.Each(func(name string, v any) {
 		switch v := v.(type) {
 		case metrics.Counter:
@@ -101,7 +86,7 @@
 		case metrics.Histogram:
 			s := v.Snapshot()
 			ps := s.Percentiles([]float64{0.5, 0.95, 0.99})
-			out.Histograms[name] = Histogram{Count: s.Count(), Mean: s.Mean(), P50: ps[0], P95: ps[1], P99: ps[2], Max: s.Max()}
+			out.Histograms[name] = types.Histogram{Count: s.Count(), Mean: s.Mean(), P50: ps[0], P95: ps[1], P99: ps[2], Max: s.Max()}
 		}
 	})
 	return out
--- a/gate/parts/prog.go
+++ b/gate/parts/prog.go
@@ -30,6 +30,7 @@
 			svc := prog.New(env.Self.Zone, owners, k.Find("admit").(*admit.Loop), k.Find("engine").(*engine.Engines),
 				k.Find("policy").(*policy.Store), k.Find("meter").(*meter.Meter), k.Find("trail").(*trail.Trail), env.Logger)
 			owners.Watch(svc)
+			k.Find("policy").(*policy.Store).OnChange(func(*policy.State) { svc.Tightened() })
 			return svc, nil
 		}}
 	})
--- a/gate/prog/evacuate.go
+++ b/gate/prog/evacuate.go
@@ -59,3 +59,27 @@
 	})
 	return begin, found && err == nil
 }
+
+// Tightened releases caches on engines where the policy in force no longer allows them.
+// A turn that runs there is let finish; the next one goes elsewhere.
+func (p *Prog) Tightened() {
+	for name, ids := range p.queue.Holders() {
+		target, ok := p.engines.Target(name)
+		if !ok {
+			continue
+		}
+		for _, id := range ids {
+			begin, ok := p.live(id)
+			if !ok || p.mayCache(begin, target) {
+				continue
+			}
+			p.engines.Drop(id, name)
+		}
+	}
+}
+
+func (p *Prog) mayCache(begin types.Begin, target types.Target) bool {
+	in := input(begin)
+	in.Zone, in.Target, in.Use = target.Zone, target.Name, "cache"
+	return p.policies.Allowed(in)
+}
--- a/gate/prog/execute.go
+++ b/gate/prog/execute.go
@@ -11,7 +11,6 @@
 	"mulleingate.dev/gate/fold"
 	"mulleingate.dev/gate/lease"
 	"mulleingate.dev/gate/route"
-	"mulleingate.dev/gate/trail"
 )
 
 const (
@@ -84,7 +83,7 @@
 			touched = true
 			try.spent = turnRun.Reserved
 		}
-		p.notes.Note(trail.Step{Request: j.ask.Request, Program: j.ask.Program, What: "attempt failed", Why: string(f.Kind), Target: target})
+		p.notes.Note(types.Step{Request: j.ask.Request, Program: j.ask.Program, What: "attempt failed", Why: string(f.Kind), Target: target})
 		if target == "" || n == maxAttempts || ctx.Err() != nil {
 			return end, try, told(f, touched)
 		}
@@ -135,7 +134,7 @@
 	if err != nil {
 		return types.EngineEvent{}, "", err
 	}
-	p.notes.Note(trail.Step{
+	p.notes.Note(types.Step{
 		Request: j.ask.Request, Program: j.ask.Program, What: "target chosen", Target: place.Target.Name, Weighed: place.Weighed,
 	})
 	call := types.EngineCall{
@@ -211,7 +210,7 @@
 		p.logger.Debug("prog: failed turn was not settled", "program", j.ask.Program, "error", doErr)
 	}
 	p.counts.Count("prog.failed_turns", 1)
-	p.notes.Note(trail.Step{Request: j.ask.Request, Program: j.ask.Program, What: "turn failed", Why: string(fault.From(err).Kind)})
+	p.notes.Note(types.Step{Request: j.ask.Request, Program: j.ask.Program, What: "turn failed", Why: string(fault.From(err).Kind)})
 	run.finish(types.TurnAnswer{}, err)
 }
 
@@ -242,7 +241,7 @@
 	}
 	p.counts.Count("prog.turns", 1)
 	p.counts.Latency("prog.turn", j.begin.Tenant, j.begin.DataClass, time.Since(j.started))
-	p.notes.Note(trail.Step{Request: j.ask.Request, Program: j.ask.Program, What: "turn answered"})
+	p.notes.Note(types.Step{Request: j.ask.Request, Program: j.ask.Program, What: "turn answered"})
 	run.finish(reply(j, content, token), nil)
 }
 
--- a/gate/prog/prog.go
+++ b/gate/prog/prog.go
@@ -12,7 +12,6 @@
 	"mulleingate.dev/base/types"
 	"mulleingate.dev/gate/desk"
 	"mulleingate.dev/gate/lease"
-	"mulleingate.dev/gate/trail"
 )
 
 // Owner decides on a slot's memory.
@@ -38,6 +37,7 @@
 	Target(name string) (types.Target, bool)
 	Move(program string, from, to types.Target)
 	Trim(program, keep string)
+	Drop(program, name string)
 }
 
 // Policies is the configuration in force.
@@ -50,7 +50,7 @@
 
 // Notes keeps decisions for operators.
 type Notes interface {
-	Note(step trail.Step)
+	Note(step types.Step)
 }
 
 // Counts receives figures.
--- a/gate/prog/turn.go
+++ b/gate/prog/turn.go
@@ -11,7 +11,6 @@
 	"mulleingate.dev/base/types"
 	"mulleingate.dev/gate/desk"
 	"mulleingate.dev/gate/fold"
-	"mulleingate.dev/gate/trail"
 )
 
 // TurnAsk is a call of one turn.
@@ -166,7 +165,7 @@
 		ticket = nil
 	}
 	j.maxTokens = int(start.MaxTokens)
-	p.notes.Note(trail.Step{Request: j.ask.Request, Program: j.ask.Program, What: "turn started"})
+	p.notes.Note(types.Step{Request: j.ask.Request, Program: j.ask.Program, What: "turn started"})
 	p.runs.Go(func() { p.execute(j, run, start.Run, cont, ticket) })
 	return run, nil
 }
--- a/gate/proof/fakes_test.go
+++ b/gate/proof/fakes_test.go
@@ -159,6 +159,8 @@
 
 func (e *engines) Trim(string, string) {}
 
+func (e *engines) Drop(string, string) {}
+
 func (e *engines) Move(string, types.Target, types.Target) {}
 
 // Release implements cache release.
--- a/gate/route/route.go
+++ b/gate/route/route.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mulleingate.dev/base/ident"
+	"mulleingate.dev/base/types"
 )
 
 // Strategy names a way to choose.
@@ -118,20 +119,11 @@
 	return math.Max(0, math.Min(1, (used-fullAt)/(1-fullAt)))
 }
 
-// Weighed is a candidate's name with its score, for the trail.
-type Weighed struct {
-	Name   string        `json:"name"`
-	Score  time.Duration `json:"score"`
-	Load   int           `json:"load"`
-	Cached int           `json:"cached"`
-	Room   bool          `json:"room"`
-}
-
 // Pick chooses among the candidates with room; -1 if there is none.
-func Pick(strategy Strategy, ask Ask, cands []Candidate, rng *rand.Rand) (int, []Weighed) {
-	weighed := make([]Weighed, len(cands))
+func Pick(strategy Strategy, ask Ask, cands []Candidate, rng *rand.Rand) (int, []types.Weighed) {
+	weighed := make([]types.Weighed, len(cands))
 	for i, c := range cands {
-		weighed[i] = Weighed{Name: c.Name, Score: Score(ask, c), Load: c.Load(), Cached: c.Cached, Room: c.Room}
+		weighed[i] = types.Weighed{Name: c.Name, Score: Score(ask, c), Load: c.Load(), Cached: c.Cached, Room: c.Room}
 	}
 	switch strategy {
 	case Random:
@@ -148,7 +140,7 @@
 // pickScored draws among the near-best, so that boxes with the same stale reports do not
 // all choose the same target. Where a full target is much better, usually because it holds
 // the prefix, the call waits for it.
-func pickScored(cands []Candidate, weighed []Weighed, rng *rand.Rand) int {
+func pickScored(cands []Candidate, weighed []types.Weighed, rng *rand.Rand) int {
 	best, worst, all := time.Duration(math.MaxInt64), time.Duration(0), time.Duration(math.MaxInt64)
 	for i := range cands {
 		all = min(all, weighed[i].Score)
--- /dev/null
+++ b/gate/route/route_test.go
@@ -0,0 +1,117 @@
+package route
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func candidate(name string, running, cached int) Candidate {
+	return Candidate{
+		Name: name, Running: running, MaxBatch: 8, PrefillRate: 10_000, Step: 5 * time.Millisecond, Slow: 1,
+		CacheUsed: 10, CacheSize: 100, Cached: cached, Room: true, OutputTokens: int64(20 * running),
+	}
+}
+
+func pick(ask Ask, cands ...Candidate) string {
+	i, _ := Pick(Scored, ask, cands, rand.New(rand.NewPCG(1, 2)))
+	if i < 0 {
+		return ""
+	}
+	return cands[i].Name
+}
+
+func TestPrefixAgainstQueue(t *testing.T) {
+	ask := Ask{Program: "p", Prompt: 2000, Expected: 20}
+	full := candidate("held", 8, 2000)
+	full.Room = false
+	cases := []struct {
+		name string
+		want string
+		held Candidate
+	}{
+		{"the prefix wins over a few streams", "held", candidate("held", 6, 2000)},
+		{"a long queue wins over the prefix", "free", candidate("held", 60, 2000)},
+		{"a full engine with the prefix is waited for", "", full},
+		{"no prefix: the less busy one", "free", candidate("held", 6, 0)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, pick(ask, c.held, candidate("free", 0, 0))); diff != "" {
+				t.Errorf("choice (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestEqualEnginesShareTheWork checks that boxes with the same stale report do not herd.
+func TestEqualEnginesShareTheWork(t *testing.T) {
+	got := map[string]int{}
+	for box := range 12 {
+		rng := rand.New(rand.NewPCG(uint64(box), 1))
+		cands := []Candidate{candidate("a", 2, 0), candidate("b", 2, 0), candidate("c", 2, 0)}
+		i, _ := Pick(Scored, Ask{Prompt: 100, Expected: 10}, cands, rng)
+		got[cands[i].Name]++
+	}
+	for name, n := range got {
+		if n > 8 {
+			t.Errorf("%d of 12 boxes chose %s", n, name)
+		}
+	}
+}
+
+// TestPickKeepsToRoom checks for every strategy that a target without room is never
+// chosen, and that a choice is made where there is room.
+func TestPickKeepsToRoom(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(0, 6).Draw(rt, "n")
+		cands := make([]Candidate, n)
+		room := false
+		for i := range cands {
+			c := candidate(string(rune('a'+i)), rapid.IntRange(0, 20).Draw(rt, "running"), rapid.IntRange(0, 500).Draw(rt, "cached"))
+			c.Room = rapid.Bool().Draw(rt, "room")
+			room = room || c.Room
+			cands[i] = c
+		}
+		ask := Ask{Program: "p", Prompt: 500, Expected: 20}
+		for _, strategy := range Strategies() {
+			i, weighed := Pick(strategy, ask, cands, rand.New(rand.NewPCG(3, 4)))
+			if i >= 0 && !cands[i].Room {
+				rt.Fatalf("%s chose %s, which has no room", strategy, cands[i].Name)
+			}
+			if i < 0 && room && strategy != Scored {
+				rt.Fatalf("%s chose none though there is room", strategy)
+			}
+			if len(weighed) != n {
+				rt.Fatalf("%d of %d weighed", len(weighed), n)
+			}
+		}
+	})
+}
+
+func TestRankOrders(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	old := Work{Started: now, Arrived: now.Add(time.Minute), Attained: 5000}
+	young := Work{Started: now.Add(time.Second), Arrived: now.Add(2 * time.Second), Attained: 10}
+	urgent := young
+	urgent.Priority = 1
+	cases := []struct {
+		order Order
+		first Work
+		then  Work
+	}{
+		{Age, old, young},
+		{Attained, young, old},
+		{Fifo, young, old},
+		{Age, urgent, old},
+		{Attained, urgent, old},
+	}
+	for _, c := range cases {
+		if Rank(c.order, c.first) <= Rank(c.order, c.then) {
+			t.Errorf("%s: %+v does not go before %+v", c.order, c.first, c.then)
+		}
+	}
+}
--- a/gate/trail/trail.go
+++ b/gate/trail/trail.go
@@ -5,30 +5,19 @@
 	"sync"
 	"time"
 
-	"mulleingate.dev/gate/route"
+	"mulleingate.dev/base/types"
 )
 
-// Step is one decision.
-type Step struct {
-	At      time.Time       `json:"at"`
-	Request string          `json:"request,omitempty"`
-	Program string          `json:"program,omitempty"`
-	What    string          `json:"what"`
-	Why     string          `json:"why,omitempty"`
-	Target  string          `json:"target,omitempty"`
-	Weighed []route.Weighed `json:"weighed,omitempty"`
-}
-
 // Trail is the service.
 type Trail struct {
 	mu    sync.Mutex
-	steps []Step
+	steps []types.Step
 	next  int
 }
 
 // New makes a trail that keeps the last size steps.
 func New(size int) *Trail {
-	return &Trail{steps: make([]Step, size)}
+	return &Trail{steps: make([]types.Step, size)}
 }
 
 // Start implements a service.
@@ -42,7 +31,7 @@
 }
 
 // Note keeps a step.
-func (t *Trail) Note(step Step) {
+func (t *Trail) Note(step types.Step) {
 	step.At = time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -51,10 +40,10 @@
 }
 
 // Find returns the steps of a program or request, oldest first.
-func (t *Trail) Find(id string) []Step {
+func (t *Trail) Find(id string) []types.Step {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []Step
+	var out []types.Step
 	for i := range t.steps {
 		step := t.steps[(t.next+i)%len(t.steps)]
 		if !step.At.IsZero() && (step.Program == id || step.Request == id) {
--- a/stand/rig/rig.go
+++ b/stand/plat/plat.go
@@ -1,4 +1,4 @@
-package rig
+package plat
 
 import (
 	"context"
@@ -35,8 +35,8 @@
 	WeightRate float64
 }
 
-// Rig is a running platform.
-type Rig struct {
+// Platform is a running platform.
+type Platform struct {
 	Log     *applog.Store
 	Roster  *roster.Roster
 	Engines map[string]*model.Engine
@@ -50,9 +50,9 @@
 }
 
 // New starts a platform.
-func New(spec Spec) (*Rig, error) {
+func New(spec Spec) (*Platform, error) {
 	ctx, stop := context.WithCancel(context.Background())
-	r := &Rig{Engines: map[string]*model.Engine{}, Tools: map[string]*tool.Tool{}, stop: stop}
+	r := &Platform{Engines: map[string]*model.Engine{}, Tools: map[string]*tool.Tool{}, stop: stop}
 	if err := r.start(ctx, spec); err != nil {
 		r.Stop()
 		return nil, err
@@ -60,7 +60,7 @@
 	return r, nil
 }
 
-func (r *Rig) start(ctx context.Context, spec Spec) error {
+func (r *Platform) start(ctx context.Context, spec Spec) error {
 	r.Log = applog.New(spec.Log)
 	var err error
 	if r.LogAddr, err = r.serve(r.Log.Routes()); err != nil {
@@ -87,7 +87,7 @@
 	return err
 }
 
-func (r *Rig) engine(ctx context.Context, spec Spec, i int, weights netip.AddrPort) error {
+func (r *Platform) engine(ctx context.Context, spec Spec, i int, weights netip.AddrPort) error {
 	name := fmt.Sprintf("engine-%d", i)
 	made := model.DefaultSpec(name, spec.Model)
 	if spec.Engine != nil {
@@ -106,7 +106,7 @@
 	return nil
 }
 
-func (r *Rig) tool(spec Spec, service string, i int) error {
+func (r *Platform) tool(spec Spec, service string, i int) error {
 	name := fmt.Sprintf("%s-%d", service, i)
 	t := tool.New(service)
 	addr, err := r.serve(t.Routes())
@@ -120,7 +120,7 @@
 	return nil
 }
 
-func (r *Rig) serve(routes []rest.Route) (netip.AddrPort, error) {
+func (r *Platform) serve(routes []rest.Route) (netip.AddrPort, error) {
 	handler, err := server.Handler(routes)
 	if err != nil {
 		return netip.AddrPort{}, err
@@ -134,12 +134,12 @@
 }
 
 // Add puts a box on the list at once.
-func (r *Rig) Add(box types.Member) {
+func (r *Platform) Add(box types.Member) {
 	r.Roster.Change(func(list *types.List) { list.Boxes = append(list.Boxes, box) })
 }
 
 // Effects sums up the effects of all replicas of a service by key.
-func (r *Rig) Effects() map[string]int {
+func (r *Platform) Effects() map[string]int {
 	out := map[string]int{}
 	for _, t := range r.Tools {
 		for key, n := range t.Effects().Counts {
@@ -150,7 +150,7 @@
 }
 
 // Stop ends the platform.
-func (r *Rig) Stop() {
+func (r *Platform) Stop() {
 	r.stop()
 	ctx, stop := context.WithTimeout(context.Background(), time.Second)
 	defer stop()
--- a/stand/rig/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package rig runs the platform's stand-ins in one process, on loopback.
-package rig
