--- a/bench/cmds/faults.go
+++ b/bench/cmds/faults.go
@@ -72,7 +72,7 @@
 }
 
 func engineSlow(_ context.Context, f *fleet.Fleet, _ *fleet.Balancer) {
-	f.Rig.Engines["engine-0"].Set(model.Faults{SlowBy: 4})
+	f.Platform.Engines["engine-0"].Set(model.Faults{SlowBy: 4})
 }
 
 func engineLeave(_ context.Context, f *fleet.Fleet, _ *fleet.Balancer) {
@@ -80,9 +80,9 @@
 }
 
 func logDown(ctx context.Context, f *fleet.Fleet, _ *fleet.Balancer) {
-	f.Rig.Log.Set(applog.Faults{Limit: 400, Down: true})
+	f.Platform.Log.Set(applog.Faults{Limit: 400, Down: true})
 	if pause(ctx, 3*time.Second) {
-		f.Rig.Log.Set(applog.Faults{Limit: 400})
+		f.Platform.Log.Set(applog.Faults{Limit: 400})
 	}
 }
 
--- a/bench/cmds/figures.go
+++ b/bench/cmds/figures.go
@@ -110,7 +110,7 @@
 	}
 	return fleet.New(ctx, fleet.Spec{
 		Shape: shape, Boxes: w.boxes, Gate: b.gate, Dir: dir, Proxied: w.proxied, Env: w.env, Edit: w.edit,
-		Rig: plat.Spec{
+		Platform: plat.Spec{
 			Zones: shape.Zones, Engines: w.engines, Model: "planner", Engine: w.engine, Lag: 200 * time.Millisecond,
 			Log: applog.Faults{Limit: 400}, Services: map[string]int{"booking": 2, "calendar": 1},
 		},
--- a/bench/cmds/latency.go
+++ b/bench/cmds/latency.go
@@ -54,7 +54,7 @@
 	}
 	defer f.Close()
 	cli := client.New("latency", nil)
-	list, err := f.Rig.Roster.List()
+	list, err := f.Platform.Roster.List()
 	if err != nil {
 		return err
 	}
--- a/bench/cmds/takeover.go
+++ b/bench/cmds/takeover.go
@@ -133,14 +133,14 @@
 	defer f.Close()
 	cli := client.New("log-figures", nil)
 	for _, outage := range []bool{false, true} {
-		before := f.Rig.Log.Stats()
+		before := f.Platform.Log.Stats()
 		done, stop := make(chan struct{}), make(chan struct{})
 		go flap(f, outage, stop, done)
 		turns := manyTurns(ctx, f, cli)
 		close(stop)
 		<-done
 		time.Sleep(time.Second)
-		after := f.Rig.Log.Stats()
+		after := f.Platform.Log.Stats()
 		name := "calm"
 		if outage {
 			name = "log away half of the time"
@@ -160,11 +160,11 @@
 	for on {
 		select {
 		case <-stop:
-			f.Rig.Log.Set(applog.Faults{Limit: 400})
+			f.Platform.Log.Set(applog.Faults{Limit: 400})
 			return
 		case <-time.After(300 * time.Millisecond):
 			down = !down
-			f.Rig.Log.Set(applog.Faults{Limit: 400, Down: down})
+			f.Platform.Log.Set(applog.Faults{Limit: 400, Down: down})
 		}
 	}
 }
--- a/bench/fleet/config.go
+++ b/bench/fleet/config.go
@@ -10,14 +10,14 @@
 
 // Publish publishes a configuration on the given base.
 func (f *Fleet) Publish(ctx context.Context, base int64, cfg types.Config) (types.Revision, error) {
-	log := logc.New(f.Rig.LogAddr, callWait)
+	log := logc.New(f.Platform.LogAddr, callWait)
 	draft := revs.Draft{Base: base, Author: "bench", Config: cfg}
 	return revs.Publish(ctx, log, f.Keys.Operator, revs.Keys(f.Keys.Public()), draft)
 }
 
 // Republish publishes the configuration in force as a new revision, and returns its number.
 func (f *Fleet) Republish(ctx context.Context) (int64, error) {
-	log := logc.New(f.Rig.LogAddr, callWait)
+	log := logc.New(f.Platform.LogAddr, callWait)
 	fold, _, err := revs.History(ctx, log, revs.Keys(f.Keys.Public()))
 	if err != nil {
 		return 0, err
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -26,9 +26,9 @@
 
 // Spec says what to run.
 type Spec struct {
-	Shape sample.Shape
-	Rig   plat.Spec
-	Boxes int
+	Shape    sample.Shape
+	Platform plat.Spec
+	Boxes    int
 	// Gate is the built program; Dir takes settings and logs.
 	Gate string
 	Dir  string
@@ -42,10 +42,10 @@
 
 // Fleet is a running fleet.
 type Fleet struct {
-	Rig  *plat.Platform
-	Keys sample.Keys
-	spec Spec
-	http *client.Client
+	Platform *plat.Platform
+	Keys     sample.Keys
+	spec     Spec
+	http     *client.Client
 
 	mu    sync.Mutex
 	boxes []*Box
@@ -89,12 +89,12 @@
 
 // New starts the platform and all boxes, and waits until they are ready.
 func New(ctx context.Context, spec Spec) (*Fleet, error) {
-	platform, err := plat.New(spec.Rig)
+	platform, err := plat.New(spec.Platform)
 	if err != nil {
 		return nil, err
 	}
 	f := &Fleet{
-		Rig: platform, Keys: sample.NewKeys("bench"), spec: spec, http: client.New("fleet", nil),
+		Platform: platform, Keys: sample.NewKeys("bench"), spec: spec, http: client.New("fleet", nil),
 		peers: map[[2]int]*proxy.Link{}, logs: map[int]*proxy.Link{}, lists: map[int]*roster.Roster{},
 	}
 	if err := f.setup(ctx); err != nil {
@@ -135,10 +135,10 @@
 	set := conf.Defaults()
 	set.Box = conf.Box{Name: fmt.Sprintf("box-%d", i), Zone: zone}
 	set.Listen = conf.Listen{Callers: ports[0], Peers: ports[1], Admin: ports[2]}
-	set.Platform.Log, set.Platform.List = f.Rig.LogAddr, f.Rig.ListAt
+	set.Platform.Log, set.Platform.List = f.Platform.LogAddr, f.Platform.ListAt
 	set.Platform.Boxes = f.spec.Boxes
-	set.Platform.AppendLimit = float64(f.spec.Rig.Log.Limit)
-	set.Platform.Retention = f.spec.Rig.Log.Keep
+	set.Platform.AppendLimit = float64(f.spec.Platform.Log.Limit)
+	set.Platform.Retention = f.spec.Platform.Log.Keep
 	set.Security = conf.Security{RootKey: f.Keys.Root, OperatorKeys: [][]byte{f.Keys.Public()}, InsecureLoopback: true}
 	if f.spec.Edit != nil {
 		f.spec.Edit(&set)
@@ -151,7 +151,7 @@
 func (f *Fleet) wire() error {
 	if !f.spec.Proxied {
 		for _, b := range f.boxes {
-			f.Rig.Add(types.Member{Name: b.Name, Zone: b.Zone, Peer: b.Settings.Listen.Peers})
+			f.Platform.Add(types.Member{Name: b.Name, Zone: b.Zone, Peer: b.Settings.Listen.Peers})
 		}
 		return nil
 	}
@@ -164,13 +164,13 @@
 }
 
 func (f *Fleet) wireBox(i int, b *Box) error {
-	link, err := proxy.New(plat.Loopback(), f.Rig.LogAddr)
+	link, err := proxy.New(plat.Loopback(), f.Platform.LogAddr)
 	if err != nil {
 		return err
 	}
 	f.logs[i] = link
 	b.Settings.Platform.Log = link.Addr()
-	list, err := f.Rig.Roster.List()
+	list, err := f.Platform.Roster.List()
 	if err != nil {
 		return err
 	}
@@ -319,7 +319,7 @@
 
 // Leave marks a box or target as leaving on every list.
 func (f *Fleet) Leave(name string) {
-	f.Rig.Roster.Leave(name)
+	f.Platform.Roster.Leave(name)
 	for _, list := range f.lists {
 		list.Leave(name)
 	}
@@ -410,5 +410,5 @@
 	for _, srv := range f.servers {
 		_ = srv.Stop(ctx)
 	}
-	f.Rig.Stop()
+	f.Platform.Stop()
 }
