--- a/gate/desk/purse_test.go
+++ b/gate/desk/purse_test.go
@@ -35,11 +35,20 @@
 	token   types.Continuation
 }
 
+// testRun is a call or the turn under way.
 type testRun struct {
 	run        *CallRun
+	turn       *TurnRun
 	dispatched bool
 }
 
+func (r *testRun) reserved() int64 {
+	if r.turn != nil {
+		return r.turn.Reserved
+	}
+	return r.run.Reserved
+}
+
 var testTime = time.Unix(1000, 0)
 
 // claim makes a new owner from what the log holds; what was pending is lost.
@@ -96,6 +105,38 @@
 	l.dispatch()
 }
 
+// turn starts the program's next turn.
+func (l *ledger) turn(tokens int64) {
+	l.begin()
+	start, recs, err := l.desk.StartTurn(testTime, TurnAsk{
+		Program: testRoot, Tenant: "one", Turn: 1, Ask: []byte("a"), Prompt: 1, MaxTokens: tokens, Chunk: testChunk,
+	})
+	l.write(recs)
+	if err != nil || start.Run == nil {
+		return
+	}
+	l.running = append(l.running, &testRun{turn: start.Run})
+	l.dispatch()
+}
+
+// rerun breaks the dispatched turn and tries it again.
+func (l *ledger) rerun() {
+	for i, r := range l.running {
+		if r.turn == nil || !r.dispatched {
+			continue
+		}
+		recs, err := l.desk.Rerun(testRoot, r.turn, r.turn.Reserved, testChunk)
+		l.write(recs)
+		r.dispatched = false
+		if err != nil {
+			l.desk.FailTurn(testRoot, r.turn, 0)
+			l.running = append(l.running[:i], l.running[i+1:]...)
+		}
+		l.dispatch()
+		return
+	}
+}
+
 func (l *ledger) dispatch() {
 	if !l.desk.Covered(testRoot) {
 		return
@@ -103,13 +144,18 @@
 	for _, r := range l.running {
 		if !r.dispatched {
 			r.dispatched = true
-			l.charged += r.run.Reserved
+			l.charged += r.reserved()
 		}
 	}
 }
 
 func (l *ledger) finish() {
 	for i, r := range l.running {
+		if r.dispatched && r.turn != nil {
+			l.desk.FailTurn(testRoot, r.turn, r.turn.Reserved)
+			l.running = append(l.running[:i], l.running[i+1:]...)
+			return
+		}
 		if r.dispatched {
 			l.write(l.desk.FinishCall(r.run, types.Outcome{Key: r.run.Intent.Key, Attempt: "a", Status: 200}))
 			l.running = append(l.running[:i], l.running[i+1:]...)
@@ -142,6 +188,8 @@
 		l.claim()
 		rt.Repeat(map[string]func(*rapid.T){
 			"start":   func(rt *rapid.T) { l.start(rapid.Int64Range(1, 60).Draw(rt, "price")) },
+			"turn":    func(rt *rapid.T) { l.turn(rapid.Int64Range(1, 60).Draw(rt, "tokens")) },
+			"rerun":   func(*rapid.T) { l.rerun() },
 			"finish":  func(*rapid.T) { l.finish() },
 			"confirm": func(*rapid.T) { l.confirm() },
 			"crash":   func(*rapid.T) { l.claim() },
--- a/gate/proof/caller_test.go
+++ b/gate/proof/caller_test.go
@@ -55,9 +55,11 @@
 	keys     []*keyCall
 	broken   map[string]string
 	numbers  [boxCount]int64
-	incs     [boxCount]*box
-	ok       int
-	async    sync.WaitGroup
+	// newest is the highest revision of which an operator was told that it is accepted.
+	newest int64
+	incs   [boxCount]*box
+	ok     int
+	async  sync.WaitGroup
 }
 
 func newOracle(w *world) *oracle {
--- a/gate/proof/fuzz_test.go
+++ b/gate/proof/fuzz_test.go
@@ -297,7 +297,10 @@
 		o.async.Go(func() {
 			ctx, stop := context.WithTimeout(context.Background(), callWait)
 			defer stop()
-			_, err := o.w.publish(ctx, base, fmt.Sprintf("operator %d at %d", i, entry))
+			rev, err := o.w.publish(ctx, base, fmt.Sprintf("operator %d at %d", i, entry))
+			if err == nil {
+				o.accepted(rev.Number)
+			}
 			won <- err == nil
 		})
 	}
@@ -308,6 +311,13 @@
 	})
 }
 
+// accepted notes that an operator was told that the revision is accepted.
+func (o *oracle) accepted(number int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.newest = max(o.newest, number)
+}
+
 // oldCopy appends a copy of an earlier revision, as a late append of a slow box would.
 func (o *oracle) oldCopy(i int) {
 	ctx, stop := context.WithTimeout(context.Background(), time.Second)
@@ -426,6 +436,9 @@
 		return
 	}
 	for i := range boxCount {
+		if n := o.w.box(i).store.Number(); n < o.newest {
+			o.fail("config_never_reverts", "box %d has revision %d, and %d was accepted", i, n, o.newest)
+		}
 		if n := o.w.box(i).store.Number(); n != fold.Current.Number {
 			o.fail("config_in_force_everywhere", "box %d has revision %d of %d", i, n, fold.Current.Number)
 		}
