ctl: show budgets, grants and spending by slot

Change: a box describes its held slots from their own event loops; mgctl status budgets. Before: epochs only. After: programs, runs, keys, budget, granted and spent by slot, and whether the slot's last append failed.

--- a/base/types/status.go
+++ b/base/types/status.go
@@ -21,6 +21,17 @@
 type SlotStatus struct {
 	Slot  string `json:"slot"`
 	Epoch int64  `json:"epoch"`
+	// LogUp is false while the slot's last append has failed.
+	LogUp bool `json:"log_up"`
+	// Programs have not ended; Turns and Calls are under way; Keys are remembered.
+	Programs int `json:"programs"`
+	Turns    int `json:"turns"`
+	Calls    int `json:"calls"`
+	Keys     int `json:"keys"`
+	// Budget, Granted and Spent are sums over program trees, in tokens.
+	Budget  int64 `json:"budget"`
+	Granted int64 `json:"granted"`
+	Spent   int64 `json:"spent"`
 }
 
 // PeerStatus is another box as this one sees it.
--- a/ctl/cmds/status.go
+++ b/ctl/cmds/status.go
@@ -21,6 +21,10 @@
 		name: "targets", help: "list the engines as each box believes them to be",
 		head: "BOX\tTARGET\tZONE\tSTATE\tMINE\tLIMIT\tRUNNING\tQUEUED\tSLOW\tCACHED\tREPORT", rows: targetRows,
 	})
+	commands.RegisterIn(groupStatus, &status{
+		name: "budgets", help: "list budgets, grants and spending by slot, in tokens",
+		head: "SLOT\tBOX\tLOG\tPROGRAMS\tTURNS\tCALLS\tKEYS\tBUDGET\tGRANTED\tSPENT", rows: budgetRows,
+	})
 	commands.RegisterIn(groupStatus, &figures{})
 }
 
@@ -95,3 +99,14 @@
 			t.Running, t.Queued, t.Slow, t.Cached, short(t.Age))
 	}
 }
+
+func budgetRows(w io.Writer, b boxStatus) {
+	for _, s := range b.Slots {
+		log := "up"
+		if !s.LogUp {
+			log = "away"
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", s.Slot, b.Box, log, s.Programs, s.Turns, s.Calls, s.Keys,
+			s.Budget, s.Granted, s.Spent)
+	}
+}
--- a/gate/admin/admin.go
+++ b/gate/admin/admin.go
@@ -28,6 +28,7 @@
 // Owners tells which slots are held.
 type Owners interface {
 	Held() map[ident.Slot]int64
+	Describe(ctx context.Context, id ident.Slot, st *types.SlotStatus)
 }
 
 // View tells what is believed of other boxes.
@@ -88,8 +89,8 @@
 		{Method: http.MethodGet, Path: "/metrics", Handler: func(w http.ResponseWriter, _ *http.Request) {
 			server.Write(w, http.StatusOK, a.figures.Report())
 		}},
-		{Method: http.MethodGet, Path: "/status", Handler: func(w http.ResponseWriter, _ *http.Request) {
-			server.Write(w, http.StatusOK, a.Status())
+		{Method: http.MethodGet, Path: "/status", Handler: func(w http.ResponseWriter, r *http.Request) {
+			server.Write(w, http.StatusOK, a.Status(r.Context()))
 		}},
 		{Method: http.MethodGet, Path: "/explain/:id", Handler: func(w http.ResponseWriter, r *http.Request) {
 			server.Write(w, http.StatusOK, a.steps.Find(pathvar.Vars(r)["id"]))
@@ -120,7 +121,7 @@
 }
 
 // Status collects the state of the box.
-func (a *Admin) Status() types.BoxStatus {
+func (a *Admin) Status(ctx context.Context) types.BoxStatus {
 	st := types.BoxStatus{
 		Box: a.self.Name, Zone: a.self.Zone, Version: a.version, Ready: true,
 		Up: types.Duration(time.Since(a.started)), Revision: a.policies.Number(),
@@ -130,7 +131,9 @@
 		st.Ready, st.Why = false, fault.From(err).Detail
 	}
 	for id, epoch := range a.owners.Held() {
-		st.Slots = append(st.Slots, types.SlotStatus{Slot: id.String(), Epoch: epoch})
+		slot := types.SlotStatus{Slot: id.String(), Epoch: epoch}
+		a.owners.Describe(ctx, id, &slot)
+		st.Slots = append(st.Slots, slot)
 	}
 	sort.Slice(st.Slots, func(i, j int) bool { return st.Slots[i].Slot < st.Slots[j].Slot })
 	live := map[string]types.Member{}
--- a/gate/slots/slots.go
+++ b/gate/slots/slots.go
@@ -279,6 +279,17 @@
 	return out
 }
 
+// Describe fills in the state of a held slot.
+func (s *Slots) Describe(ctx context.Context, id ident.Slot, st *types.SlotStatus) {
+	_, err := s.Do(ctx, id, desk.Finish, func(_ time.Time, d *desk.Desk) ([]types.Record, error) {
+		d.Describe(st)
+		return nil, nil
+	})
+	if err != nil {
+		s.logger.Debug("slots: slot was not described", "slot", id.String(), "error", err)
+	}
+}
+
 // Pick chooses a held slot for a new program: one of this zone first, at random by seed.
 func (s *Slots) Pick(seed string) (ident.Slot, bool) {
 	var names []string
