front: bound how long a body may take to come

Change: a read deadline while the body is read (limits.body_timeout); it stays after a failure, since the server would otherwise wait for the rest before it answers. Ruled out: the router's wrapper (it passes deadlines on). Before: the connection was still held after 20 s. After: cut off at the bound, and the box serves on. Conclusion: both halves of a request are bounded.

--- a/bench/cmds/takeover.go
+++ b/bench/cmds/takeover.go
@@ -40,7 +40,7 @@
 		}
 		hist := hdrhistogram.New(1, histMax, histDigits)
 		for i := range takeovers {
-			if err := takeover(ctx, f, i%3, planned, hist); err != nil {
+			if err := takeover(ctx, f, i%6, planned, hist); err != nil {
 				f.Close()
 				return err
 			}
@@ -55,17 +55,22 @@
 	return nil
 }
 
-// takeover ends box i and asks for one of its programs through box i+3, its neighbour in
-// the zone. It notes the longest time without an answer.
-func takeover(ctx context.Context, f *fleet.Fleet, i int, planned bool, hist *hdrhistogram.Histogram) error {
+// takeover makes a program, ends the box that owns it, and asks for it through the box's
+// neighbour in the zone. It notes the longest time without an answer.
+func takeover(ctx context.Context, f *fleet.Fleet, from int, planned bool, hist *hdrhistogram.Histogram) error {
 	cli := client.New("takeover", nil)
-	s, err := begin(ctx, cli, entry(f, i))
+	s, err := begin(ctx, cli, entry(f, from))
 	if err != nil {
 		return err
 	}
-	if err := s.next(ctx, entry(f, i), "hello len=4"); err != nil {
+	if err := s.next(ctx, entry(f, from), "hello len=4"); err != nil {
 		return err
 	}
+	i, err := f.OwnerOf(ctx, s.id)
+	if err != nil {
+		return err
+	}
+	other := entry(f, (i+3)%6)
 	time.Sleep(200 * time.Millisecond)
 	ctx, stop := context.WithTimeout(ctx, takeWait)
 	defer stop()
@@ -76,7 +81,7 @@
 	}
 	f.Signal(i, sig)
 	for ctx.Err() == nil {
-		if s.state(ctx, entry(f, i+3)) == nil {
+		if s.state(ctx, other) == nil {
 			longest = max(longest, time.Since(last))
 			last = time.Now()
 			if !f.Up(i) && (planned || longest > 100*time.Millisecond) {
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -15,6 +15,7 @@
 
 	"mulleingate.dev/base/client"
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/ident"
 	"mulleingate.dev/base/sample"
 	"mulleingate.dev/base/server"
 	"mulleingate.dev/base/types"
@@ -345,6 +346,26 @@
 	return f.http.Call(ctx, http.MethodGet, "http://"+f.boxes[i].Settings.Listen.Admin.String()+path, nil, out)
 }
 
+// OwnerOf finds the box that holds a program's slot.
+func (f *Fleet) OwnerOf(ctx context.Context, program string) (int, error) {
+	slot, err := ident.ProgramSlot(program)
+	if err != nil {
+		return 0, err
+	}
+	for i := range f.boxes {
+		st, err := f.Status(ctx, i)
+		if err != nil {
+			continue
+		}
+		for _, held := range st.Slots {
+			if held.Slot == slot.String() {
+				return i, nil
+			}
+		}
+	}
+	return 0, fault.Refuse(fault.OwnerUnknown, "no box holds the slot")
+}
+
 // Owned counts the slots that each box says it owns.
 func (f *Fleet) Owned(ctx context.Context) map[string]int {
 	out := map[string]int{}
--- a/gate/conf/timing.go
+++ b/gate/conf/timing.go
@@ -103,8 +103,10 @@
 
 // Limits bound what the box takes.
 type Limits struct {
-	BodyBytes  int64 `json:"body_bytes"`
-	TrailSteps int   `json:"trail_steps"`
+	BodyBytes int64 `json:"body_bytes"`
+	// BodyTimeout bounds how long a caller may take to send its body.
+	BodyTimeout types.Duration `json:"body_timeout"`
+	TrailSteps  int            `json:"trail_steps"`
 	// StopWait bounds a planned stop; OwnerWait bounds the search for a slot's owner.
 	StopWait  types.Duration `json:"stop_wait"`
 	OwnerWait types.Duration `json:"owner_wait"`
@@ -112,13 +114,14 @@
 
 func limitsDefaults() Limits {
 	return Limits{
-		BodyBytes: 8 << 20, TrailSteps: 8192,
+		BodyBytes: 8 << 20, BodyTimeout: types.Duration(15 * time.Second), TrailSteps: 8192,
 		StopWait: types.Duration(2 * time.Minute), OwnerWait: types.Duration(10 * time.Second),
 	}
 }
 
 func (l Limits) check(rep *report) {
 	rep.need(l.BodyBytes > 0, "limits.body_bytes", "not positive")
+	rep.need(l.BodyTimeout > 0, "limits.body_timeout", "not positive")
 	rep.need(l.TrailSteps > 0, "limits.trail_steps", "not positive")
 	rep.need(l.StopWait > 0, "limits.stop_wait", "not positive")
 	rep.need(l.OwnerWait > 0, "limits.owner_wait", "not positive")
--- a/gate/front/front.go
+++ b/gate/front/front.go
@@ -66,7 +66,9 @@
 type Options struct {
 	Zone      string
 	BodyBytes int64
-	OwnerWait time.Duration
+	// BodyTimeout bounds how long a body may take to come.
+	BodyTimeout time.Duration
+	OwnerWait   time.Duration
 }
 
 // Front is the service.
@@ -170,7 +172,7 @@
 		return err
 	}
 	c.tenant = tenant.Name
-	c.body, err = readBody(c.w, c.r, f.opts.BodyBytes)
+	c.body, err = readBody(c.w, c.r, f.opts)
 	return err
 }
 
--- a/gate/front/request.go
+++ b/gate/front/request.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/zeromicro/go-zero/rest/pathvar"
@@ -44,15 +45,23 @@
 	return n
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// readBody reads a body that is neither too large nor too slow.
+func readBody(w http.ResponseWriter, r *http.Request, opts Options) ([]byte, error) {
+	limit := opts.BodyBytes
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(opts.BodyTimeout)); err != nil {
+		return nil, fault.Refuse(fault.Internal, "body cannot be bounded in time").Because(err)
+	}
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, fault.Refuse(fault.TooLarge, "body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
 	}
 	if err != nil {
+		// The deadline stays: the server would wait for the rest of the body without one.
 		return nil, fault.Refuse(fault.BadRequest, "body could not be read").Because(err)
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return raw, nil
 }
 
--- a/gate/parts/fleet_test.go
+++ b/gate/parts/fleet_test.go
@@ -82,7 +82,7 @@
 		set.Platform.Log, set.Platform.List = p.plat.LogAddr, p.plat.ListAt
 		set.Security = conf.Security{RootKey: p.keys.Root, OperatorKeys: [][]byte{p.keys.Public()}, InsecureLoopback: true}
 		set.Member.Beat, set.Member.Suspect = types.Duration(50*time.Millisecond), types.Duration(300*time.Millisecond)
-		set.Limits.BodyBytes = 64 << 10
+		set.Limits.BodyBytes, set.Limits.BodyTimeout = 64<<10, types.Duration(200*time.Millisecond)
 		set.Slots.Tick = types.Duration(20 * time.Millisecond)
 		if edit != nil {
 			edit(&p.cfg, &set)
--- a/gate/parts/front.go
+++ b/gate/parts/front.go
@@ -62,7 +62,7 @@
 	needs := []string{"prog", "plain", "slots", "dialer", "policy", "meter"}
 	return kernel.Part{Needs: needs, Make: func(k *kernel.Kernel) (kernel.Service, error) {
 		set := env.Settings.Limits
-		opts := front.Options{Zone: env.Self.Zone, BodyBytes: set.BodyBytes, OwnerWait: time.Duration(set.OwnerWait)}
+		opts := front.Options{Zone: env.Self.Zone, BodyBytes: set.BodyBytes, BodyTimeout: time.Duration(set.BodyTimeout), OwnerWait: time.Duration(set.OwnerWait)}
 		return front.New(opts, k.Find("prog").(*prog.Prog), k.Find("plain").(*plain.Plain), k.Find("slots").(*slots.Slots),
 			k.Find("dialer").(dialer), k.Find("policy").(*policy.Store), k.Find("meter").(*meter.Meter), env.Logger), nil
 	}}
--- /dev/null
+++ b/gate/parts/slow_test.go
@@ -0,0 +1,45 @@
+package parts_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"mulleingate.dev/base/sample"
+)
+
+// TestSlowCallersAreCutOff sends a header and a body that never end: neither holds a
+// connection for long, and both leave the box serving.
+func TestSlowCallersAreCutOff(t *testing.T) {
+	p := start(t, nil)
+	addr := p.sets[0].Listen.Callers.String()
+	head := "POST /v1/programs HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + sample.Token("flanders") + "\r\n"
+	for name, text := range map[string]string{
+		"header": head,
+		"body":   head + "Content-Length: 100\r\n\r\n{",
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if _, err := conn.Write([]byte(text)); err != nil {
+				t.Fatal(err)
+			}
+			if err := conn.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+				t.Fatal("the connection was held")
+			}
+			if err == nil && resp.StatusCode < http.StatusBadRequest {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+		})
+	}
+	p.begin(plainProgram)
+}
