front: give a forward up when the other box falls silent

Change: a forward's context ends when its box answers no more heartbeats; the search for the owner then goes on.

--- a/gate/front/forward.go
+++ b/gate/front/forward.go
@@ -18,6 +18,8 @@
 const (
 	maxHops    = 3
 	copyBuffer = 16 << 10
+	// watchEvery is how often a forward looks whether the other box still answers others.
+	watchEvery = 200 * time.Millisecond
 	// The search for an owner waits this long between tries, longer each time.
 	firstPause = 25 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
@@ -98,7 +100,9 @@
 	if c.hop >= maxHops {
 		return fault.Refuse(fault.NotOwner, "forwarded too often")
 	}
-	req, err := http.NewRequestWithContext(c.r.Context(), c.r.Method, f.dialer.URL(to.Peer, path), bytes.NewReader(c.body))
+	ctx, stop := f.whileLive(c.r.Context(), to.Name)
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, c.r.Method, f.dialer.URL(to.Peer, path), bytes.NewReader(c.body))
 	if err != nil {
 		return fault.Refuse(fault.Internal, "forward cannot be built").Because(err)
 	}
@@ -121,6 +125,28 @@
 	return f.copyThrough(c, resp)
 }
 
+// whileLive is a context that ends when the box falls silent: a link that was cut shows
+// no failure by itself, and the caller would wait for its own timeout.
+func (f *Front) whileLive(ctx context.Context, box string) (context.Context, context.CancelFunc) {
+	ctx, stop := context.WithCancel(ctx)
+	go func() {
+		tick := time.NewTicker(watchEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+				if !f.owners.Live(box) {
+					f.counts.Count("front.forwards_abandoned", 1)
+					stop()
+				}
+			}
+		}
+	}()
+	return ctx, stop
+}
+
 func away(err error) error {
 	p := *fault.From(err)
 	p.Kind = fault.PeerLost
--- a/gate/front/front.go
+++ b/gate/front/front.go
@@ -36,6 +36,8 @@
 type Owners interface {
 	Locate(id ident.Slot) (types.Member, bool, error)
 	Pick(seed string) (ident.Slot, bool)
+	// Live reports whether a box answers heartbeats.
+	Live(box string) bool
 }
 
 // Dialer forwards requests.
--- a/gate/slots/slots.go
+++ b/gate/slots/slots.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -258,6 +259,11 @@
 	return types.Member{}, false, fault.Refuse(fault.OwnerUnknown, "no box serves the slot now").After(time.Second)
 }
 
+// Live reports whether a box answers heartbeats, as far as this one knows.
+func (s *Slots) Live(box string) bool {
+	return slices.ContainsFunc(s.view.Live(), func(m types.Member) bool { return m.Name == box })
+}
+
 // Owns reports whether this box holds the slot as far as it knows.
 func (s *Slots) Owns(id ident.Slot) bool {
 	s.mu.Lock()
