--- a/ctl/cmds/publish.go
+++ b/ctl/cmds/publish.go
@@ -109,9 +109,7 @@
 	for {
 		have := 0
 		for _, box := range file.Boxes {
-			var st struct {
-				Revision int64 `json:"revision"`
-			}
+			var st types.BoxStatus
 			err := cli.Call(ctx, http.MethodGet, "http://"+box.String()+"/status", nil, &st)
 			if err == nil && st.Revision >= number {
 				have++
--- a/gate/cmds/dev.go
+++ b/gate/cmds/dev.go
@@ -154,11 +154,9 @@
 	}
 }
 
+// ownedBy counts the slots of a box, 0 while it is not ready.
 func ownedBy(ctx context.Context, cli *client.Client, set conf.Settings) int {
-	var status struct {
-		Ready bool       `json:"ready"`
-		Slots []struct{} `json:"slots"`
-	}
+	var status types.BoxStatus
 	url := "http://" + set.Listen.Admin.String() + "/status"
 	if err := cli.Call(ctx, http.MethodGet, url, nil, &status); err != nil || !status.Ready {
 		return 0
