--- a/gate/parts/slow_test.go
+++ b/gate/parts/slow_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mulleingate.dev/base/sample"
 )
 
@@ -33,7 +35,8 @@
 				t.Fatal(err)
 			}
 			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+			var timeout net.Error
+			if errors.As(err, &timeout) && timeout.Timeout() {
 				t.Fatal("the connection was held")
 			}
 			if err == nil && resp.StatusCode < http.StatusBadRequest {
