desk: look through sub-agents only for programs idle by themselves

Change: a program's own last use is looked at first. After: 0.075 and 0.203 ms, in one run. Conclusion: the cost follows the number of programs; the ends keep their reasons, which a test now checks one by one.

--- a/gate/desk/sweep.go
+++ b/gate/desk/sweep.go
@@ -82,7 +82,8 @@
 		return EndedByTurns
 	}
 	idle := time.Duration(prog.Begin.Limits.Idle)
-	if idle > 0 && now.Sub(d.lastUse(prog)) > idle {
+	// Its own last use is looked at first: going through sub-agents costs a look at all programs.
+	if idle > 0 && now.Sub(prog.LastAt) > idle && now.Sub(d.lastUse(prog)) > idle {
 		return EndedByIdle
 	}
 	if spent, budget := d.Spent(prog); budget > 0 && spent >= budget && d.reserved[prog.Begin.Root] == 0 {
--- /dev/null
+++ b/gate/desk/sweep_test.go
@@ -0,0 +1,75 @@
+package desk
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mulleingate.dev/base/types"
+	"mulleingate.dev/gate/fold"
+)
+
+// withPrograms makes a desk with n idle programs.
+func withPrograms(tb testing.TB, n int) *Desk {
+	tb.Helper()
+	d := New(fold.New(), "i")
+	for i := range n {
+		b := types.Begin{
+			ID: fmt.Sprint(i), Tenant: "one", Budget: 100, Created: testTime, Deadline: testTime.Add(time.Hour),
+			Limits: types.Limits{Turns: 9, Depth: 2, FanOut: 2, Idle: types.Duration(time.Minute)},
+		}
+		if _, err := d.Begin(testTime, BeginAsk{Begin: b, Chunk: 10}); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	return d
+}
+
+func TestProgramsEndWithTheirReason(t *testing.T) {
+	d := withPrograms(t, 3)
+	child := types.Begin{ID: "c", Parent: "0", Tenant: "one", Created: testTime.Add(50 * time.Second), Deadline: testTime.Add(time.Hour), Limits: types.Limits{Turns: 9}}
+	if _, err := d.Begin(testTime.Add(50*time.Second), BeginAsk{Begin: child}); err != nil {
+		t.Fatal(err)
+	}
+	d.Turns["1"] = &TurnRun{Turn: 1}
+	steps := []struct {
+		after time.Duration
+		want  map[string]string
+	}{
+		{time.Second, map[string]string{"0": "", "1": "", "2": "", "c": ""}},
+		// 0 has a sub-agent that was used lately, 1 a turn under way.
+		{70 * time.Second, map[string]string{"0": "", "1": "", "2": EndedByIdle, "c": ""}},
+		{2 * time.Minute, map[string]string{"0": EndedByIdle, "1": "", "2": EndedByIdle, "c": EndedWithRoot}},
+		{time.Hour, map[string]string{"0": EndedByIdle, "1": EndedByDeadline, "c": EndedWithRoot}},
+	}
+	for _, step := range steps {
+		d.Sweep(testTime.Add(step.after), time.Hour)
+		got := map[string]string{}
+		for id := range step.want {
+			if prog, ok := d.State.Programs[id]; ok {
+				got[id] = prog.Ended
+			}
+		}
+		if step.after == time.Hour {
+			// What ended long ago is forgotten.
+			step.want = map[string]string{"1": EndedByDeadline}
+		}
+		if diff := cmp.Diff(step.want, got); diff != "" {
+			t.Errorf("after %v (-want +got):\n%s", step.after, diff)
+		}
+	}
+}
+
+// BenchmarkSweep shows what a look at many idle programs costs.
+func BenchmarkSweep(b *testing.B) {
+	for _, n := range []int{1000, 4000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d := withPrograms(b, n)
+			for b.Loop() {
+				d.Sweep(testTime.Add(time.Second), time.Hour)
+			}
+		})
+	}
+}
