--- a/gate/proof/caller_test.go
+++ b/gate/proof/caller_test.go
@@ -98,7 +98,7 @@
 
 func (o *oracle) once(entry int, slot ident.Slot, do func(b *box) error) error {
 	b := o.w.box(entry)
-	if !b.up || b.paused != nil {
+	if !b.answers() {
 		return fault.Refuse(fault.PeerLost, "entry box is dead")
 	}
 	if err := b.store.Ready(); err != nil {
@@ -121,7 +121,7 @@
 // begin makes a program through a box.
 func (o *oracle) begin(entry int, tenant string) {
 	b := o.w.box(entry)
-	if !b.up || o.live() >= mostPrograms {
+	if !b.isUp() || o.live() >= mostPrograms {
 		return
 	}
 	slot, ok := b.owners.Pick(ident.Random())
@@ -137,6 +137,13 @@
 	o.begun(entry, slot, begin, "", "")
 }
 
+// tokenOf is the newest token that the program's caller has.
+func (o *oracle) tokenOf(p *program) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return p.token
+}
+
 // live counts the programs that their callers have not ended.
 func (o *oracle) live() int {
 	o.mu.Lock()
@@ -162,7 +169,7 @@
 		Created: now, Deadline: now.Add(time.Hour),
 		Limits: types.Limits{Turns: 100, Depth: 2, FanOut: 4, Idle: types.Duration(time.Hour)},
 	}
-	o.begun(entry, slot, begin, parent.token, parent.root)
+	o.begun(entry, slot, begin, o.tokenOf(parent), parent.root)
 }
 
 func (o *oracle) begun(entry int, slot ident.Slot, begin types.Begin, token, root string) {
@@ -200,7 +207,7 @@
 		return false, err
 	}
 	ask := []types.Message{{Role: "user", Content: fmt.Sprintf("%s turn %d len=3", p.id, p.turn+1)}}
-	body := types.TurnRequest{Turn: p.turn + 1, Messages: ask, MaxTokens: 8, Continuation: p.token}
+	body := types.TurnRequest{Turn: p.turn + 1, Messages: ask, MaxTokens: 8, Continuation: o.tokenOf(p)}
 	for _, entry := range entries {
 		answer, err2 := o.answer(entry, slot, p, body)
 		err = err2
@@ -280,7 +287,7 @@
 			o.give(p)
 			return
 		}
-		token, turn, foreign = other.token, p.turn+1, true
+		token, turn, foreign = o.tokenOf(other), p.turn+1, true
 	case 1:
 		raw := []byte(token)
 		raw[len(raw)/2] ^= 1
@@ -334,7 +341,7 @@
 	var answer types.ServiceAnswer
 	err := o.route(ctx, entry, slot, func(b *box) error {
 		if p != nil {
-			cont, err := b.progs.Continuation(p.tenant, p.id, p.token)
+			cont, err := b.progs.Continuation(p.tenant, p.id, o.tokenOf(p))
 			if err != nil {
 				return err
 			}
@@ -389,7 +396,7 @@
 	defer stop()
 	err := o.route(ctx, entry, slot, func(b *box) error {
 		// The token brings what the log does not hold.
-		if _, err := b.progs.State(ctx, p.tenant, p.id, p.token); err != nil {
+		if _, err := b.progs.State(ctx, p.tenant, p.id, o.tokenOf(p)); err != nil {
 			return err
 		}
 		_, err := b.progs.End(ctx, p.tenant, p.id)
--- a/gate/proof/stop_test.go
+++ b/gate/proof/stop_test.go
@@ -65,7 +65,7 @@
 func up(w *world, n int) int {
 	for i := range boxCount {
 		b := w.box((n + i) % boxCount)
-		if b.up && !b.stopping && b.store.Ready() == nil && b.view.Settled() {
+		if b.inService() && b.store.Ready() == nil && b.view.Settled() {
 			return (n + i) % boxCount
 		}
 	}
--- a/gate/proof/world_test.go
+++ b/gate/proof/world_test.go
@@ -170,7 +170,7 @@
 func (w *world) replace(i int) {
 	w.booting.Lock()
 	defer w.booting.Unlock()
-	if !w.box(i).up {
+	if !w.box(i).isUp() {
 		w.start(i)
 	}
 }
@@ -190,7 +190,7 @@
 // stop is a planned stop.
 func (w *world) stop(i int) {
 	b := w.box(i)
-	if !b.up {
+	if !b.isUp() {
 		return
 	}
 	b.resume()
@@ -232,6 +232,27 @@
 	}
 }
 
+// isUp reports whether the process lives.
+func (b *box) isUp() bool {
+	b.w.mu.Lock()
+	defer b.w.mu.Unlock()
+	return b.up
+}
+
+// answers reports whether the process lives and is not paused.
+func (b *box) answers() bool {
+	b.w.mu.Lock()
+	defer b.w.mu.Unlock()
+	return b.up && b.paused == nil
+}
+
+// inService reports whether a balancer sends calls to the box.
+func (b *box) inService() bool {
+	b.w.mu.Lock()
+	defer b.w.mu.Unlock()
+	return b.up && !b.stopping
+}
+
 // pass waits while the box is paused; it reports whether the box is still alive.
 func (b *box) pass() bool {
 	for {
