slots: look at the memory of a slot only if the slot is still held

Cause: reading the whole change once more: after an operation the loop asks whether the slot was superseded, but handing its records to the writer can itself give the slot up (an entry that does not encode), and then there is no memory to ask. kernel.Set was used by nothing. Change: the loop asks only while it holds the slot; the dead method is gone. Before: a nil dereference on that path, by reading; no run has shown it. After: admit, desk and parts pass, 60 plans of the fleet's fuzz pass, linter clean on gate. Conclusion: behaviour is the same on every path that a test reaches.

--- a/gate/kernel/kernel.go
+++ b/gate/kernel/kernel.go
@@ -45,11 +45,6 @@
 	return k.services[name]
 }
 
-// Set names a service that was made elsewhere. It must come before Start.
-func (k *Kernel) Set(name string, svc Service) {
-	k.services[name] = svc
-}
-
 // Start makes and starts the parts in order of need. On failure it stops what runs.
 func (k *Kernel) Start(ctx context.Context, parts []Part) error {
 	order, err := sorted(parts, k.services)
--- a/gate/slots/owner.go
+++ b/gate/slots/owner.go
@@ -215,7 +215,7 @@
 	recs, err := m.op(time.Now(), o.desk)
 	ticket := o.enqueue(recs, m.mode == desk.Durable || m.mode == desk.Urgent || awaited(recs))
 	m.reply <- doReply{ticket: ticket, err: err}
-	if o.desk.Superseded {
+	if o.desk != nil && o.desk.Superseded {
 		o.stepDown("a continuation shows a newer claim")
 	}
 }
