--- a/base/fault/fault.go
+++ b/base/fault/fault.go
@@ -45,6 +45,13 @@
 	BadKey          Kind = "bad_key"
 	Protocol        Kind = "protocol"
 	Internal        Kind = "internal"
+	NoRoute         Kind = "no_route"
+	NoTurn          Kind = "no_such_turn"
+	TurnUnknown     Kind = "turn_not_known_yet"
+	NoConfig        Kind = "no_configuration_yet"
+	HistoryGone     Kind = "log_history_gone"
+	TimedOut        Kind = "timed_out"
+	CallerGone      Kind = "caller_gone"
 )
 
 var statuses = map[Kind]int{
@@ -81,6 +88,13 @@
 	BadKey:          http.StatusForbidden,
 	Protocol:        http.StatusBadGateway,
 	Internal:        http.StatusInternalServerError,
+	NoRoute:         http.StatusNotFound,
+	NoTurn:          http.StatusNotFound,
+	TurnUnknown:     http.StatusServiceUnavailable,
+	NoConfig:        http.StatusServiceUnavailable,
+	HistoryGone:     http.StatusGone,
+	TimedOut:        http.StatusGatewayTimeout,
+	CallerGone:      http.StatusBadGateway,
 }
 
 // Fault is a typed failure.
--- /dev/null
+++ b/gate/chain/codec.go
@@ -0,0 +1,91 @@
+package chain
+
+import (
+	"encoding/binary"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/work"
+)
+
+// The first byte of a key says what the record holds.
+const (
+	turnKey  = 't'
+	startKey = 's'
+)
+
+// turnRecord encodes an answered turn.
+func turnRecord(t *Turn) work.Record {
+	raw := make([]byte, 0, len(t.Text)+len(t.program)+len(t.previous)+32)
+	raw = appendText(raw, t.program)
+	raw = appendText(raw, t.previous)
+	raw = binary.AppendUvarint(raw, uint64(t.keep.UnixMilli()))
+	raw = binary.AppendUvarint(raw, uint64(t.tokens))
+	raw = append(raw, t.Text...)
+	return work.Record{Key: string(turnKey) + t.id, Value: raw}
+}
+
+// startRecord encodes a turn that may have begun to run.
+func startRecord(id, program string, most int, keep time.Time) work.Record {
+	raw := appendText(nil, program)
+	raw = binary.AppendUvarint(raw, uint64(keep.UnixMilli()))
+	raw = binary.AppendUvarint(raw, uint64(most))
+	return work.Record{Key: string(startKey) + id, Value: raw}
+}
+
+func appendText(raw []byte, text string) []byte {
+	raw = binary.AppendUvarint(raw, uint64(len(text)))
+	return append(raw, text...)
+}
+
+// reader takes fields from a record; after the first malformed one it is bad.
+type reader struct {
+	raw []byte
+	bad bool
+}
+
+func (r *reader) number() uint64 {
+	n, size := binary.Uvarint(r.raw)
+	if size <= 0 {
+		r.bad = true
+		r.raw = nil
+		return 0
+	}
+	r.raw = r.raw[size:]
+	return n
+}
+
+func (r *reader) text() string {
+	n := r.number()
+	if n > uint64(len(r.raw)) {
+		r.bad = true
+		r.raw = nil
+		return ""
+	}
+	text := string(r.raw[:n])
+	r.raw = r.raw[n:]
+	return text
+}
+
+func (r *reader) moment() time.Time {
+	return time.UnixMilli(int64(r.number()))
+}
+
+func decodeTurn(id string, raw []byte) (*Turn, error) {
+	r := &reader{raw: raw}
+	t := &Turn{id: id, program: r.text(), previous: r.text(), keep: r.moment(), tokens: int(r.number())}
+	if r.bad || t.program == "" {
+		return nil, fault.Fail(fault.Protocol, "malformed turn in the log")
+	}
+	t.Text = append([]byte(nil), r.raw...)
+	return t, nil
+}
+
+func decodeStart(raw []byte) (program string, keep time.Time, most int, err error) {
+	r := &reader{raw: raw}
+	program, keep, most = r.text(), r.moment(), int(r.number())
+	if r.bad || program == "" {
+		return "", time.Time{}, 0, fault.Fail(fault.Protocol, "malformed start of a turn in the log")
+	}
+	return program, keep, most, nil
+}
--- /dev/null
+++ b/gate/entry/entry.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/shard"
+	"mulleingate.dev/gate/work"
+)
+
+const (
+	// ownerTries bounds how often the owner of a slot is looked up for one call, and
+	// ownerPause is the time between: views come to agree within a heartbeat.
+	ownerTries = 3
+	ownerPause = 150 * time.Millisecond
+	// retryUnknown is the advice given while the owner of a program can't be asked: most of
+	// the time in which another box takes its slot.
+	retryUnknown = time.Second
+)
+
+// Feed knows the configuration.
+type Feed interface {
+	// Config returns nil while none is known.
+	Config() *work.Config
+}
+
+// Boxes tells who should own a slot.
+type Boxes interface {
+	Owner(slot, zone string) (work.Box, bool)
+}
+
+// Slots holds the slots of this box.
+type Slots interface {
+	Get(ctx context.Context, number int) (*shard.Slot, error)
+}
+
+// Runner runs turns on slots of this box.
+type Runner interface {
+	Run(ctx context.Context, slot *shard.Slot, call *work.Call, route *work.Route, stride int, out work.Answer) error
+}
+
+// Peers forwards turns to other boxes.
+type Peers interface {
+	Turn(ctx context.Context, box work.Box, slot int, call *work.Call, route *work.Route, out work.Answer) error
+}
+
+// Relay carries calls outside programs, and the tools of programs.
+type Relay interface {
+	Carry(ctx context.Context, call *work.Call, route *work.Route, out work.Answer) error
+}
+
+// Counts takes figures.
+type Counts interface {
+	Count(name string, n int64)
+}
+
+// Entry is the service.
+type Entry struct {
+	self   work.Box
+	layout shard.Layout
+	feed   Feed
+	boxes  Boxes
+	slots  Slots
+	runner Runner
+	peers  Peers
+	relay  Relay
+	counts Counts
+	log    *slog.Logger
+}
+
+// New makes an entry.
+func New(self work.Box, layout shard.Layout, feed Feed, boxes Boxes, slots Slots, runner Runner, peers Peers, relay Relay,
+	counts Counts, log *slog.Logger) *Entry {
+	return &Entry{
+		self: self, layout: layout, feed: feed, boxes: boxes, slots: slots, runner: runner, peers: peers, relay: relay,
+		counts: counts, log: log,
+	}
+}
+
+// Handle serves one call. Left is how long the caller waits; zero if it does not say. It
+// returns nil after a whole answer. A fault with NotRun means that no replica has run the
+// call or ever will; after any other fault one may have.
+func (e *Entry) Handle(ctx context.Context, call *work.Call, left time.Duration, out work.Answer) error {
+	conf := e.feed.Config()
+	if conf == nil {
+		return fault.Refuse(fault.NoConfig, "no configuration is known yet").After(retryUnknown)
+	}
+	path, _, _ := strings.Cut(call.Target, "?")
+	route := conf.Find(call.Host, path)
+	if route == nil {
+		e.log.Info("entry: no route", "id", call.ID, "version", conf.Version)
+		return fault.Refuse(fault.NoRoute, "no route for the host and path")
+	}
+	if left <= 0 || left > route.Timeout {
+		left = route.Timeout
+	}
+	call.Deadline = call.Arrived.Add(left)
+	call.Priority = route.Priority
+	if route.Stateful && call.Turn != nil {
+		return e.turn(ctx, call, route, out)
+	}
+	return e.relay.Carry(ctx, call, route, out)
+}
+
+// turn runs a turn where its program lives.
+func (e *Entry) turn(ctx context.Context, call *work.Call, route *work.Route, out work.Answer) error {
+	homes := e.layout.Homes(call.Turn.Program, e.self.Zone)
+	if call.Turn.Previous == "" {
+		homes = homes[:1]
+	}
+	var unsure error
+	for _, slot := range homes {
+		err := e.runAt(ctx, slot, call, route, out)
+		switch {
+		case elsewhere(err):
+			continue
+		case unreached(err):
+			unsure = err
+		default:
+			return err
+		}
+	}
+	if unsure == nil {
+		e.log.Info("entry: no such turn", "id", call.ID, "program", call.Turn.Program, "previous", call.Turn.Previous)
+		return fault.Refuse(fault.NoTurn, "the turn to go on from is not kept")
+	}
+	e.counts.Count("entry.owner_unknown", 1)
+	e.log.Info("entry: owner not reached", "id", call.ID, "program", call.Turn.Program, "after", time.Since(call.Arrived), "cause", unsure)
+	return fault.Refuse(fault.TurnUnknown, "the owner of the program can't be asked now").After(retryUnknown).Because(unsure)
+}
+
+// elsewhere reports that the program does not live in the slot.
+func elsewhere(err error) bool {
+	return fault.Is(err, fault.NoTurn) && fault.From(err).NotRun
+}
+
+// unreached reports that nobody could be asked.
+func unreached(err error) bool {
+	if err == nil || !fault.From(err).NotRun {
+		return false
+	}
+	return fault.Is(err, fault.NotOwner) || fault.Is(err, fault.PeerLost) || fault.Is(err, fault.OwnerUnknown)
+}
+
+// runAt runs the turn at the owner of the slot.
+func (e *Entry) runAt(ctx context.Context, slot int, call *work.Call, route *work.Route, out work.Answer) error {
+	var err error
+	for try := range ownerTries {
+		if try > 0 && !pause(ctx) {
+			return err
+		}
+		box, ok := e.boxes.Owner(e.layout.Name(slot), e.layout.Zone(slot))
+		switch {
+		case !ok:
+			err = fault.Refuse(fault.OwnerUnknown, "no box owns the slot")
+		case box.Name == e.self.Name:
+			err = e.RunHere(ctx, slot, call, route, out)
+		default:
+			err = e.peers.Turn(ctx, box, slot, call, route, out)
+		}
+		if !unreached(err) {
+			return err
+		}
+	}
+	return err
+}
+
+func pause(ctx context.Context) bool {
+	select {
+	case <-time.After(ownerPause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// RunHere runs the turn if this box owns the slot.
+func (e *Entry) RunHere(ctx context.Context, number int, call *work.Call, route *work.Route, out work.Answer) error {
+	slot, err := e.slots.Get(ctx, number)
+	if err != nil {
+		return err
+	}
+	return e.runner.Run(ctx, slot, call, route, e.stride(route), out)
+}
+
+// stride is the tokens in one event of the route's answers.
+func (e *Entry) stride(route *work.Route) int {
+	conf := e.feed.Config()
+	if conf == nil || len(route.Splits) == 0 {
+		return 1
+	}
+	most := 1
+	for _, split := range route.Splits {
+		if engine := conf.Services[split.Service].Engine; engine != nil {
+			most = max(most, engine.Stride)
+		}
+	}
+	return most
+}
--- /dev/null
+++ b/gate/feed/feed.go
@@ -0,0 +1,263 @@
+package feed
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/work"
+)
+
+const (
+	// waitFor is how long one read waits for news. A read that hangs is found soon after.
+	waitFor = 2 * time.Second
+	// readSlack is how much longer than asked for a read may take.
+	readSlack = time.Second
+	// configPause and replicaPause are the least time between two reads, so that many small
+	// changes cost few calls; both are well below the time in which a change must be in force.
+	configPause  = 150 * time.Millisecond
+	replicaPause = 400 * time.Millisecond
+	// failPause is the time until a read that failed is tried again.
+	failPause = 250 * time.Millisecond
+	// awayAfter is how long reads must fail for the log to count as away.
+	awayAfter = 1200 * time.Millisecond
+	// lapseFor is how long a replica that went off the list while the log was away may stay
+	// missing: a living one is back within two seconds.
+	lapseFor = 2300 * time.Millisecond
+)
+
+// Log is the part of the log that a feed uses.
+type Log interface {
+	Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (next int64, err error)
+	Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error)
+}
+
+// Decoder reads what others have written.
+type Decoder interface {
+	// Config returns nil for a record that is no configuration.
+	Config(rec work.Record) (*work.Config, error)
+	Replica(rec work.Record) (work.Replica, error)
+}
+
+// Targets takes the list of replicas.
+type Targets interface {
+	Configure(conf *work.Config)
+	Put(rep work.Replica)
+	Drop(id string)
+	Listed() []string
+}
+
+// Feed is the service.
+type Feed struct {
+	log     Log
+	decoder Decoder
+	targets Targets
+	logger  *slog.Logger
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	conf    atomic.Pointer[work.Config]
+	// lists is set once the list of replicas was read.
+	lists atomic.Bool
+}
+
+// New makes a feed that knows nothing.
+func New(log Log, decoder Decoder, targets Targets, logger *slog.Logger) *Feed {
+	return &Feed{log: log, decoder: decoder, targets: targets, logger: logger}
+}
+
+// Config is the newest configuration; nil while none is known.
+func (f *Feed) Config() *work.Config {
+	return f.conf.Load()
+}
+
+// Ready reports whether a configuration and the list of replicas are known.
+func (f *Feed) Ready() bool {
+	return f.conf.Load() != nil && f.lists.Load()
+}
+
+// Start implements a service.
+func (f *Feed) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	configs := &tail{feed: f, topic: work.Settings, pause: configPause, take: f.takeConfig, whole: func([]work.Record, bool) {}}
+	lapses := &lapses{feed: f, missing: map[string]time.Time{}}
+	list := &tail{feed: f, topic: work.Replicas, pause: replicaPause, take: lapses.take, whole: lapses.whole}
+	f.done.Go(func() { configs.follow(ctx) })
+	f.done.Go(func() { list.follow(ctx) })
+	return nil
+}
+
+// Stop implements a service.
+func (f *Feed) Stop(context.Context) error {
+	f.cancel()
+	f.done.Wait()
+	return nil
+}
+
+func (f *Feed) takeConfig(rec work.Record, _ bool) {
+	if len(rec.Value) == 0 {
+		return
+	}
+	conf, err := f.decoder.Config(rec)
+	if err != nil {
+		f.logger.Error("feed: configuration not taken", "cause", err)
+		return
+	}
+	before := f.conf.Load()
+	if conf == nil || (before != nil && conf.Version <= before.Version) {
+		return
+	}
+	f.conf.Store(conf)
+	f.targets.Configure(conf)
+	f.logger.Info("feed: configuration in force", "version", conf.Version, "routes", len(conf.Routes))
+}
+
+// tail follows one topic.
+type tail struct {
+	feed  *Feed
+	topic work.Topic
+	pause time.Duration
+	// take gets each record; after tells that the log has just been away.
+	take func(rec work.Record, after bool)
+	// whole gets all newest records at once, after take got each of them.
+	whole func(recs []work.Record, after bool)
+
+	next int64
+	// goodAt is when the log last answered.
+	goodAt time.Time
+	// backAt is when it answered again after it was away.
+	backAt time.Time
+}
+
+func (t *tail) follow(ctx context.Context) {
+	t.next = -1
+	for ctx.Err() == nil {
+		start := time.Now()
+		pause := t.pause
+		if err := t.step(ctx); err != nil && ctx.Err() == nil {
+			pause = failPause
+			t.feed.logger.Debug("feed: log not read", "topic", t.topic, "cause", err)
+		}
+		select {
+		case <-time.After(max(0, pause-time.Since(start))):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// good notes an answer of the log.
+func (t *tail) good() bool {
+	now := time.Now()
+	if !t.goodAt.IsZero() && now.Sub(t.goodAt) > awayAfter+waitFor {
+		t.backAt = now
+		t.feed.logger.Info("feed: log is back", "topic", t.topic, "away", now.Sub(t.goodAt))
+	}
+	t.goodAt = now
+	return now.Sub(t.backAt) < lapseFor
+}
+
+func (t *tail) step(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, waitFor+readSlack)
+	defer stop()
+	shard := work.Shard{Topic: t.topic}
+	if t.next < 0 {
+		return t.reload(ctx, shard)
+	}
+	page, err := t.feed.log.Read(ctx, shard, t.next, waitFor)
+	if fault.Is(err, fault.HistoryGone) {
+		t.feed.logger.Info("feed: history gone, reading the newest records", "topic", t.topic)
+		t.next = -1
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	after := t.good()
+	t.next = page.Next
+	for _, rec := range page.Records {
+		t.take(rec, after)
+	}
+	return nil
+}
+
+func (t *tail) reload(ctx context.Context, shard work.Shard) error {
+	var recs []work.Record
+	next, err := t.feed.log.Newest(ctx, shard, func(rec work.Record) { recs = append(recs, rec) })
+	if err != nil {
+		return err
+	}
+	after := t.good()
+	t.next = next
+	for _, rec := range recs {
+		t.take(rec, after)
+	}
+	t.whole(recs, after)
+	return nil
+}
+
+// lapses takes the list of replicas. One that went off the list while the log was away is
+// kept for a while: it may come back.
+type lapses struct {
+	feed *Feed
+
+	mu      sync.Mutex
+	missing map[string]time.Time
+}
+
+func (l *lapses) take(rec work.Record, after bool) {
+	if len(rec.Value) == 0 {
+		l.drop(rec.Key, after)
+		return
+	}
+	rep, err := l.feed.decoder.Replica(rec)
+	if err != nil {
+		l.feed.logger.Error("feed: replica's entry not taken", "replica", rec.Key, "cause", err)
+		return
+	}
+	l.mu.Lock()
+	delete(l.missing, rec.Key)
+	l.mu.Unlock()
+	l.feed.targets.Put(rep)
+}
+
+func (l *lapses) drop(id string, after bool) {
+	if !after {
+		l.feed.targets.Drop(id)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.missing[id]; !ok {
+		l.missing[id] = time.Now().Add(lapseFor)
+		time.AfterFunc(lapseFor, l.expire)
+		l.feed.logger.Info("feed: replica's entry lapsed while the log was away", "replica", id)
+	}
+}
+
+func (l *lapses) whole(recs []work.Record, after bool) {
+	listed := map[string]bool{}
+	for _, rec := range recs {
+		listed[rec.Key] = len(rec.Value) > 0
+	}
+	for _, id := range l.feed.targets.Listed() {
+		if !listed[id] {
+			l.drop(id, after)
+		}
+	}
+	l.feed.lists.Store(true)
+}
+
+func (l *lapses) expire() {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, until := range l.missing {
+		if !now.Before(until) {
+			delete(l.missing, id)
+			l.feed.targets.Drop(id)
+		}
+	}
+}
--- /dev/null
+++ b/gate/node/node.go
@@ -0,0 +1,157 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/entry"
+	"mulleingate.dev/gate/feed"
+	"mulleingate.dev/gate/kernel"
+	"mulleingate.dev/gate/meter"
+	"mulleingate.dev/gate/relay"
+	"mulleingate.dev/gate/remote"
+	"mulleingate.dev/gate/shard"
+	"mulleingate.dev/gate/target"
+	"mulleingate.dev/gate/turns"
+	"mulleingate.dev/gate/view"
+	"mulleingate.dev/gate/work"
+)
+
+const (
+	// leaveFor is how long a leaving box takes new connections: a balancer that asks every
+	// second and wants two answers has taken it out by then.
+	leaveFor = 2600 * time.Millisecond
+	// finishFor bounds the wait for calls under way after that.
+	finishFor = 4200 * time.Millisecond
+)
+
+// Log is the log as a box uses it.
+type Log interface {
+	shard.Log
+}
+
+// Replicas speaks to replicas.
+type Replicas interface {
+	target.Opener
+	relay.Sender
+}
+
+// Front takes callers' connections. Start begins to listen; Stop finishes calls under way.
+type Front interface {
+	kernel.Service
+	// Leave has callers told that their connections end.
+	Leave()
+}
+
+// Deps is what a box is made from.
+type Deps struct {
+	Self work.Box
+	// Zones are all availability zones, alike on all boxes.
+	Zones []string
+	// Slots is the number of slots, alike on all boxes.
+	Slots    int
+	Log      Log
+	Decoder  feed.Decoder
+	Replicas Replicas
+	Logger   *slog.Logger
+	Meter    *meter.Meter
+	Timing   view.Timing
+}
+
+// Node is a box.
+type Node struct {
+	deps    Deps
+	kern    *kernel.Kernel
+	view    *view.View
+	feed    *feed.Feed
+	shards  *shard.Shards
+	entry   *entry.Entry
+	peers   *remote.Client
+	targets *target.Targets
+	server  *remote.Server
+	front   Front
+	leaving atomic.Bool
+}
+
+// New makes a box; nothing runs yet.
+func New(deps Deps) *Node {
+	n := &Node{deps: deps, kern: kernel.New(deps.Logger), peers: remote.NewClient()}
+	log := deps.Logger
+	layout := shard.NewLayout(deps.Zones, deps.Slots)
+	n.targets = target.New(deps.Self.Zone, deps.Replicas, log)
+	n.feed = feed.New(deps.Log, deps.Decoder, n.targets, log)
+	n.view = view.New(deps.Self, deps.Log, deps.Timing, log)
+	n.shards = shard.New(deps.Self, layout, deps.Log, n.view, n.peers, deps.Meter, log)
+	runner := turns.New(n.targets, deps.Replicas, deps.Meter, log)
+	carrier := relay.New(n.targets, deps.Replicas, deps.Meter, log)
+	n.entry = entry.New(deps.Self, layout, n.feed, n.view, n.shards, runner, n.peers, carrier, deps.Meter, log)
+	n.server = remote.NewServer(deps.Self.Peer, n.entry, n.shards, log)
+	n.view.OnChange(n.boxesChanged)
+	return n
+}
+
+func (n *Node) boxesChanged() {
+	live := n.view.Live()
+	n.targets.Boxes(len(live))
+	n.peers.Keep(live)
+	n.shards.Rebalance()
+}
+
+// Start starts all services and takes callers by the front.
+func (n *Node) Start(ctx context.Context, front Front) error {
+	n.front = front
+	made := func(svc kernel.Service) kernel.Factory {
+		return func(*kernel.Kernel) (kernel.Service, error) { return svc, nil }
+	}
+	return n.kern.Start(ctx, []kernel.Part{
+		{Name: "meter", Make: made(n.deps.Meter)},
+		{Name: "feed", Needs: []string{"meter"}, Make: made(n.feed)},
+		{Name: "view", Needs: []string{"meter"}, Make: made(n.view)},
+		{Name: "peers", Needs: []string{"view", "feed"}, Make: made(n.server)},
+		{Name: "shards", Needs: []string{"peers"}, Make: made(n.shards)},
+		{Name: "front", Needs: []string{"shards"}, Make: made(front)},
+	})
+}
+
+// Stop is a planned stop: the box hands its slots over and is taken out of the balancer
+// while it still serves, then finishes what it has accepted.
+func (n *Node) Stop(ctx context.Context) error {
+	n.leaving.Store(true)
+	n.deps.Logger.Info("node: leaving")
+	n.front.Leave()
+	n.view.Leave(ctx)
+	select {
+	case <-time.After(leaveFor):
+	case <-ctx.Done():
+	}
+	ctx, stop := context.WithTimeout(ctx, finishFor)
+	defer stop()
+	err := n.kern.Stop(ctx)
+	n.deps.Logger.Info("node: stopped")
+	return err
+}
+
+// Ready reports whether callers should be sent here.
+func (n *Node) Ready() bool {
+	return !n.leaving.Load() && n.feed.Ready() && n.view.Settled()
+}
+
+// Limits bound what callers may send. They are nil while no configuration is known.
+func (n *Node) Limits() *work.Limits {
+	conf := n.feed.Config()
+	if conf == nil {
+		return nil
+	}
+	return &conf.Limits
+}
+
+// Handle serves one call; see entry.Entry.Handle.
+func (n *Node) Handle(ctx context.Context, call *work.Call, left time.Duration, out work.Answer) error {
+	if n.feed.Config() != nil && !n.feed.Ready() {
+		return fault.Refuse(fault.NoConfig, "the list of replicas is not known yet").After(time.Second)
+	}
+	return n.entry.Handle(ctx, call, left, out)
+}
--- /dev/null
+++ b/gate/remote/server.go
@@ -0,0 +1,157 @@
+package remote
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/work"
+)
+
+// maxBody bounds a forwarded turn, in bytes.
+const maxBody = 32 << 20
+
+// idleTimeout is longer than clients keep connections, so that they end them.
+const idleTimeout = 30 * time.Second
+
+// Turns runs the turns that other boxes forward.
+type Turns interface {
+	// RunHere runs the turn if this box owns the slot.
+	RunHere(ctx context.Context, slot int, call *work.Call, route *work.Route, out work.Answer) error
+}
+
+// Slots gives slots up.
+type Slots interface {
+	Yield(ctx context.Context, slot int) error
+}
+
+// Server takes the calls of other boxes.
+type Server struct {
+	addr   netip.AddrPort
+	turns  Turns
+	slots  Slots
+	logger *slog.Logger
+	http   *http.Server
+}
+
+// NewServer makes a server that does not listen yet.
+func NewServer(addr netip.AddrPort, turns Turns, slots Slots, logger *slog.Logger) *Server {
+	s := &Server{addr: addr, turns: turns, slots: slots, logger: logger}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+turnPath, s.turn)
+	mux.HandleFunc("POST "+yieldPath, s.yield)
+	s.http = &http.Server{Handler: mux, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
+	return s
+}
+
+// Start implements a service.
+func (s *Server) Start(context.Context) error {
+	ln, err := net.Listen("tcp", s.addr.String())
+	if err != nil {
+		return fault.Refuse(fault.BadSettings, "cannot listen on "+s.addr.String()).Because(err)
+	}
+	go func() {
+		if err := s.http.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			s.logger.Error("remote: listener ended", "cause", err)
+		}
+	}()
+	return nil
+}
+
+// Stop implements a service.
+func (s *Server) Stop(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		return errors.CombineErrors(err, s.http.Close())
+	}
+	return nil
+}
+
+func (s *Server) yield(w http.ResponseWriter, r *http.Request) {
+	slot, err := strconv.Atoi(r.URL.Query().Get("slot"))
+	if err == nil {
+		err = s.slots.Yield(r.Context(), slot)
+	}
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
+
+func (s *Server) turn(w http.ResponseWriter, r *http.Request) {
+	out := &reply{w: w, flush: http.NewResponseController(w)}
+	msg, err := readTurn(http.MaxBytesReader(w, r.Body, maxBody))
+	if err == nil {
+		err = s.turns.RunHere(r.Context(), msg.Slot, msg.Call, msg.Route, out)
+	}
+	if err == nil {
+		return
+	}
+	if out.begun {
+		panic(http.ErrAbortHandler) // the answer must not look whole
+	}
+	problem := fault.From(err).Problem("")
+	if err := out.send(answer{Problem: &problem}); err != nil {
+		s.logger.Debug("remote: refusal not sent", "cause", err)
+	}
+}
+
+func readTurn(body io.Reader) (ask, error) {
+	var msg ask
+	if err := unframe(body, &msg); err != nil {
+		return msg, err
+	}
+	call := msg.Call
+	if call == nil || call.ID == "" || call.Turn == nil || msg.Route == nil {
+		return msg, fault.Refuse(fault.BadRequest, "forwarded turn is incomplete")
+	}
+	now := time.Now()
+	call.Deadline = now.Add(time.Duration(msg.LeftMillis) * time.Millisecond)
+	call.Arrived = now.Add(-time.Duration(msg.WaitedMillis) * time.Millisecond)
+	var err error
+	if call.Body, err = io.ReadAll(body); err != nil {
+		return msg, fault.Refuse(fault.BadRequest, "forwarded turn broke off").Because(err)
+	}
+	return msg, nil
+}
+
+// reply passes an answer to the box that forwarded the turn.
+type reply struct {
+	w     http.ResponseWriter
+	flush *http.ResponseController
+	begun bool
+}
+
+func (r *reply) send(header answer) error {
+	raw, err := frame(header)
+	if err != nil {
+		return err
+	}
+	if _, err := r.w.Write(raw); err != nil {
+		return fault.Fail(fault.CallerGone, "the box that forwarded the turn is gone").Because(err)
+	}
+	return nil
+}
+
+// Begin implements work.Answer. The head goes out with the first bytes of the body.
+func (r *reply) Begin(head work.Head) error {
+	r.begun = true
+	return r.send(answer{Head: &head})
+}
+
+// Write implements work.Answer.
+func (r *reply) Write(data []byte) error {
+	if _, err := r.w.Write(data); err != nil {
+		return fault.Fail(fault.CallerGone, "the box that forwarded the turn is gone").Because(err)
+	}
+	if err := r.flush.Flush(); err != nil {
+		return fault.Fail(fault.CallerGone, "the box that forwarded the turn is gone").Because(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/gate/shard/slot.go
@@ -0,0 +1,286 @@
+package shard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/chain"
+	"mulleingate.dev/gate/work"
+)
+
+const (
+	// maxBatch bounds the records of one append, in bytes: half of what the smallest store
+	// takes in a call.
+	maxBatch = 1 << 20
+	// retryFirst and retryMost bound the pause before an append is sent again.
+	retryFirst = 25 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+	// awayAfter is how long an append may be under way before new turns are refused. A slow
+	// store answers within it.
+	awayAfter = 700 * time.Millisecond
+	// awayRetry is the advice given then: a third of the shortest time that callers have.
+	awayRetry = 900 * time.Millisecond
+)
+
+// batch is what waits for one append.
+type batch struct {
+	recs []work.Record
+	done chan struct{}
+	err  error
+}
+
+// Slot is a slot that this box owns, or did own.
+type Slot struct {
+	shards *Shards
+	number int
+	epoch  int64
+
+	mu    sync.Mutex
+	state *chain.State
+	// closing says that new turns go to another box.
+	closing bool
+	// lost says that another box has claimed the slot: nothing can be written any more.
+	lost bool
+	// turns counts those under way; idle is signalled when it falls to 0.
+	turns int
+	idle  *sync.Cond
+	// queue is written in its order; the writer runs while it is not empty.
+	queue   []*batch
+	writing bool
+	// since is when the append under way was first sent; zero if there is none.
+	since time.Time
+	// sent is the number of the last append of the epoch.
+	sent int64
+}
+
+func newSlot(s *Shards, number int, epoch int64, state *chain.State) *Slot {
+	slot := &Slot{shards: s, number: number, epoch: epoch, state: state}
+	slot.idle = sync.NewCond(&slot.mu)
+	return slot
+}
+
+// Number is the slot's.
+func (s *Slot) Number() int {
+	return s.number
+}
+
+// Enter begins a turn: do looks at the state and may change it. Leave must be called
+// after it, if it returns nil.
+func (s *Slot) Enter(do func(state *chain.State) error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing || s.lost {
+		return fault.Refuse(fault.NotOwner, "this box gives the slot up").After(retryAfter)
+	}
+	if err := do(s.state); err != nil {
+		return err
+	}
+	s.turns++
+	return nil
+}
+
+// Writable tells within Enter whether the log takes records.
+func (s *Slot) Writable() error {
+	if !s.since.IsZero() && time.Since(s.since) > awayAfter {
+		return fault.Refuse(fault.LogUnavailable, "the log does not take records").After(awayRetry)
+	}
+	return nil
+}
+
+// Change changes the state in the course of a turn.
+func (s *Slot) Change(do func(state *chain.State)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	do(s.state)
+}
+
+// Leave ends a turn.
+func (s *Slot) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turns--
+	s.idle.Broadcast()
+}
+
+// Queue hands records to the writer. The channel is closed once they are written or can't
+// be; Err then tells which.
+func (s *Slot) Queue(recs []work.Record) *Pending {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.QueueLocked(recs)
+}
+
+// QueueLocked is Queue within Enter or Change, so that records go to the log in the order
+// in which the state was changed.
+func (s *Slot) QueueLocked(recs []work.Record) *Pending {
+	b := &batch{recs: recs, done: make(chan struct{})}
+	if s.lost {
+		b.err = lostSlot()
+		close(b.done)
+		return &Pending{b}
+	}
+	s.queue = append(s.queue, b)
+	if !s.writing {
+		s.writing = true
+		go s.write()
+	}
+	return &Pending{b}
+}
+
+// Pending is records on their way to the log.
+type Pending struct{ batch *batch }
+
+// Wait returns once the records are written, or with a fault if they can't be or ctx ends
+// before. They may still be written after ctx has ended.
+func (p *Pending) Wait(ctx context.Context) error {
+	select {
+	case <-p.batch.done:
+		return p.batch.err
+	default:
+	}
+	select {
+	case <-p.batch.done:
+		return p.batch.err
+	case <-ctx.Done():
+		return fault.Fail(fault.LogUnavailable, "the log has not confirmed in time")
+	}
+}
+
+// Write queues records and waits for them.
+func (s *Slot) Write(ctx context.Context, recs []work.Record) error {
+	return s.Queue(recs).Wait(ctx)
+}
+
+// write appends what is queued, one call at a time, until nothing is left.
+func (s *Slot) write() {
+	for {
+		batches := s.next()
+		if len(batches) == 0 {
+			return
+		}
+		var recs []work.Record
+		for _, b := range batches {
+			recs = append(recs, b.recs...)
+		}
+		err := s.append(recs)
+		s.mu.Lock()
+		s.since = time.Time{}
+		s.mu.Unlock()
+		for _, b := range batches {
+			b.err = err
+			close(b.done)
+		}
+		if err != nil {
+			s.fail(err)
+		}
+	}
+}
+
+// next takes the batches of the next append off the queue.
+func (s *Slot) next() []*batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	size, n := 0, 0
+	for n < len(s.queue) && (n == 0 || size < maxBatch) {
+		for _, rec := range s.queue[n].recs {
+			size += len(rec.Key) + len(rec.Value)
+		}
+		n++
+	}
+	batches := s.queue[:n:n]
+	s.queue = s.queue[n:]
+	s.writing = n > 0
+	if size > 0 {
+		s.since = time.Now()
+		s.sent++
+	}
+	return batches
+}
+
+// append sends one append until it is done or another box is found to own the slot. The
+// log knows a repeated number and answers it as the first time.
+func (s *Slot) append(recs []work.Record) error {
+	if len(recs) == 0 {
+		return nil
+	}
+	shard := work.Shard{Topic: work.Turns, Number: s.number}
+	writer := work.Writer{Epoch: s.epoch, Number: s.sent}
+	pause := retryFirst
+	for {
+		start := time.Now()
+		ctx, stop := context.WithTimeout(s.shards.ctx, callTimeout)
+		err := s.shards.log.Append(ctx, shard, writer, recs)
+		stop()
+		if err == nil {
+			s.shards.counts.Time("shard.append_time", time.Since(start))
+			return nil
+		}
+		if fault.Is(err, fault.NotOwner) || s.shards.ctx.Err() != nil {
+			return err
+		}
+		s.shards.counts.Count("shard.append_failed", 1)
+		s.shards.logger.Warn("shard: append failed", "slot", s.number, "cause", err, "took", time.Since(start))
+		select {
+		case <-time.After(pause):
+		case <-s.shards.ctx.Done():
+		}
+		pause = min(2*pause, retryMost)
+	}
+}
+
+// fail gives the slot up after an append that can never be done.
+func (s *Slot) fail(err error) {
+	s.shards.logger.Warn("shard: lost slot", "slot", s.number, "epoch", s.epoch, "cause", err)
+	s.shards.counts.Count("shard.lost", 1)
+	s.mu.Lock()
+	s.lost = true
+	queue := s.queue
+	s.queue = nil
+	s.idle.Broadcast()
+	s.mu.Unlock()
+	for _, b := range queue {
+		b.err = lostSlot()
+		close(b.done)
+	}
+	s.shards.forget(s)
+}
+
+func lostSlot() error {
+	return fault.Fail(fault.NotOwner, "another box owns the slot")
+}
+
+// close keeps new turns out.
+func (s *Slot) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+}
+
+// drain keeps new turns out and waits until those under way have ended and all records are
+// written. It reports whether they were.
+func (s *Slot) drain(ctx context.Context) bool {
+	ctx, stop := context.WithTimeout(ctx, drainWait)
+	defer stop()
+	wake := context.AfterFunc(ctx, s.idle.Broadcast)
+	defer wake()
+	s.mu.Lock()
+	s.closing = true
+	for s.turns > 0 && !s.lost && ctx.Err() == nil {
+		s.idle.Wait()
+	}
+	whole := s.turns == 0
+	s.mu.Unlock()
+	return s.Write(ctx, nil) == nil && whole
+}
+
+// sweep drops programs whose time is over.
+func (s *Slot) sweep(now time.Time) {
+	s.mu.Lock()
+	drops := s.state.Expire(now, sweepLimit)
+	s.mu.Unlock()
+	if len(drops) > 0 {
+		s.Queue(drops)
+	}
+}
--- /dev/null
+++ b/gate/target/choose.go
@@ -0,0 +1,145 @@
+package target
+
+import (
+	"math"
+	"time"
+
+	"mulleingate.dev/gate/work"
+)
+
+const (
+	// prefillRate is tokens a millisecond: the slower of the two deployments' engines.
+	prefillRate = 38
+	// streamCost is what one more stream costs a model call over its whole answer: 3% of
+	// some forty steps of 5 ms.
+	streamCost = 6 * time.Millisecond
+	// modelSteps weighs a replica's time between events into the cost of a call.
+	modelSteps = 10
+	// farCost prices another availability zone: its round trips and the bytes of a chain.
+	farCost = 12 * time.Millisecond
+	// nearTime is how much worse than the best a candidate may be to be drawn, so that boxes
+	// with the same beliefs don't all choose the same replica.
+	nearTime = 2 * time.Millisecond
+)
+
+// choice is a candidate with its cost.
+type choice struct {
+	state  *state
+	score  time.Duration
+	cached int
+}
+
+// choose returns the replica of least expected cost, drawn among those near to it, and the
+// number of candidates. Avoided and suspect replicas are taken only if no other is left.
+func (t *Targets) choose(now time.Time, ask Ask) (choice, int) {
+	service := t.draw(ask.Services)
+	best, among := t.among(now, ask, service, false)
+	if best.state == nil {
+		best, among = t.among(now, ask, service, true)
+	}
+	if best.state != nil || len(ask.Services) < 2 {
+		return best, among
+	}
+	for _, split := range ask.Services {
+		if split.Service == service || split.Weight == 0 {
+			continue
+		}
+		if best, among = t.among(now, ask, split.Service, true); best.state != nil {
+			return best, among
+		}
+	}
+	return best, among
+}
+
+// draw chooses a service by the weights of a route.
+func (t *Targets) draw(splits []work.Split) string {
+	sum := 0
+	for _, split := range splits {
+		sum += split.Weight
+	}
+	if sum == 0 {
+		return splits[0].Service
+	}
+	at := t.rng.IntN(sum)
+	for _, split := range splits {
+		if at < split.Weight {
+			return split.Service
+		}
+		at -= split.Weight
+	}
+	return splits[len(splits)-1].Service
+}
+
+func (t *Targets) among(now time.Time, ask Ask, service string, desperate bool) (choice, int) {
+	var found []choice
+	least := time.Duration(math.MaxInt64)
+	ejector := t.eject(service)
+	for _, s := range t.services[service] {
+		if s.Draining || contains(ask.Avoid, s.ID) || t.full(s) {
+			continue
+		}
+		if !desperate && (now.Before(s.suspect) || ejector.Ejected(now, s.ID)) {
+			continue
+		}
+		c := t.cost(now, ask, s)
+		least = min(least, c.score)
+		found = append(found, c)
+	}
+	var best choice
+	seen := 0
+	for _, c := range found {
+		if c.score > least+nearTime {
+			continue
+		}
+		seen++
+		if t.rng.IntN(seen) == 0 {
+			best = c
+		}
+	}
+	return best, len(found)
+}
+
+// full reports whether this box's share of the replica's connections is in use.
+func (t *Targets) full(s *state) bool {
+	return s.busy >= t.share(s.Service)
+}
+
+func contains(list []string, id string) bool {
+	for _, have := range list {
+		if have == id {
+			return true
+		}
+	}
+	return false
+}
+
+// cost is the expected time of the call at the replica, and what it takes from others.
+func (t *Targets) cost(now time.Time, ask Ask, s *state) choice {
+	c := choice{state: s}
+	if s.Zone != t.zone {
+		c.score += farCost
+	}
+	if ask.Prompt == nil {
+		c.score += time.Duration(s.slow * float64(s.busy+1) * float64(t.usually(ask.Work)))
+		return c
+	}
+	c.cached = t.cached(now, ask, s)
+	missing := max(0, ask.Prompt.Tokens-c.cached)
+	c.score += time.Duration(float64(missing) / prefillRate * float64(time.Millisecond))
+	c.score += streamCost * time.Duration(s.busy)
+	c.score += time.Duration(s.slow * modelSteps * float64(t.usually(ask.Work)))
+	return c
+}
+
+// cached estimates how many tokens of the prompt the replica holds.
+func (t *Targets) cached(now time.Time, ask Ask, s *state) int {
+	seen := ask.Seen[s.ID]
+	if len(ask.Prompt.Parts) == 0 {
+		return seen
+	}
+	first := ask.Prompt.Parts[0]
+	if at, ok := s.parts[first.ID]; ok && now.Sub(at) < partFor {
+		return max(seen, first.Tokens)
+	}
+	return seen
+}
--- /dev/null
+++ b/gate/target/target.go
@@ -0,0 +1,315 @@
+package target
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/limit"
+	"mulleingate.dev/gate/work"
+)
+
+const (
+	// firstUsual is what a unit of work is expected to take before any was measured.
+	firstUsual = 20 * time.Millisecond
+	// smooth and smoothUsual are the weights of a new duration in the running means of a
+	// replica and of a kind of work. The second follows all replicas, so it moves slowly.
+	smooth      = 0.2
+	smoothUsual = 0.05
+	// suspectFor is how long a replica gets nothing after a connection to it failed, unless
+	// no other is left. About the lag of the list.
+	suspectFor = time.Second
+)
+
+// state is what is believed of one replica.
+type state struct {
+	work.Replica
+	// busy counts the calls of this box under way there.
+	busy int
+	// slow is the running mean of the time that a unit of work took here against what it
+	// usually takes: 1 for an ordinary replica. A unit is a call of a plain service, or the
+	// time between two events of a model.
+	slow float64
+	// gone says that the replica is no longer listed.
+	gone bool
+	// suspect is until when the replica is avoided after a failed connection.
+	suspect time.Time
+	// parts names the shared parts of prompts that were sent there lately.
+	parts map[string]time.Time
+	pool  Closer
+}
+
+// Closer ends the connections to a replica.
+type Closer interface {
+	Close()
+}
+
+// Opener makes the connections to a replica.
+type Opener interface {
+	Open(rep work.Replica, connections int) Closer
+}
+
+// Targets is what a box believes of all replicas.
+type Targets struct {
+	zone   string
+	opener Opener
+	log    *slog.Logger
+
+	mu       sync.Mutex
+	byID     map[string]*state
+	services map[string][]*state
+	ejector  map[string]*limit.Ejector
+	// usual is the running mean of the time of a unit of work, by kind of work.
+	usual map[string]time.Duration
+	conf  *work.Config
+	boxes int
+	rng   *rand.Rand
+}
+
+// New makes targets without replicas for a box of the zone.
+func New(zone string, opener Opener, log *slog.Logger) *Targets {
+	return &Targets{
+		zone: zone, opener: opener, log: log, boxes: 1,
+		byID: map[string]*state{}, services: map[string][]*state{}, ejector: map[string]*limit.Ejector{},
+		usual: map[string]time.Duration{},
+		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// Configure takes a configuration.
+func (t *Targets) Configure(conf *work.Config) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conf = conf
+}
+
+// Boxes takes the number of boxes that share the replicas' connections.
+func (t *Targets) Boxes(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.boxes = max(n, 1)
+}
+
+// Put takes a replica as listed.
+func (t *Targets) Put(rep work.Replica) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	have, ok := t.byID[rep.ID]
+	if ok && have.Addr == rep.Addr && have.Service == rep.Service {
+		if rep.Draining && !have.Draining {
+			t.log.Info("target: replica drains", "replica", rep.ID, "service", rep.Service)
+		}
+		have.Replica = rep
+		return
+	}
+	if ok {
+		t.remove(have)
+	}
+	s := &state{Replica: rep, slow: 1, parts: map[string]time.Time{}}
+	t.byID[rep.ID] = s
+	t.services[rep.Service] = append(t.services[rep.Service], s)
+	t.log.Info("target: replica listed", "replica", rep.ID, "service", rep.Service, "zone", rep.Zone)
+}
+
+// Drop takes a replica off the list. Calls under way there go on.
+func (t *Targets) Drop(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.byID[id]; ok {
+		t.remove(s)
+		t.log.Info("target: replica gone", "replica", id, "service", s.Service)
+	}
+}
+
+// Listed returns the ids of the replicas.
+func (t *Targets) Listed() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ids := make([]string, 0, len(t.byID))
+	for id := range t.byID {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func (t *Targets) remove(s *state) {
+	s.gone = true
+	delete(t.byID, s.ID)
+	list := t.services[s.Service]
+	for i, other := range list {
+		if other == s {
+			t.services[s.Service] = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	if s.pool != nil && s.busy == 0 {
+		s.pool.Close()
+	}
+}
+
+// Lease is a place at a replica. Done must be called once.
+type Lease struct {
+	Replica work.Replica
+	// Cached is how much of the prompt the replica is believed to hold, in tokens.
+	Cached int
+	// Score is what the call was expected to cost there; Among the candidates.
+	Score time.Duration
+	Among int
+
+	owner *Targets
+	state *state
+	work  string
+}
+
+// Pool returns the connections to the replica.
+func (l *Lease) Pool() Closer {
+	return l.state.pool
+}
+
+// Outcome is how a lease ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Answered means a whole answer.
+	Answered Outcome = iota
+	// Refused means that the replica said it did not run the call.
+	Refused
+	// Unreached means that no connection came up.
+	Unreached
+	// Broken means that the answer did not come, or not whole.
+	Broken
+	// Dropped means that the caller left or its time ran out; it says nothing of the replica.
+	Dropped
+)
+
+// Done gives the place back. Took is the time of a unit of work; zero if unknown.
+func (l *Lease) Done(out Outcome, took time.Duration) {
+	t, s := l.owner, l.state
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.busy--
+	if took > 0 {
+		usual, ok := t.usual[l.work]
+		if !ok {
+			usual = took
+		}
+		t.usual[l.work] = usual + time.Duration(smoothUsual*float64(took-usual))
+		s.slow += smooth * (float64(took)/float64(usual) - s.slow)
+	}
+	t.judge(s, out)
+	if s.gone && s.busy == 0 && s.pool != nil {
+		s.pool.Close()
+	}
+}
+
+// usually is the time of a unit of a kind of work.
+func (t *Targets) usually(kind string) time.Duration {
+	if usual, ok := t.usual[kind]; ok {
+		return usual
+	}
+	return firstUsual
+}
+
+func (t *Targets) judge(s *state, out Outcome) {
+	now := time.Now()
+	switch out {
+	case Answered:
+		t.eject(s.Service).Good(s.ID)
+	case Unreached:
+		s.suspect = now.Add(suspectFor)
+		t.log.Warn("target: replica not reached", "replica", s.ID, "service", s.Service)
+	case Broken:
+		if t.eject(s.Service).Bad(now, s.ID, len(t.services[s.Service])) {
+			t.log.Warn("target: replica left for a while after failures", "replica", s.ID, "service", s.Service)
+		}
+	case Refused, Dropped:
+	}
+}
+
+func (t *Targets) eject(service string) *limit.Ejector {
+	e, ok := t.ejector[service]
+	if !ok {
+		e = limit.NewEjector()
+		t.ejector[service] = e
+	}
+	return e
+}
+
+// Ask is what has to be placed.
+type Ask struct {
+	// Work names the kind of work, for the times that it usually takes.
+	Work     string
+	Services []work.Split
+	// Avoid names replicas that the call was sent to.
+	Avoid []string
+	// Prompt is nil for calls of plain services.
+	Prompt *work.Prompt
+	// Seen tells how many tokens of the prompt a replica keeps from turns before; may be nil.
+	Seen map[string]int
+}
+
+// Take chooses a replica and takes a place there.
+func (t *Targets) Take(ask Ask) (*Lease, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	best, among := t.choose(now, ask)
+	if best.state == nil {
+		return nil, fault.Refuse(fault.NoTarget, "no replica can take the call")
+	}
+	s := best.state
+	if s.pool == nil {
+		s.pool = t.opener.Open(s.Replica, t.share(s.Service))
+	}
+	s.busy++
+	if ask.Prompt != nil && len(ask.Prompt.Parts) > 0 {
+		t.remember(s, ask.Prompt.Parts[0].ID, now)
+	}
+	return &Lease{Replica: s.Replica, Cached: best.cached, Score: best.score, Among: among, owner: t, state: s, work: ask.Work}, nil
+}
+
+// share is this box's part of the connections that a replica of the service takes.
+func (t *Targets) share(service string) int {
+	all := 0
+	if t.conf != nil {
+		all = t.conf.Services[service].Connections
+	}
+	if all == 0 {
+		return leastShare
+	}
+	return max(all/(t.boxes+spareBoxes), leastShare)
+}
+
+const (
+	// leastShare is the number of connections that a box may always open to a replica.
+	leastShare = 2
+	// spareBoxes leaves room for boxes that join later.
+	spareBoxes = 4
+	// maxParts bounds the shared parts remembered for a replica.
+	maxParts = 64
+	// partFor is how long a shared part is believed to stay in a replica's memory unused.
+	partFor = 30 * time.Second
+)
+
+func (t *Targets) remember(s *state, part string, now time.Time) {
+	s.parts[part] = now
+	if len(s.parts) <= maxParts {
+		return
+	}
+	for id, at := range s.parts {
+		if now.Sub(at) > partFor {
+			delete(s.parts, id)
+		}
+	}
+	for id := range s.parts {
+		if len(s.parts) <= maxParts {
+			return
+		}
+		delete(s.parts, id)
+	}
+}
--- /dev/null
+++ b/gate/turns/turns.go
@@ -0,0 +1,320 @@
+package turns
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/chain"
+	"mulleingate.dev/gate/shard"
+	"mulleingate.dev/gate/target"
+	"mulleingate.dev/gate/work"
+)
+
+const (
+	// maxSends bounds the replicas that a turn is offered to.
+	maxSends = 4
+	// confirmWait bounds how long the end of an answer waits for the log.
+	confirmWait = 2500 * time.Millisecond
+	// retryAfter is the advice given when no replica takes a turn.
+	retryAfter = 200 * time.Millisecond
+	// maxChain bounds the text of a chain, in bytes.
+	maxChain = 16 << 20
+)
+
+// Sender hands a call to a replica; see relay.Sender.
+type Sender interface {
+	Send(ctx context.Context, lease *target.Lease, call *work.Call, left time.Duration) (work.Reply, error)
+}
+
+// Targets chooses replicas.
+type Targets interface {
+	Take(ask target.Ask) (*target.Lease, error)
+}
+
+// Counts takes figures.
+type Counts interface {
+	Count(name string, n int64)
+	Time(name string, d time.Duration)
+}
+
+// Runner runs turns.
+type Runner struct {
+	targets Targets
+	sender  Sender
+	counts  Counts
+	log     *slog.Logger
+}
+
+// New makes a runner.
+func New(targets Targets, sender Sender, counts Counts, log *slog.Logger) *Runner {
+	return &Runner{targets: targets, sender: sender, counts: counts, log: log}
+}
+
+// turn is the state of one turn under way.
+type turn struct {
+	*Runner
+	slot  *shard.Slot
+	call  *work.Call
+	route *work.Route
+	open  chain.Open
+	// stride is the tokens in one event.
+	stride int
+	// input is what the caller sent; prompt the whole chain with it.
+	input, prompt []byte
+	// seen is what replicas keep of the chain, in tokens.
+	seen map[string]int
+	// started is the start record on its way to the log.
+	started *shard.Pending
+	// ran says that a replica may have run the turn; ended that the state counts it as over.
+	ran, ended bool
+	// cached and replica are of the lease that ran it.
+	replica string
+	cached  int
+	first   time.Duration
+}
+
+// Run runs the turn on the slot. It returns nil after a whole answer that the log holds; a
+// fault with NotRun if the turn has not run and won't; any other fault if it may have.
+func (r *Runner) Run(ctx context.Context, slot *shard.Slot, call *work.Call, route *work.Route, stride int, out work.Answer) error {
+	ctx, stop := context.WithDeadline(ctx, call.Deadline)
+	defer stop()
+	t := &turn{Runner: r, slot: slot, call: call, route: route, stride: max(stride, 1), input: call.Body}
+	t.open = chain.Open{
+		ID: call.ID, Program: call.Turn.Program, Previous: call.Turn.Previous, Most: most(call), Retention: route.Retention,
+	}
+	if err := slot.Enter(t.enter); err != nil {
+		return err
+	}
+	defer slot.Leave()
+	err := t.run(ctx, out)
+	if err != nil && !t.ended {
+		t.abandon(ctx, err)
+	}
+	return err
+}
+
+// most is the tokens that the call's answer may hold.
+func most(call *work.Call) int {
+	if call.Prompt == nil {
+		return 0
+	}
+	return call.Prompt.Most
+}
+
+// enter checks the turn against the state and reserves its budget.
+func (t *turn) enter(state *chain.State) error {
+	line, err := state.Line(t.open.Program, t.open.Previous)
+	if err != nil {
+		return err
+	}
+	if err := t.slot.Writable(); err != nil {
+		return err
+	}
+	size := len(t.input)
+	for _, before := range line {
+		size += len(before.Text)
+	}
+	if size > maxChain {
+		return fault.Refuse(fault.TooLarge, "the program's history is too long")
+	}
+	rec, err := state.Start(time.Now(), t.open, t.call.Turn.Budget)
+	if err != nil {
+		return err
+	}
+	t.prompt = make([]byte, 0, size)
+	t.seen = map[string]int{}
+	for _, before := range line {
+		t.prompt = append(t.prompt, before.Text...)
+		if before.Ran != "" {
+			t.seen[before.Ran] = before.Cached
+		}
+	}
+	t.prompt = append(t.prompt, t.input...)
+	t.started = t.slot.QueueLocked([]work.Record{rec})
+	return nil
+}
+
+// abandon ends a turn without a whole answer.
+func (t *turn) abandon(ctx context.Context, err error) {
+	t.log.Info("turns: turn failed", "id", t.call.ID, "program", t.open.Program, "slot", t.slot.Number(), "ran", t.ran,
+		"replica", t.replica, "caller_gone", ctx.Err() == context.Canceled, "after", time.Since(t.call.Arrived), "cause", err)
+	t.counts.Count("turns.failed", 1)
+	if t.ran {
+		t.slot.Change(func(state *chain.State) { state.Break(t.open) })
+		return
+	}
+	var drop work.Record
+	t.slot.Change(func(state *chain.State) { drop = state.Cancel(t.open) })
+	t.slot.Queue([]work.Record{drop})
+}
+
+// run offers the turn to replicas until one runs it.
+func (t *turn) run(ctx context.Context, out work.Answer) error {
+	var avoid []string
+	var last error
+	for range maxSends {
+		lease, err := t.targets.Take(target.Ask{
+			Work: t.route.Name, Services: t.route.Splits, Avoid: avoid, Prompt: t.call.Prompt, Seen: t.seen,
+		})
+		if err != nil {
+			last = err
+			break
+		}
+		avoid = append(avoid, lease.Replica.ID)
+		reply, err := t.offer(ctx, lease)
+		if err == nil {
+			return t.pass(ctx, lease, reply, out)
+		}
+		if t.ran {
+			return err
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	t.counts.Count("turns.no_replica", 1)
+	return fault.Refuse(fault.Overloaded, "no replica took the turn").After(retryAfter).Because(last)
+}
+
+// offer sends the turn to one replica.
+func (t *turn) offer(ctx context.Context, lease *target.Lease) (work.Reply, error) {
+	t.replica, t.cached = lease.Replica.ID, lease.Cached
+	call := *t.call
+	call.Body = t.prompt
+	reply, err := t.sender.Send(ctx, lease, &call, time.Until(call.Deadline))
+	if err != nil {
+		t.ran = !fault.From(err).NotRun
+		lease.Done(outcome(ctx, t.ran), 0)
+		return reply, err
+	}
+	if reply.NotRun {
+		reply.Body.Close()
+		lease.Done(target.Refused, 0)
+		t.counts.Count("turns.replica_refused", 1)
+		return reply, fault.Refuse(fault.Overloaded, "the replica did not run the turn")
+	}
+	t.ran = true
+	return reply, nil
+}
+
+func outcome(ctx context.Context, ran bool) target.Outcome {
+	switch {
+	case !ran:
+		return target.Unreached
+	case ctx.Err() != nil:
+		return target.Dropped
+	default:
+		return target.Broken
+	}
+}
+
+// pass hands the answer on as it comes, and ends it once the log holds it.
+func (t *turn) pass(ctx context.Context, lease *target.Lease, reply work.Reply, out work.Answer) error {
+	defer reply.Body.Close()
+	if err := t.started.Wait(ctx); err != nil {
+		lease.Done(target.Dropped, 0)
+		return err
+	}
+	if reply.Head.Status != http.StatusOK || !reply.Sound {
+		return t.passFailure(lease, reply, out)
+	}
+	collected := events{text: append([]byte(nil), t.input...)}
+	begun := time.Now()
+	if err := t.stream(ctx, reply, out, &collected); err != nil {
+		lease.Done(outcome(ctx, !fault.Is(err, fault.CallerGone)), 0)
+		return err
+	}
+	gap := time.Duration(0)
+	if collected.count > 1 {
+		gap = time.Since(begun) / time.Duration(collected.count-1)
+	}
+	lease.Done(target.Answered, gap)
+	return t.finish(ctx, collected)
+}
+
+// passFailure hands on an answer that is no series of events.
+func (t *turn) passFailure(lease *target.Lease, reply work.Reply, out work.Answer) error {
+	if reply.Head.Status < http.StatusMultipleChoices {
+		lease.Done(target.Broken, 0)
+		return fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
+	}
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxLine))
+	if err != nil {
+		lease.Done(target.Broken, 0)
+		return fault.Fail(fault.TargetFailed, "the answer broke off").Because(err)
+	}
+	lease.Done(target.Answered, 0)
+	t.log.Info("turns: replica failed the turn", "id", t.call.ID, "replica", t.replica, "status", reply.Head.Status)
+	t.slot.Change(func(state *chain.State) { state.Break(t.open) })
+	reply.Head.Length = int64(len(body))
+	if err := out.Begin(reply.Head); err != nil {
+		return nil
+	}
+	_ = out.Write(body) // the caller is gone; the turn has ended either way
+	return nil
+}
+
+// stream copies the answer until its end.
+func (t *turn) stream(ctx context.Context, reply work.Reply, out work.Answer, collected *events) error {
+	buf := make([]byte, 4<<10)
+	begun := false
+	for {
+		n, err := reply.Body.Read(buf)
+		if n > 0 {
+			if !begun {
+				begun = true
+				t.first = time.Since(t.call.Arrived)
+				reply.Head.Length = -1
+				if err := out.Begin(reply.Head); err != nil {
+					return err
+				}
+			}
+			collected.write(buf[:n])
+			if err := out.Write(buf[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil && ctx.Err() != nil {
+			return fault.Fail(fault.TimedOut, "the turn's time ended before its answer").Because(err)
+		}
+		if err != nil {
+			return fault.Fail(fault.TargetFailed, "the answer broke off").Because(err)
+		}
+	}
+}
+
+// finish writes the turn to the log; the answer's end waits for it.
+func (t *turn) finish(ctx context.Context, collected events) error {
+	tokens := collected.count * t.stride
+	var pending *shard.Pending
+	t.slot.Change(func(state *chain.State) {
+		made, recs := state.Finish(time.Now(), t.open, tokens, collected.text)
+		made.Ran = t.replica
+		if t.call.Prompt != nil {
+			made.Cached = t.call.Prompt.Tokens + tokens
+		}
+		pending = t.slot.QueueLocked(recs)
+		t.ended = true
+	})
+	start := time.Now()
+	waitCtx, stop := context.WithTimeout(ctx, confirmWait)
+	defer stop()
+	if err := pending.Wait(waitCtx); err != nil {
+		t.log.Warn("turns: end not confirmed", "id", t.call.ID, "program", t.open.Program, "slot", t.slot.Number(), "cause", err)
+		t.counts.Count("turns.unconfirmed", 1)
+		return fault.Fail(fault.LogUnavailable, "the log does not hold the answer").Because(err)
+	}
+	t.counts.Time("turns.confirm_time", time.Since(start))
+	t.counts.Time("turns.first_event."+t.route.Name, t.first)
+	t.log.Info("turns: turn answered", "id", t.call.ID, "program", t.open.Program, "slot", t.slot.Number(), "replica", t.replica,
+		"cached", t.cached, "events", collected.count, "first", t.first, "confirm", time.Since(start), "took", time.Since(t.call.Arrived))
+	return nil
+}
--- /dev/null
+++ b/gate/work/call.go
@@ -0,0 +1,103 @@
+package work
+
+import (
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+// Replica is a running copy of a service.
+type Replica struct {
+	// ID is new for every start of the replica.
+	ID      string
+	Service string
+	Addr    netip.AddrPort
+	Zone    string
+	// Slots is the number of calls that it works on at once.
+	Slots int
+	// Draining says that it takes no new work.
+	Draining bool
+}
+
+// Call is one attempt of a caller.
+type Call struct {
+	// ID is the caller's name for this attempt; never empty.
+	ID     string
+	Method string
+	Host   string
+	// Target is the path and query as the caller wrote them.
+	Target string
+	// Header holds what travels along unchanged.
+	Header http.Header
+	Body   []byte
+	// Deadline is when the caller stops waiting or the route's timeout ends, whichever is
+	// sooner.
+	Deadline time.Time `json:"-"`
+	// Arrived is when the box had read the call.
+	Arrived time.Time `json:"-"`
+	// Priority is the route's, for replicas that serve urgent calls first.
+	Priority int
+	// Object names what the call is about, for routes with affinity; may be empty.
+	Object string
+	// Prompt describes the prompt of a model call; nil for others.
+	Prompt *Prompt
+	// Turn places a model call in its program; nil for calls outside programs.
+	Turn *Turn
+}
+
+// Prompt is what is known of a model call's prompt before it runs.
+type Prompt struct {
+	// Tokens is the length of the whole prompt; Most bounds the answer.
+	Tokens, Most int
+	// Parts are in the order of the prompt.
+	Parts []Part
+}
+
+// Part is a piece of a prompt that several prompts may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Turn places a call in a program.
+type Turn struct {
+	Program string
+	// Line is one chain of turns of the program; sub-agents have lines of their own.
+	Line string
+	// Previous is the call whose answer this turn goes on from; empty at the start.
+	Previous string
+	// Budget bounds the tokens of all answers of the program; negative if there is no bound.
+	Budget int
+	// Left is the time until the program should be over; zero if untold.
+	Left time.Duration
+}
+
+// Head is the status and the headers of an answer.
+type Head struct {
+	Status int
+	Header http.Header
+	// Length is the number of bytes of the body, or negative if it isn't known before.
+	Length int64
+	// Close says that the connection ends with this answer.
+	Close bool
+}
+
+// Answer takes the answer of a call. Its methods are called from one goroutine.
+type Answer interface {
+	// Begin sends the head. It is called once, before any Write.
+	Begin(head Head) error
+	// Write sends bytes of the body at once.
+	Write(data []byte) error
+}
+
+// Reply is a replica's answer whose head has come.
+type Reply struct {
+	Head Head
+	// NotRun is the replica's word that it did not run the call.
+	NotRun bool
+	// Sound says that the answer carries the replica's proof of origin.
+	Sound bool
+	// Body ends with io.EOF only after the whole answer. Close must be called once.
+	Body io.ReadCloser
+}
--- /dev/null
+++ b/gate/work/config.go
@@ -0,0 +1,128 @@
+package work
+
+import (
+	"strings"
+	"time"
+)
+
+// Kind says how often a call of a route may run.
+type Kind string
+
+// The kinds of routes.
+const (
+	// Repeatable calls may run more than once.
+	Repeatable Kind = "repeatable"
+	// Once calls run at most once for each attempt of the caller.
+	Once Kind = "once"
+	// Stream calls are Once calls whose answer is a series of events.
+	Stream Kind = "stream"
+)
+
+// Split is a share of a route's calls that goes to a service.
+type Split struct {
+	Service string
+	// Weight is relative to the other splits of the route; never negative.
+	Weight int
+}
+
+// Route tells where calls of a host and path prefix go.
+type Route struct {
+	Name string
+	// Host is in lower case, without a port.
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Timeout bounds a call from its arrival to the end of its answer.
+	Timeout time.Duration
+	// Objective is the time to the first byte within which an answer has its full worth.
+	Objective time.Duration
+	// Gap is the longest pause between two events of a stream in time; zero if untold.
+	Gap time.Duration
+	// Priority is 0 for the most urgent calls.
+	Priority int
+	// Splits holds at least one service.
+	Splits []Split
+	// Attempts is the largest number of replicas that one call may be sent to; at least 1.
+	Attempts int
+	// Stateful says that the system keeps the turns of programs on this route.
+	Stateful bool
+	// Retention is how long an answered turn is kept after its end.
+	Retention time.Duration
+	// Affinity says that replicas work faster on objects that they have lately seen.
+	Affinity bool
+}
+
+// Service is a group of replicas that run the same calls.
+type Service struct {
+	Name string
+	// HealthPath is empty where replicas answer no health checks.
+	HealthPath string
+	// Connections bounds the connections that one replica takes from all callers together.
+	Connections int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Engine tells what a model replica can do.
+type Engine struct {
+	// Slots is the largest batch.
+	Slots int
+	// CacheTokens is the memory for prompts and answers, in tokens.
+	CacheTokens int
+	// Stride is the number of tokens in one event of an answer.
+	Stride int
+}
+
+// Limits bound what callers may send and how long they may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the operators' configuration. It is never changed once made.
+type Config struct {
+	Version  int64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+
+	byHost map[string][]*Route
+}
+
+// NewConfig makes a configuration and its index of routes.
+func NewConfig(version int64, routes []Route, services []Service, limits Limits) *Config {
+	conf := &Config{
+		Version: version, Routes: routes, Limits: limits,
+		Services: map[string]Service{}, byHost: map[string][]*Route{},
+	}
+	for _, svc := range services {
+		conf.Services[svc.Name] = svc
+	}
+	for i := range conf.Routes {
+		route := &conf.Routes[i]
+		conf.byHost[route.Host] = append(conf.byHost[route.Host], route)
+	}
+	return conf
+}
+
+// Find returns the host's route with the longest prefix of the path, or nil.
+func (c *Config) Find(host, path string) *Route {
+	var best *Route
+	for _, route := range c.byHost[hostName(host)] {
+		if strings.HasPrefix(path, route.Prefix) && (best == nil || len(route.Prefix) > len(best.Prefix)) {
+			best = route
+		}
+	}
+	return best
+}
+
+// hostName is the host in lower case without its port.
+func hostName(host string) string {
+	if cut := strings.LastIndexByte(host, ':'); cut >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:cut]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/gate/work/record.go
@@ -0,0 +1,58 @@
+package work
+
+import "net/netip"
+
+// Topic is one of the logs that boxes read or write.
+type Topic string
+
+// The topics.
+const (
+	// Turns holds what is kept of programs, by slot.
+	Turns Topic = "turns"
+	// Boxes holds the heartbeats of boxes.
+	Boxes Topic = "boxes"
+	// Settings holds the operators' configuration. Boxes only read it.
+	Settings Topic = "settings"
+	// Replicas holds the list of replicas. Boxes only read it.
+	Replicas Topic = "replicas"
+)
+
+// Shard is one part of a topic with an order of its own.
+type Shard struct {
+	Topic  Topic
+	Number int
+}
+
+// Record is a keyed record of a topic. The newest record of a key is kept for good.
+type Record struct {
+	// Key is 1 to 255 bytes long.
+	Key string
+	// Value is empty where the key is dropped.
+	Value []byte
+}
+
+// Page is a piece of a shard.
+type Page struct {
+	Records []Record
+	// Next is the offset to read from after this page; First the oldest that is kept.
+	Next, First int64
+}
+
+// Writer identifies appends of one owner of a shard.
+type Writer struct {
+	// Epoch fences off owners with a lower one. Zero means an append without an owner.
+	Epoch int64
+	// Number rises by one with every append of the epoch.
+	Number int64
+}
+
+// Box is a box as others see it.
+type Box struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// Peer is where it takes calls of other boxes.
+	Peer netip.AddrPort `json:"peer"`
+	// Incarnation is new for every start.
+	Incarnation string `json:"incarnation"`
+	Leaving     bool   `json:"leaving"`
+}
