gate: one home for each program, turns found in any slot, the log by way of other boxes

Ruled out: zone-bound homes asked one after the other (tried: two budgets after a restart). Change: slot by the program's hash alone; detour calls the log through a peer; NoTurn only once the owners of all slots have said so, each confirmed; failed starts are never refusals. Conclusion: left are a planned stop that cuts a slow turn, and turns refused while the store is away.

--- a/gate/chain/chain.go
+++ b/gate/chain/chain.go
@@ -185,6 +185,33 @@
 	return back, nil
 }
 
+// Find returns the text of the chain that ends with the turn, whatever program it is of.
+func (s *State) Find(id string) ([]byte, bool) {
+	for name, prog := range s.programs {
+		if prog.turns[id] == nil {
+			continue
+		}
+		line, err := s.Line(name, id)
+		if err != nil {
+			return nil, false
+		}
+		var text []byte
+		for _, t := range line {
+			text = append(text, t.Text...)
+		}
+		return text, true
+	}
+	return nil, false
+}
+
+// Import keeps a copy of a turn of another program, with all before it, for a program that
+// goes on from there. Its tokens are the other program's.
+func (s *State) Import(now time.Time, name, id string, text []byte, retention time.Duration) work.Record {
+	t := &Turn{id: id, program: name, keep: now.Add(retention), Text: text}
+	s.keepTurn(t)
+	return turnRecord(t)
+}
+
 // Open is a turn under way.
 type Open struct {
 	ID, Program, Previous string
--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -19,6 +19,9 @@
 	// retryUnknown is the advice given while the owner of a program can't be asked: most of
 	// the time in which another box takes its slot.
 	retryUnknown = time.Second
+	// findWait bounds the question to all boxes for a turn: a round trip between availability
+	// zones, and the log's word where an owner needs it.
+	findWait = 600 * time.Millisecond
 )
 
 // Feed knows the configuration.
@@ -29,12 +32,15 @@
 
 // Boxes tells who should own a slot.
 type Boxes interface {
-	Owner(slot, zone string) (work.Box, bool)
+	Owner(slot string) (work.Box, bool)
+	Live() []work.Box
 }
 
 // Slots holds the slots of this box.
 type Slots interface {
 	Get(ctx context.Context, number int) (*shard.Slot, error)
+	// All returns the slots held.
+	All() []*shard.Slot
 }
 
 // Runner runs turns on slots of this box.
@@ -45,6 +51,8 @@
 // Peers forwards turns to other boxes.
 type Peers interface {
 	Turn(ctx context.Context, box work.Box, slot int, call *work.Call, route *work.Route, out work.Answer) error
+	// Find asks a box for a turn in any of its slots; see Entry.Find.
+	Find(ctx context.Context, box work.Box, turn string) (text []byte, slots []int, err error)
 }
 
 // Relay carries calls outside programs, and the tools of programs.
@@ -107,32 +115,22 @@
 
 // turn runs a turn where its program lives.
 func (e *Entry) turn(ctx context.Context, call *work.Call, route *work.Route, out work.Answer) error {
-	homes := e.layout.Homes(call.Turn.Program, e.self.Zone)
-	if call.Turn.Previous == "" {
-		homes = homes[:1]
-	}
-	var unsure error
-	for _, slot := range homes {
-		err := e.runAt(ctx, slot, call, route, out)
-		switch {
-		case elsewhere(err):
-			continue
-		case unreached(err):
-			unsure = err
-		default:
-			return err
+	home := e.layout.Home(call.Turn.Program)
+	err := e.runAt(ctx, home, call, route, out)
+	if elsewhere(err) {
+		if call.Turn.Base, err = e.find(ctx, call); err == nil {
+			err = e.runAt(ctx, home, call, route, out)
 		}
 	}
-	if unsure == nil {
-		e.log.Info("entry: no such turn", "id", call.ID, "program", call.Turn.Program, "previous", call.Turn.Previous)
-		return fault.Refuse(fault.NoTurn, "the turn to go on from is not kept")
+	if !unreached(err) {
+		return err
 	}
 	e.counts.Count("entry.owner_unknown", 1)
-	e.log.Info("entry: owner not reached", "id", call.ID, "program", call.Turn.Program, "after", time.Since(call.Arrived), "cause", unsure)
-	return fault.Refuse(fault.TurnUnknown, "the owner of the program can't be asked now").After(retryUnknown).Because(unsure)
+	e.log.Info("entry: owner not reached", "id", call.ID, "program", call.Turn.Program, "after", time.Since(call.Arrived), "cause", err)
+	return fault.Refuse(fault.TurnUnknown, "the owner of the program can't be asked now").After(retryUnknown).Because(err)
 }
 
-// elsewhere reports that the program does not live in the slot.
+// elsewhere reports that the owner does not keep the turn to go on from.
 func elsewhere(err error) bool {
 	return fault.Is(err, fault.NoTurn) && fault.From(err).NotRun
 }
@@ -152,7 +150,7 @@
 		if try > 0 && !pause(ctx) {
 			return err
 		}
-		box, ok := e.boxes.Owner(e.layout.Name(slot), e.layout.Zone(slot))
+		box, ok := e.boxes.Owner(e.layout.Name(slot))
 		switch {
 		case !ok:
 			err = fault.Refuse(fault.OwnerUnknown, "no box owns the slot")
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/detour"
 	"mulleingate.dev/gate/entry"
 	"mulleingate.dev/gate/feed"
 	"mulleingate.dev/gate/kernel"
@@ -49,8 +50,6 @@
 // Deps is what a box is made from.
 type Deps struct {
 	Self work.Box
-	// Zones are all availability zones, alike on all boxes.
-	Zones []string
 	// Slots is the number of slots, alike on all boxes.
 	Slots    int
 	Log      Log
@@ -80,19 +79,39 @@
 func New(deps Deps) *Node {
 	n := &Node{deps: deps, kern: kernel.New(deps.Logger), peers: remote.NewClient()}
 	log := deps.Logger
-	layout := shard.NewLayout(deps.Zones, deps.Slots)
+	layout := shard.NewLayout(deps.Slots)
 	n.targets = target.New(deps.Self.Zone, deps.Replicas, log)
-	n.feed = feed.New(deps.Log, deps.Decoder, n.targets, log)
-	n.view = view.New(deps.Self, deps.Log, deps.Timing, log)
-	n.shards = shard.New(deps.Self, layout, deps.Log, n.view, n.peers, deps.Meter, log)
+	reached := detour.New(deps.Log, others{n}, log)
+	n.feed = feed.New(reached, deps.Decoder, n.targets, log)
+	n.view = view.New(deps.Self, reached, deps.Timing, log)
+	n.shards = shard.New(deps.Self, layout, reached, n.view, n.peers, deps.Meter, log)
 	runner := turns.New(n.targets, deps.Replicas, deps.Meter, log)
 	carrier := relay.New(n.targets, deps.Replicas, deps.Meter, log)
 	n.entry = entry.New(deps.Self, layout, n.feed, n.view, n.shards, runner, n.peers, carrier, deps.Meter, log)
-	n.server = remote.NewServer(deps.Self.Peer, n.entry, n.shards, log)
+	n.server = remote.NewServer(deps.Self.Peer, n.entry, n.shards, deps.Log, log)
 	n.view.OnChange(n.boxesChanged)
 	return n
 }
 
+// others are the boxes by whose way the log may be called.
+type others struct{ node *Node }
+
+// Others implements detour.Others.
+func (o others) Others() []work.Box {
+	var boxes []work.Box
+	for _, box := range o.node.view.Live() {
+		if box.Name != o.node.deps.Self.Name {
+			boxes = append(boxes, box)
+		}
+	}
+	return boxes
+}
+
+// Via implements detour.Others.
+func (o others) Via(box work.Box) detour.Log {
+	return o.node.peers.Via(box)
+}
+
 func (n *Node) boxesChanged() {
 	live := n.view.Live()
 	n.targets.Boxes(len(live))
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -17,9 +19,13 @@
 const (
 	turnPath  = "/turn"
 	yieldPath = "/yield"
-	slotParam = "?slot="
+	findPath  = "/find"
+	logPath   = "/log"
 	// connections bounds those to one box: the turns that one box may forward to another.
 	connections = 256
+
+	slotParam = "slot"
+	turnParam = "turn"
 )
 
 // Client calls other boxes.
@@ -125,7 +131,7 @@
 // Handover asks a box to give a slot up, and returns once it has.
 func (c *Client) Handover(ctx context.Context, box work.Box, slot int) error {
 	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{
-		Method: http.MethodPost, Target: yieldPath + slotParam + strconv.Itoa(slot), Host: box.Peer.String(),
+		Method: http.MethodPost, Target: yieldPath + "?" + url.Values{slotParam: {strconv.Itoa(slot)}}.Encode(), Host: box.Peer.String(),
 	})
 	if err != nil {
 		return lost(err)
@@ -137,3 +143,24 @@
 	}
 	return nil
 }
+
+// Find implements entry.Peers.
+func (c *Client) Find(ctx context.Context, box work.Box, turn string) ([]byte, []int, error) {
+	query := url.Values{turnParam: {turn}}
+	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{
+		Method: http.MethodGet, Target: findPath + "?" + query.Encode(), Host: box.Peer.String(),
+	})
+	if err != nil {
+		return nil, nil, lost(err)
+	}
+	defer resp.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp, maxBody))
+	if err != nil {
+		return nil, nil, fault.Fail(fault.PeerLost, "another box's answer broke off").Because(err)
+	}
+	var out findAnswer
+	if err := json.Unmarshal(raw, &out); err != nil {
+		return nil, nil, fault.Fail(fault.Protocol, "another box's answer does not decode").Because(err)
+	}
+	return out.Text, out.Slots, nil
+}
--- a/gate/remote/frame.go
+++ b/gate/remote/frame.go
@@ -30,6 +30,13 @@
 	Problem *fault.Problem `json:"problem,omitempty"`
 }
 
+// findAnswer is the answer to a search for a turn.
+type findAnswer struct {
+	Text []byte `json:"text,omitempty"`
+	// Slots are sure not to keep the turn.
+	Slots []int `json:"slots,omitempty"`
+}
+
 // frame encodes a header with its length before it.
 func frame(header any) ([]byte, error) {
 	raw, err := json.Marshal(header)
--- /dev/null
+++ b/gate/remote/log.go
@@ -0,0 +1,136 @@
+package remote
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/dial"
+	"mulleingate.dev/gate/work"
+)
+
+// Log is the log of the platform.
+type Log interface {
+	Append(ctx context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error
+	Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (next int64, err error)
+	Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error)
+}
+
+// The calls of the log that one box makes for another.
+const (
+	opAppend = "append"
+	opNewest = "newest"
+	opRead   = "read"
+)
+
+// logAsk is a call to the log.
+type logAsk struct {
+	Op      string        `json:"op"`
+	Shard   work.Shard    `json:"shard"`
+	Writer  work.Writer   `json:"writer"`
+	Records []work.Record `json:"records,omitempty"`
+	From    int64         `json:"from,omitempty"`
+	WaitMS  int64         `json:"wait_ms,omitempty"`
+	LimitMS int64         `json:"limit_ms"`
+}
+
+// logAnswer is its result.
+type logAnswer struct {
+	Page    work.Page      `json:"page"`
+	Problem *fault.Problem `json:"problem,omitempty"`
+}
+
+// Via is the log by way of another box.
+type Via struct {
+	client *Client
+	box    work.Box
+}
+
+// Via returns the log by way of the box.
+func (c *Client) Via(box work.Box) Log {
+	return Via{client: c, box: box}
+}
+
+// Append implements Log.
+func (v Via) Append(ctx context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error {
+	_, err := v.call(ctx, logAsk{Op: opAppend, Shard: shard, Writer: writer, Records: recs})
+	return err
+}
+
+// Newest implements Log.
+func (v Via) Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (int64, error) {
+	page, err := v.call(ctx, logAsk{Op: opNewest, Shard: shard})
+	if err != nil {
+		return 0, err
+	}
+	for _, rec := range page.Records {
+		each(rec)
+	}
+	return page.Next, nil
+}
+
+// Read implements Log.
+func (v Via) Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error) {
+	return v.call(ctx, logAsk{Op: opRead, Shard: shard, From: from, WaitMS: wait.Milliseconds()})
+}
+
+func (v Via) call(ctx context.Context, msg logAsk) (work.Page, error) {
+	if end, ok := ctx.Deadline(); ok {
+		msg.LimitMS = time.Until(end).Milliseconds()
+	}
+	raw, err := json.Marshal(msg)
+	if err != nil {
+		return work.Page{}, fault.Refuse(fault.Internal, "call to the log does not encode").Because(err)
+	}
+	addr := v.box.Peer
+	resp, err := v.client.pool(addr).Send(ctx, dial.Request{Method: http.MethodPost, Target: logPath, Host: addr.String(), Body: raw})
+	if err != nil {
+		return work.Page{}, lost(err)
+	}
+	defer resp.Close()
+	raw, err = io.ReadAll(io.LimitReader(resp, maxBody))
+	if err != nil {
+		return work.Page{}, fault.Fail(fault.PeerLost, "another box's answer broke off").Because(err)
+	}
+	var out logAnswer
+	if err := json.Unmarshal(raw, &out); err != nil {
+		return work.Page{}, fault.Fail(fault.Protocol, "another box's answer does not decode").Because(err)
+	}
+	if out.Problem != nil {
+		return work.Page{}, out.Problem.Fault()
+	}
+	return out.Page, nil
+}
+
+// log makes a call to the log for another box.
+func (s *Server) log(w http.ResponseWriter, r *http.Request) {
+	var msg logAsk
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&msg); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ctx, stop := context.WithTimeout(r.Context(), time.Duration(msg.LimitMS)*time.Millisecond)
+	defer stop()
+	var out logAnswer
+	var err error
+	switch msg.Op {
+	case opAppend:
+		err = s.direct.Append(ctx, msg.Shard, msg.Writer, msg.Records)
+	case opNewest:
+		out.Page.Next, err = s.direct.Newest(ctx, msg.Shard, func(rec work.Record) { out.Page.Records = append(out.Page.Records, rec) })
+	case opRead:
+		out.Page, err = s.direct.Read(ctx, msg.Shard, msg.From, time.Duration(msg.WaitMS)*time.Millisecond)
+	default:
+		err = fault.Refuse(fault.BadRequest, "no such call of the log")
+	}
+	if err != nil {
+		problem := fault.From(err).Problem("")
+		out.Problem = &problem
+	}
+	if err := json.NewEncoder(w).Encode(out); err != nil {
+		s.logger.Debug("remote: answer of the log not sent", "cause", err)
+	}
+}
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
 	"net"
@@ -26,6 +27,9 @@
 type Turns interface {
 	// RunHere runs the turn if this box owns the slot.
 	RunHere(ctx context.Context, slot int, call *work.Call, route *work.Route, out work.Answer) error
+	// Find returns the text of the chain that ends with the turn if a slot of this box keeps
+	// it, and otherwise the slots that are sure not to.
+	Find(ctx context.Context, turn string) (text []byte, sure []int)
 }
 
 // Slots gives slots up.
@@ -38,16 +42,20 @@
 	addr   netip.AddrPort
 	turns  Turns
 	slots  Slots
+	direct Log
 	logger *slog.Logger
 	http   *http.Server
 }
 
 // NewServer makes a server that does not listen yet.
-func NewServer(addr netip.AddrPort, turns Turns, slots Slots, logger *slog.Logger) *Server {
-	s := &Server{addr: addr, turns: turns, slots: slots, logger: logger}
+// It calls the log directly for boxes that can't.
+func NewServer(addr netip.AddrPort, turns Turns, slots Slots, direct Log, logger *slog.Logger) *Server {
+	s := &Server{addr: addr, turns: turns, slots: slots, direct: direct, logger: logger}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+turnPath, s.turn)
 	mux.HandleFunc("POST "+yieldPath, s.yield)
+	mux.HandleFunc("GET "+findPath, s.find)
+	mux.HandleFunc("POST "+logPath, s.log)
 	s.http = &http.Server{Handler: mux, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
 	return s
 }
@@ -75,7 +83,7 @@
 }
 
 func (s *Server) yield(w http.ResponseWriter, r *http.Request) {
-	slot, err := strconv.Atoi(r.URL.Query().Get("slot"))
+	slot, err := strconv.Atoi(r.URL.Query().Get(slotParam))
 	if err == nil {
 		err = s.slots.Yield(r.Context(), slot)
 	}
@@ -84,6 +92,14 @@
 	}
 }
 
+func (s *Server) find(w http.ResponseWriter, r *http.Request) {
+	var out findAnswer
+	out.Text, out.Slots = s.turns.Find(r.Context(), r.URL.Query().Get(turnParam))
+	if err := json.NewEncoder(w).Encode(out); err != nil {
+		s.logger.Debug("remote: answer to a search not sent", "cause", err)
+	}
+}
+
 func (s *Server) turn(w http.ResponseWriter, r *http.Request) {
 	out := &reply{w: w, flush: http.NewResponseController(w)}
 	msg, err := readTurn(http.MaxBytesReader(w, r.Body, maxBody))
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -46,9 +46,11 @@
 
 // Boxes tells who lives.
 type Boxes interface {
-	Owner(slot, zone string) (work.Box, bool)
+	Owner(slot string) (work.Box, bool)
 	Find(name, incarnation string) (work.Box, bool)
 	Settled() bool
+	// Fresh reports that no other box can count this one as dead.
+	Fresh() bool
 }
 
 // Peers asks other boxes.
@@ -115,17 +117,22 @@
 	return nil
 }
 
-// Held counts the slots of this box.
-func (s *Shards) Held() int {
+// All returns the slots of this box.
+func (s *Shards) All() []*Slot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
+	var held []*Slot
 	for _, slot := range s.slots {
 		if slot != nil {
-			n++
+			held = append(held, slot)
 		}
 	}
-	return n
+	return held
+}
+
+// Held counts the slots of this box.
+func (s *Shards) Held() int {
+	return len(s.All())
 }
 
 // Rebalance claims the slots that this box should own and does not. It is called when the
@@ -143,7 +150,7 @@
 
 // mine reports whether this box should own the slot.
 func (s *Shards) mine(number int) bool {
-	box, ok := s.boxes.Owner(s.layout.Name(number), s.layout.Zone(number))
+	box, ok := s.boxes.Owner(s.layout.Name(number))
 	return ok && box.Name == s.self.Name
 }
 
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -22,6 +22,8 @@
 	awayAfter = 700 * time.Millisecond
 	// awayRetry is the advice given then: a third of the shortest time that callers have.
 	awayRetry = 900 * time.Millisecond
+	// confirmWait bounds the wait for the log's word on who owns a slot.
+	confirmWait = 400 * time.Millisecond
 )
 
 // batch is what waits for one append.
@@ -89,6 +91,23 @@
 	return nil
 }
 
+// confirmKey is the key of a record that says nothing: it is dropped as it is written.
+const confirmKey = "confirm"
+
+// Confirm returns nil if this box still owns the slot. An owner that was cut off for a
+// while may have missed what another has written since; it asks the log.
+func (s *Slot) Confirm(ctx context.Context) error {
+	if s.shards.boxes.Fresh() {
+		return nil
+	}
+	ctx, stop := context.WithTimeout(ctx, confirmWait)
+	defer stop()
+	if err := s.Write(ctx, []work.Record{{Key: confirmKey}}); err != nil {
+		return fault.Refuse(fault.NotOwner, "the log does not confirm the owner").After(awayRetry).Because(err)
+	}
+	return nil
+}
+
 // Change changes the state in the course of a turn.
 func (s *Slot) Change(do func(state *chain.State)) {
 	s.mu.Lock()
@@ -165,6 +184,9 @@
 			recs = append(recs, b.recs...)
 		}
 		err := s.append(recs)
+		if err != nil {
+			err = lostSlot().Because(err)
+		}
 		s.mu.Lock()
 		s.since = time.Time{}
 		s.mu.Unlock()
@@ -247,7 +269,7 @@
 	s.shards.forget(s)
 }
 
-func lostSlot() error {
+func lostSlot() *fault.Fault {
 	return fault.Fail(fault.NotOwner, "another box owns the slot")
 }
 
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -107,7 +107,12 @@
 
 // enter checks the turn against the state and reserves its budget.
 func (t *turn) enter(state *chain.State) error {
+	var recs []work.Record
 	line, err := state.Line(t.open.Program, t.open.Previous)
+	if fault.Is(err, fault.NoTurn) && t.call.Turn.Base != nil {
+		recs = append(recs, state.Import(time.Now(), t.open.Program, t.open.Previous, t.call.Turn.Base, t.open.Retention))
+		line, err = state.Line(t.open.Program, t.open.Previous)
+	}
 	if err != nil {
 		return err
 	}
@@ -134,7 +139,7 @@
 		}
 	}
 	t.prompt = append(t.prompt, t.input...)
-	t.started = t.slot.QueueLocked([]work.Record{rec})
+	t.started = t.slot.QueueLocked(append(recs, rec))
 	return nil
 }
 
@@ -216,9 +221,11 @@
 // pass hands the answer on as it comes, and ends it once the log holds it.
 func (t *turn) pass(ctx context.Context, lease *target.Lease, reply work.Reply, out work.Answer) error {
 	defer reply.Body.Close()
-	if err := t.started.Wait(ctx); err != nil {
+	startCtx, stop := context.WithTimeout(ctx, confirmWait)
+	defer stop()
+	if err := t.started.Wait(startCtx); err != nil {
 		lease.Done(target.Dropped, 0)
-		return err
+		return fault.Fail(fault.LogUnavailable, "the log does not hold the turn's start").Because(err)
 	}
 	if reply.Head.Status != http.StatusOK || !reply.Sound {
 		return t.passFailure(lease, reply, out)
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -66,6 +66,8 @@
 	next    int64
 	begun   time.Time
 	settled bool
+	// saidAt is when the newest heartbeat was sent that the log has confirmed.
+	saidAt time.Time
 	// readAt is when the log was last read with success.
 	readAt time.Time
 	// live is sorted by name and holds this box too unless it leaves.
@@ -131,22 +133,11 @@
 	return e.Box, ok && e.Incarnation == incarnation
 }
 
-// Owner is the box that should own a slot of the zone: the rendezvous winner among the
-// zone's boxes, or among all if the zone has none.
-func (v *View) Owner(slot, zone string) (work.Box, bool) {
+// Owner is the box that should own a slot: the rendezvous winner among those that live.
+func (v *View) Owner(slot string) (work.Box, bool) {
 	live := v.Live()
-	if box, ok := winner(slot, live, zone); ok {
-		return box, true
-	}
-	return winner(slot, live, "")
-}
-
-func winner(slot string, live []work.Box, zone string) (work.Box, bool) {
 	best, found := -1, uint64(0)
 	for i, box := range live {
-		if zone != "" && box.Zone != zone {
-			continue
-		}
 		if weight := ident.Weight(slot, box.Name); best < 0 || weight > found {
 			best, found = i, weight
 		}
@@ -199,9 +190,22 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, v.timing.Call)
 	defer stop()
-	if err := v.log.Append(ctx, boxes, work.Writer{}, []work.Record{{Key: self.Name, Value: raw}}); err != nil && ctx.Err() != context.Canceled {
+	start := time.Now()
+	err = v.log.Append(ctx, boxes, work.Writer{}, []work.Record{{Key: self.Name, Value: raw}})
+	if err != nil {
 		v.logger.Debug("view: heartbeat not sent", "error", err)
+		return
 	}
+	v.mu.Lock()
+	v.saidAt = start
+	v.mu.Unlock()
+}
+
+// Fresh reports that this box was heard so lately that no other counts it as dead.
+func (v *View) Fresh() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Since(v.saidAt) < v.timing.Dead/2
 }
 
 // listen reads the others' heartbeats.
--- a/gate/work/call.go
+++ b/gate/work/call.go
@@ -71,6 +71,8 @@
 	Budget int
 	// Left is the time until the program should be over; zero if untold.
 	Left time.Duration
+	// Base is the text of the chain up to Previous, where that is a turn of another program.
+	Base []byte `json:",omitempty"`
 }
 
 // Head is the status and the headers of an answer.
