shard: let turns outlive a change of owner, and wait while the log is away

Ruled out: a longer wait at the hand-over, which stalls every new turn of the slot. Change: records of a turn under way go to the next owner; a slot is given up at once; turns are run and their first event held until the log takes the start; a box that reaches neither the log nor half of the boxes is not ready and sends callers elsewhere.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -19,6 +19,8 @@
 	// retryUnknown is the advice given while the owner of a program can't be asked: most of
 	// the time in which another box takes its slot.
 	retryUnknown = time.Second
+	// retryElsewhere is the advice given by a box that is cut off: the next try meets another.
+	retryElsewhere = 100 * time.Millisecond
 	// findWait bounds the question to all boxes for a turn: a round trip between availability
 	// zones, and the log's word where an owner needs it.
 	findWait = 600 * time.Millisecond
@@ -36,6 +38,11 @@
 	Live() []work.Box
 }
 
+// Reach knows whether this box is cut off from the others and from the log.
+type Reach interface {
+	CutOff() bool
+}
+
 // Slots holds the slots of this box.
 type Slots interface {
 	Get(ctx context.Context, number int) (*shard.Slot, error)
@@ -71,6 +78,7 @@
 	layout shard.Layout
 	feed   Feed
 	boxes  Boxes
+	reach  Reach
 	slots  Slots
 	runner Runner
 	peers  Peers
@@ -80,10 +88,10 @@
 }
 
 // New makes an entry.
-func New(self work.Box, layout shard.Layout, feed Feed, boxes Boxes, slots Slots, runner Runner, peers Peers, relay Relay,
+func New(self work.Box, layout shard.Layout, feed Feed, boxes Boxes, reach Reach, slots Slots, runner Runner, peers Peers, relay Relay,
 	counts Counts, log *slog.Logger) *Entry {
 	return &Entry{
-		self: self, layout: layout, feed: feed, boxes: boxes, slots: slots, runner: runner, peers: peers, relay: relay,
+		self: self, layout: layout, feed: feed, boxes: boxes, reach: reach, slots: slots, runner: runner, peers: peers, relay: relay,
 		counts: counts, log: log,
 	}
 }
@@ -115,6 +123,11 @@
 
 // turn runs a turn where its program lives.
 func (e *Entry) turn(ctx context.Context, call *work.Call, route *work.Route, out work.Answer) error {
+	if e.reach.CutOff() {
+		e.counts.Count("entry.cut_off", 1)
+		e.log.Info("entry: turn refused, this box is cut off", "id", call.ID, "program", call.Turn.Program)
+		return fault.Refuse(fault.OwnerUnknown, "this box is cut off from the others").After(retryElsewhere)
+	}
 	home := e.layout.Home(call.Turn.Program)
 	err := e.runAt(ctx, home, call, route, out)
 	if elsewhere(err) {
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -71,6 +71,7 @@
 	peers   *remote.Client
 	targets *target.Targets
 	server  *remote.Server
+	reach   *reach
 	front   Front
 	leaving atomic.Bool
 }
@@ -85,9 +86,10 @@
 	n.feed = feed.New(reached, deps.Decoder, n.targets, log)
 	n.view = view.New(deps.Self, reached, deps.Timing, log)
 	n.shards = shard.New(deps.Self, layout, reached, n.view, n.peers, deps.Meter, log)
+	n.reach = newReach(deps.Self.Name, n.view, n.peers, log)
 	runner := turns.New(n.targets, deps.Replicas, deps.Meter, log)
 	carrier := relay.New(n.targets, deps.Replicas, deps.Meter, log)
-	n.entry = entry.New(deps.Self, layout, n.feed, n.view, n.shards, runner, n.peers, carrier, deps.Meter, log)
+	n.entry = entry.New(deps.Self, layout, n.feed, n.view, n.reach, n.shards, runner, n.peers, carrier, deps.Meter, log)
 	n.server = remote.NewServer(deps.Self.Peer, n.entry, n.shards, deps.Log, log)
 	n.view.OnChange(n.boxesChanged)
 	return n
@@ -129,6 +131,7 @@
 		{Name: "meter", Make: made(n.deps.Meter)},
 		{Name: "feed", Needs: []string{"meter"}, Make: made(n.feed)},
 		{Name: "view", Needs: []string{"meter"}, Make: made(n.view)},
+		{Name: "reach", Needs: []string{"view"}, Make: made(n.reach)},
 		{Name: "peers", Needs: []string{"view", "feed"}, Make: made(n.server)},
 		{Name: "shards", Needs: []string{"peers"}, Make: made(n.shards)},
 		{Name: "front", Needs: []string{"shards"}, Make: made(front)},
@@ -155,7 +158,7 @@
 
 // Ready reports whether callers should be sent here.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.feed.Ready() && n.view.Settled()
+	return !n.leaving.Load() && n.feed.Ready() && n.view.Settled() && !n.reach.CutOff()
 }
 
 // Limits bound what callers may send. They are nil while no configuration is known.
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -21,6 +21,10 @@
 	yieldPath = "/yield"
 	findPath  = "/find"
 	logPath   = "/log"
+	// deliverPath takes records of a turn that began at the owner before; pingPath answers
+	// at once.
+	deliverPath = "/deliver"
+	pingPath    = "/ping"
 	// connections bounds those to one box: the turns that one box may forward to another.
 	connections = 256
 
@@ -164,3 +168,35 @@
 	}
 	return out.Text, out.Slots, nil
 }
+
+// Deliver implements shard.Peers.
+func (c *Client) Deliver(ctx context.Context, box work.Box, slot int, recs []work.Record) error {
+	raw, err := json.Marshal(recs)
+	if err != nil {
+		return fault.Refuse(fault.Internal, "records do not encode").Because(err)
+	}
+	query := url.Values{slotParam: {strconv.Itoa(slot)}}
+	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{
+		Method: http.MethodPost, Target: deliverPath + "?" + query.Encode(), Host: box.Peer.String(), Body: raw,
+	})
+	if err != nil {
+		return lost(err)
+	}
+	defer resp.Close()
+	_, _ = io.Copy(io.Discard, resp) // the status says it all
+	if resp.Status != http.StatusOK {
+		return fault.Fail(fault.PeerLost, "the box does not take the records: status "+strconv.Itoa(resp.Status))
+	}
+	return nil
+}
+
+// Ping reports whether the box answers.
+func (c *Client) Ping(ctx context.Context, box work.Box) bool {
+	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{Method: http.MethodGet, Target: pingPath, Host: box.Peer.String()})
+	if err != nil {
+		return false
+	}
+	defer resp.Close()
+	_, _ = io.Copy(io.Discard, resp) // any answer will do
+	return true
+}
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -35,6 +35,8 @@
 // Slots gives slots up.
 type Slots interface {
 	Yield(ctx context.Context, slot int) error
+	// Deliver writes records of a turn that began at an owner before.
+	Deliver(ctx context.Context, slot int, recs []work.Record) error
 }
 
 // Server takes the calls of other boxes.
@@ -56,6 +58,8 @@
 	mux.HandleFunc("POST "+yieldPath, s.yield)
 	mux.HandleFunc("GET "+findPath, s.find)
 	mux.HandleFunc("POST "+logPath, s.log)
+	mux.HandleFunc("POST "+deliverPath, s.deliver)
+	mux.HandleFunc("GET "+pingPath, func(http.ResponseWriter, *http.Request) {})
 	s.http = &http.Server{Handler: mux, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
 	return s
 }
@@ -92,6 +96,22 @@
 	}
 }
 
+func (s *Server) deliver(w http.ResponseWriter, r *http.Request) {
+	slot, err := strconv.Atoi(r.URL.Query().Get(slotParam))
+	var recs []work.Record
+	if err == nil {
+		err = json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&recs)
+	}
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if err := s.slots.Deliver(r.Context(), slot, recs); err != nil {
+		s.logger.Info("remote: records of another box not written", "slot", slot, "cause", err)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 func (s *Server) find(w http.ResponseWriter, r *http.Request) {
 	var out findAnswer
 	out.Text, out.Slots = s.turns.Find(r.Context(), r.URL.Query().Get(turnParam))
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -17,10 +17,12 @@
 	claimPause = 250 * time.Millisecond
 	// claimWait is how long a call waits for a claim under way.
 	claimWait = 500 * time.Millisecond
-	// drainWait is how long a hand-over waits for turns under way.
-	drainWait = 2500 * time.Millisecond
+	// drainWait is how long a hand-over waits for records on their way to the log.
+	drainWait = time.Second
 	// handoverWait bounds the question to the owner before; it covers drainWait.
-	handoverWait = 3 * time.Second
+	handoverWait = 1500 * time.Millisecond
+	// forwardPause is the time between two tries to give records to the next owner.
+	forwardPause = 100 * time.Millisecond
 	// yieldFor is how long a slot that was handed over is not claimed back: the time in which
 	// the views of two boxes come to agree.
 	yieldFor = 1500 * time.Millisecond
@@ -57,6 +59,8 @@
 type Peers interface {
 	// Handover returns once the box has given the slot up.
 	Handover(ctx context.Context, box work.Box, slot int) error
+	// Deliver returns once the box, as owner of the slot, has written the records.
+	Deliver(ctx context.Context, box work.Box, slot int, recs []work.Record) error
 }
 
 // Counts takes figures.
@@ -102,7 +106,7 @@
 	return nil
 }
 
-// Stop gives all slots up, each once its turns under way have ended.
+// Stop gives all slots up, each once its records are written.
 func (s *Shards) Stop(ctx context.Context) error {
 	s.mu.Lock()
 	s.leaving = true
@@ -238,8 +242,44 @@
 	return nil
 }
 
-// Release gives the slot up once the turns under way have ended and their records are
-// written, or after a bounded time.
+// forward gives records to whoever owns the slot now, until ctx ends.
+func (s *Shards) forward(ctx context.Context, number int, recs []work.Record) error {
+	for {
+		err := s.deliver(ctx, number, recs)
+		if err == nil {
+			s.counts.Count("shard.forwarded", 1)
+			return nil
+		}
+		s.logger.Info("shard: records not given to the next owner", "slot", number, "cause", err)
+		select {
+		case <-time.After(forwardPause):
+		case <-ctx.Done():
+			return fault.Fail(fault.LogUnavailable, "no owner took the records").Because(err)
+		}
+	}
+}
+
+func (s *Shards) deliver(ctx context.Context, number int, recs []work.Record) error {
+	box, ok := s.boxes.Owner(s.layout.Name(number))
+	if !ok {
+		return fault.Refuse(fault.OwnerUnknown, "no box owns the slot")
+	}
+	if box.Name == s.self.Name {
+		return s.Deliver(ctx, number, recs)
+	}
+	return s.peers.Deliver(ctx, box, number, recs)
+}
+
+// Deliver writes records of a turn that began at an owner before, if this box owns the slot.
+func (s *Shards) Deliver(ctx context.Context, number int, recs []work.Record) error {
+	slot, err := s.Get(ctx, number)
+	if err != nil {
+		return err
+	}
+	return slot.take(ctx, recs)
+}
+
+// Release gives the slot up once its records are written, or after a bounded time.
 func (s *Shards) Release(ctx context.Context, number int) {
 	s.mu.Lock()
 	slot := s.slots[number]
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -17,10 +17,8 @@
 	// retryFirst and retryMost bound the pause before an append is sent again.
 	retryFirst = 25 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
-	// awayAfter is how long an append may be under way before new turns are refused. A slow
-	// store answers within it.
-	awayAfter = 700 * time.Millisecond
-	// awayRetry is the advice given then: a third of the shortest time that callers have.
+	// awayRetry is the advice given while the log can't be asked: a third of the shortest
+	// time that callers have.
 	awayRetry = 900 * time.Millisecond
 	// confirmWait bounds the wait for the log's word on who owns a slot.
 	confirmWait = 400 * time.Millisecond
@@ -45,22 +43,15 @@
 	closing bool
 	// lost says that another box has claimed the slot: nothing can be written any more.
 	lost bool
-	// turns counts those under way; idle is signalled when it falls to 0.
-	turns int
-	idle  *sync.Cond
 	// queue is written in its order; the writer runs while it is not empty.
 	queue   []*batch
 	writing bool
-	// since is when the append under way was first sent; zero if there is none.
-	since time.Time
 	// sent is the number of the last append of the epoch.
 	sent int64
 }
 
 func newSlot(s *Shards, number int, epoch int64, state *chain.State) *Slot {
-	slot := &Slot{shards: s, number: number, epoch: epoch, state: state}
-	slot.idle = sync.NewCond(&slot.mu)
-	return slot
+	return &Slot{shards: s, number: number, epoch: epoch, state: state}
 }
 
 // Number is the slot's.
@@ -68,27 +59,14 @@
 	return s.number
 }
 
-// Enter begins a turn: do looks at the state and may change it. Leave must be called
-// after it, if it returns nil.
+// Enter begins a turn: do looks at the state and may change it.
 func (s *Slot) Enter(do func(state *chain.State) error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closing || s.lost {
 		return fault.Refuse(fault.NotOwner, "this box gives the slot up").After(retryAfter)
 	}
-	if err := do(s.state); err != nil {
-		return err
-	}
-	s.turns++
-	return nil
-}
-
-// Writable tells within Enter whether the log takes records.
-func (s *Slot) Writable() error {
-	if !s.since.IsZero() && time.Since(s.since) > awayAfter {
-		return fault.Refuse(fault.LogUnavailable, "the log does not take records").After(awayRetry)
-	}
-	return nil
+	return do(s.state)
 }
 
 // confirmKey is the key of a record that says nothing: it is dropped as it is written.
@@ -115,14 +93,6 @@
 	do(s.state)
 }
 
-// Leave ends a turn.
-func (s *Slot) Leave() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turns--
-	s.idle.Broadcast()
-}
-
 // Queue hands records to the writer. The channel is closed once they are written or can't
 // be; Err then tells which.
 func (s *Slot) Queue(recs []work.Record) *Pending {
@@ -167,6 +137,34 @@
 	}
 }
 
+// Await returns once the records are in the log. Where another box owns the slot by now,
+// it is given the records: a turn that began here may end after the slot has moved.
+func (s *Slot) Await(ctx context.Context, p *Pending) error {
+	err := p.Wait(ctx)
+	if !fault.Is(err, fault.NotOwner) {
+		return err
+	}
+	return s.shards.forward(ctx, s.number, p.batch.recs)
+}
+
+// take adds records of a turn that began at an owner before.
+func (s *Slot) take(ctx context.Context, recs []work.Record) error {
+	s.mu.Lock()
+	if s.closing || s.lost {
+		s.mu.Unlock()
+		return fault.Refuse(fault.NotOwner, "this box gives the slot up").After(retryAfter)
+	}
+	for _, rec := range recs {
+		if err := s.state.Apply(rec); err != nil {
+			s.mu.Unlock()
+			return err
+		}
+	}
+	pending := s.QueueLocked(recs)
+	s.mu.Unlock()
+	return pending.Wait(ctx)
+}
+
 // Write queues records and waits for them.
 func (s *Slot) Write(ctx context.Context, recs []work.Record) error {
 	return s.Queue(recs).Wait(ctx)
@@ -187,9 +185,6 @@
 		if err != nil {
 			err = lostSlot().Because(err)
 		}
-		s.mu.Lock()
-		s.since = time.Time{}
-		s.mu.Unlock()
 		for _, b := range batches {
 			b.err = err
 			close(b.done)
@@ -215,7 +210,6 @@
 	s.queue = s.queue[n:]
 	s.writing = n > 0
 	if size > 0 {
-		s.since = time.Now()
 		s.sent++
 	}
 	return batches
@@ -260,7 +254,6 @@
 	s.lost = true
 	queue := s.queue
 	s.queue = nil
-	s.idle.Broadcast()
 	s.mu.Unlock()
 	for _, b := range queue {
 		b.err = lostSlot()
@@ -273,28 +266,23 @@
 	return fault.Fail(fault.NotOwner, "another box owns the slot")
 }
 
-// close keeps new turns out.
+// close ends the ownership: records that are queued from now on go to the next owner.
 func (s *Slot) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closing = true
+	s.lost = true
 }
 
-// drain keeps new turns out and waits until those under way have ended and all records are
-// written. It reports whether they were.
+// drain keeps new turns out and waits until all records are written that are queued by
+// then. Turns under way go on: what they write later goes to the next owner.
 func (s *Slot) drain(ctx context.Context) bool {
 	ctx, stop := context.WithTimeout(ctx, drainWait)
 	defer stop()
-	wake := context.AfterFunc(ctx, s.idle.Broadcast)
-	defer wake()
 	s.mu.Lock()
 	s.closing = true
-	for s.turns > 0 && !s.lost && ctx.Err() == nil {
-		s.idle.Wait()
-	}
-	whole := s.turns == 0
 	s.mu.Unlock()
-	return s.Write(ctx, nil) == nil && whole
+	return s.Write(ctx, nil) == nil
 }
 
 // sweep drops programs whose time is over.
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -17,8 +17,6 @@
 const (
 	// maxSends bounds the replicas that a turn is offered to.
 	maxSends = 4
-	// confirmWait bounds how long the end of an answer waits for the log.
-	confirmWait = 2500 * time.Millisecond
 	// retryAfter is the advice given when no replica takes a turn.
 	retryAfter = 200 * time.Millisecond
 	// maxChain bounds the text of a chain, in bytes.
@@ -89,7 +87,6 @@
 	if err := slot.Enter(t.enter); err != nil {
 		return err
 	}
-	defer slot.Leave()
 	err := t.run(ctx, out)
 	if err != nil && !t.ended {
 		t.abandon(ctx, err)
@@ -116,9 +113,6 @@
 	if err != nil {
 		return err
 	}
-	if err := t.slot.Writable(); err != nil {
-		return err
-	}
 	size := len(t.input)
 	for _, before := range line {
 		size += len(before.Text)
@@ -221,9 +215,7 @@
 // pass hands the answer on as it comes, and ends it once the log holds it.
 func (t *turn) pass(ctx context.Context, lease *target.Lease, reply work.Reply, out work.Answer) error {
 	defer reply.Body.Close()
-	startCtx, stop := context.WithTimeout(ctx, confirmWait)
-	defer stop()
-	if err := t.started.Wait(startCtx); err != nil {
+	if err := t.slot.Await(ctx, t.started); err != nil {
 		lease.Done(target.Dropped, 0)
 		return fault.Fail(fault.LogUnavailable, "the log does not hold the turn's start").Because(err)
 	}
@@ -312,9 +304,7 @@
 		t.ended = true
 	})
 	start := time.Now()
-	waitCtx, stop := context.WithTimeout(ctx, confirmWait)
-	defer stop()
-	if err := pending.Wait(waitCtx); err != nil {
+	if err := t.slot.Await(ctx, pending); err != nil {
 		t.log.Warn("turns: end not confirmed", "id", t.call.ID, "program", t.open.Program, "slot", t.slot.Number(), "cause", err)
 		t.counts.Count("turns.unconfirmed", 1)
 		return fault.Fail(fault.LogUnavailable, "the log does not hold the answer").Because(err)
