target: weigh prefill above load; view: take slots over only after listening without a break

Change: weights 12 (missing), 20 ms (stream), 3 (pace); a view counts as settled only after 1.9 s without a break in reading; a 404 asks the log about the program's home in any case.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -59,7 +59,7 @@
 type Peers interface {
 	Turn(ctx context.Context, box work.Box, slot int, call *work.Call, route *work.Route, out work.Answer) error
 	// Find asks a box for a turn in any of its slots; see Entry.Find.
-	Find(ctx context.Context, box work.Box, turn string) (text []byte, slots []int, err error)
+	Find(ctx context.Context, box work.Box, turn string, home int) (text []byte, slots []int, err error)
 }
 
 // Relay carries calls outside programs, and the tools of programs.
@@ -131,7 +131,7 @@
 	home := e.layout.Home(call.Turn.Program)
 	err := e.runAt(ctx, home, call, route, out)
 	if elsewhere(err) {
-		if call.Turn.Base, err = e.find(ctx, call); err == nil {
+		if call.Turn.Base, err = e.find(ctx, call, home); err == nil {
 			err = e.runAt(ctx, home, call, route, out)
 		}
 	}
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -158,7 +158,7 @@
 
 // Ready reports whether callers should be sent here.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.feed.Ready() && n.view.Settled() && !n.reach.CutOff()
+	return !n.leaving.Load() && n.feed.Ready() && n.view.Trusted() && !n.reach.CutOff()
 }
 
 // Limits bound what callers may send. They are nil while no configuration is known.
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -149,8 +149,8 @@
 }
 
 // Find implements entry.Peers.
-func (c *Client) Find(ctx context.Context, box work.Box, turn string) ([]byte, []int, error) {
-	query := url.Values{turnParam: {turn}}
+func (c *Client) Find(ctx context.Context, box work.Box, turn string, home int) ([]byte, []int, error) {
+	query := url.Values{turnParam: {turn}, slotParam: {strconv.Itoa(home)}}
 	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{
 		Method: http.MethodGet, Target: findPath + "?" + query.Encode(), Host: box.Peer.String(),
 	})
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -29,7 +29,7 @@
 	RunHere(ctx context.Context, slot int, call *work.Call, route *work.Route, out work.Answer) error
 	// Find returns the text of the chain that ends with the turn if a slot of this box keeps
 	// it, and otherwise the slots that are sure not to.
-	Find(ctx context.Context, turn string) (text []byte, sure []int)
+	Find(ctx context.Context, turn string, home int) (text []byte, sure []int)
 }
 
 // Slots gives slots up.
@@ -114,7 +114,12 @@
 
 func (s *Server) find(w http.ResponseWriter, r *http.Request) {
 	var out findAnswer
-	out.Text, out.Slots = s.turns.Find(r.Context(), r.URL.Query().Get(turnParam))
+	home, err := strconv.Atoi(r.URL.Query().Get(slotParam))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	out.Text, out.Slots = s.turns.Find(r.Context(), r.URL.Query().Get(turnParam), home)
 	if err := json.NewEncoder(w).Encode(out); err != nil {
 		s.logger.Debug("remote: answer to a search not sent", "cause", err)
 	}
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -72,12 +72,14 @@
 // confirmKey is the key of a record that says nothing: it is dropped as it is written.
 const confirmKey = "confirm"
 
-// Confirm returns nil if this box still owns the slot. An owner that was cut off for a
-// while may have missed what another has written since; it asks the log.
+// Fresh reports that no other box can have claimed the slot by what it has heard.
+func (s *Slot) Fresh() bool {
+	return s.shards.boxes.Fresh() && s.shards.boxes.Settled()
+}
+
+// Confirm returns nil once the log has shown that this box still owns the slot. An owner
+// that was cut off for a while may have missed what another has written since.
 func (s *Slot) Confirm(ctx context.Context) error {
-	if s.shards.boxes.Fresh() {
-		return nil
-	}
 	ctx, stop := context.WithTimeout(ctx, confirmWait)
 	defer stop()
 	if err := s.Write(ctx, []work.Record{{Key: confirmKey}}); err != nil {
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -10,11 +10,16 @@
 const (
 	// prefillRate is tokens a millisecond: the slower of the two deployments' engines.
 	prefillRate = 38
-	// streamCost is what one more stream costs a model call over its whole answer: 3% of
-	// some forty steps of 5 ms.
-	streamCost = 6 * time.Millisecond
-	// modelSteps weighs a replica's time between events into the cost of a call.
-	modelSteps = 10
+	// missWeight is how much more than its own time a prefill costs: it delays all that run
+	// there, and it pushes other programs' prompts out of memory. With 1, programs moved about
+	// under load until prefill filled the replicas (docs/decisions/0011).
+	missWeight = 12
+	// streamCost is what one more stream of this box costs a model call; it stands for those of
+	// the other boxes too. Measured together with missWeight.
+	streamCost = 20 * time.Millisecond
+	// modelSteps weighs a replica's time between events into the cost of a call. More makes
+	// programs follow its noise.
+	modelSteps = 3
 	// farCost prices another availability zone: its round trips and the bytes of a chain.
 	farCost = 12 * time.Millisecond
 	// nearTime is how much worse than the best a candidate may be to be drawn, so that boxes
@@ -125,7 +130,7 @@
 	}
 	c.cached = t.cached(now, ask, s)
 	missing := max(0, ask.Prompt.Tokens-c.cached)
-	c.score += time.Duration(float64(missing) / prefillRate * float64(time.Millisecond))
+	c.score += time.Duration(float64(missWeight*missing) / prefillRate * float64(time.Millisecond))
 	c.score += streamCost * time.Duration(s.busy)
 	c.score += time.Duration(s.slow * modelSteps * float64(t.usually(ask.Work)))
 	return c
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -312,6 +312,14 @@
 	t.counts.Time("turns.confirm_time", time.Since(start))
 	t.counts.Time("turns.first_event."+t.route.Name, t.first)
 	t.log.Info("turns: turn answered", "id", t.call.ID, "program", t.open.Program, "slot", t.slot.Number(), "replica", t.replica,
-		"cached", t.cached, "events", collected.count, "first", t.first, "confirm", time.Since(start), "took", time.Since(t.call.Arrived))
+		"prompt", promptTokens(t.call), "cached", t.cached, "events", collected.count, "first", t.first, "confirm", time.Since(start), "took", time.Since(t.call.Arrived))
 	return nil
 }
+
+// promptTokens is the length of the call's prompt, zero if it does not say.
+func promptTokens(call *work.Call) int {
+	if call.Prompt == nil {
+		return 0
+	}
+	return call.Prompt.Tokens
+}
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -22,7 +22,7 @@
 	// Dead is how long a box may be silent, while the log can be read, before it counts as
 	// dead. It covers a few lost heartbeats.
 	Dead time.Duration
-	// Settle is how long a starting box listens before it trusts what it sees.
+	// Settle is how long a box listens without a break before it trusts that it hears all.
 	Settle time.Duration
 	// Call bounds one call to the log.
 	Call time.Duration
@@ -33,7 +33,7 @@
 func Usual() Timing {
 	return Timing{
 		Beat: 700 * time.Millisecond, Look: 400 * time.Millisecond, Dead: 2200 * time.Millisecond,
-		Settle: 1600 * time.Millisecond, Call: time.Second,
+		Settle: 1900 * time.Millisecond, Call: time.Second,
 	}
 }
 
@@ -60,12 +60,15 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
-	mu      sync.Mutex
-	self    work.Box
-	others  map[string]entry
-	next    int64
-	begun   time.Time
+	mu     sync.Mutex
+	self   work.Box
+	others map[string]entry
+	next   int64
+	// since is when the box began to listen without a break.
+	since   time.Time
 	settled bool
+	// trusted is set once the view has settled for the first time.
+	trusted bool
 	// saidAt is when the newest heartbeat was sent that the log has confirmed.
 	saidAt time.Time
 	// readAt is when the log was last read with success.
@@ -91,7 +94,6 @@
 func (v *View) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
-	v.begun = time.Now()
 	v.done.Go(func() { v.beat(ctx) })
 	v.done.Go(func() { v.look(ctx) })
 	return nil
@@ -104,11 +106,19 @@
 	return nil
 }
 
-// Settled reports whether the box has listened long enough to trust its view.
+// Settled reports whether the box has heard the others without a break for long enough to
+// know who lives. Without that it must not take slots over.
 func (v *View) Settled() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.settled
+	return v.settled && time.Since(v.readAt) <= v.timing.Dead/2
+}
+
+// Trusted reports whether the view has settled at least once since the start.
+func (v *View) Trusted() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.trusted
 }
 
 // ReadAge is the time since the log was last read; the view is no newer than that.
@@ -241,6 +251,7 @@
 			e.heard = now
 			v.others[name] = e
 		}
+		v.since = now
 	}
 	v.readAt = now
 	for _, rec := range recs {
@@ -267,9 +278,10 @@
 		}
 	}
 	live := v.list()
-	settled := v.settled || now.Sub(v.begun) >= v.timing.Settle
+	settled := !v.since.IsZero() && now.Sub(v.since) >= v.timing.Settle
 	same := settled == v.settled && equal(live, v.live)
 	v.live, v.settled = live, settled
+	v.trusted = v.trusted || settled
 	v.mu.Unlock()
 	if same {
 		return
