--- a/gate/dial/send.go
+++ b/gate/dial/send.go
@@ -118,7 +118,7 @@
 func (r *Response) read(req Request) error {
 	surplus := false
 	for range maxSurplus {
-		resp, err := http.ReadResponse(r.conn.in, &http.Request{Method: req.Method})
+		resp, err := http.ReadResponse(r.conn.in, &http.Request{Method: req.Method}) //nolint:bodyclose // the connection is cut or given back by Close
 		if err != nil {
 			return err
 		}
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/dial"
 	"mulleingate.dev/gate/work"
@@ -117,7 +119,7 @@
 				return err
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
--- a/gate/work/call.go
+++ b/gate/work/call.go
@@ -100,6 +100,14 @@
 	NotRun bool
 	// Sound says that the answer carries the replica's proof of origin.
 	Sound bool
-	// Body ends with io.EOF only after the whole answer. Close must be called once.
-	Body io.ReadCloser
+	// Body ends with io.EOF only after the whole answer.
+	Body Body
+}
+
+// Body is the body of an answer.
+type Body interface {
+	io.Reader
+	// Close gives the connection back after a whole answer and cuts it otherwise. It must be
+	// called.
+	Close()
 }
--- a/test.sh
+++ b/test.sh
@@ -4,7 +4,7 @@
 # test clock; docs/VERIFICATION.md has the command to run it all the same).
 set -euo pipefail
 cd "$(dirname "$0")"
-for mod in base stand gate ctl bench; do
+for mod in base stand gate ctl platform bench; do
   if [ -z "$(find "$mod" -name '*.go' -print -quit)" ]; then continue; fi
   echo "== $mod"
   (cd "$mod" && go list ./... | grep -v '/gate/proof$' | xargs go test -race -count=1 "$@")
