view: find dead boxes sooner where calls do not reach them

Ruled out: taking a box for dead on a refused connection alone: behind a cut it still writes. Change: a box not reached counts as dead after 1 s of silence; heartbeats every 0.5 s, settling 1.2 s; a cut-off box is found after 0.9 s and tells callers when to come again.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -19,8 +19,6 @@
 	// retryUnknown is the advice given while the owner of a program can't be asked: most of
 	// the time in which another box takes its slot.
 	retryUnknown = time.Second
-	// retryElsewhere is the advice given by a box that is cut off: the next try meets another.
-	retryElsewhere = 100 * time.Millisecond
 	// findWait bounds the question to all boxes for a turn: a round trip between availability
 	// zones, and the log's word where an owner needs it.
 	findWait = 600 * time.Millisecond
@@ -36,11 +34,15 @@
 type Boxes interface {
 	Owner(slot string) (work.Box, bool)
 	Live() []work.Box
+	// Unreached notes that a box could not be reached.
+	Unreached(box work.Box)
 }
 
 // Reach knows whether this box is cut off from the others and from the log.
 type Reach interface {
 	CutOff() bool
+	// Elsewhere is when a caller that comes again is likely to meet a box that is not.
+	Elsewhere() time.Duration
 }
 
 // Slots holds the slots of this box.
@@ -126,7 +128,7 @@
 	if e.reach.CutOff() {
 		e.counts.Count("entry.cut_off", 1)
 		e.log.Info("entry: turn refused, this box is cut off", "id", call.ID, "program", call.Turn.Program)
-		return fault.Refuse(fault.OwnerUnknown, "this box is cut off from the others").After(retryElsewhere)
+		return fault.Refuse(fault.OwnerUnknown, "this box is cut off from the others").After(e.reach.Elsewhere())
 	}
 	home := e.layout.Home(call.Turn.Program)
 	err := e.runAt(ctx, home, call, route, out)
@@ -171,6 +173,9 @@
 			err = e.RunHere(ctx, slot, call, route, out)
 		default:
 			err = e.peers.Turn(ctx, box, slot, call, route, out)
+			if fault.Is(err, fault.PeerLost) && ctx.Err() == nil {
+				e.boxes.Unreached(box)
+			}
 		}
 		if !unreached(err) {
 			return err
--- a/gate/node/reach.go
+++ b/gate/node/reach.go
@@ -12,11 +12,16 @@
 
 const (
 	// reachEvery is the time between two looks, and reachWait bounds one question.
-	reachEvery = 500 * time.Millisecond
+	reachEvery = 300 * time.Millisecond
 	reachWait  = 300 * time.Millisecond
 	// readWithin is how old the last read of the log may be while all is well: a few reads,
 	// each of a slow store.
-	readWithin = 1200 * time.Millisecond
+	readWithin = 900 * time.Millisecond
+	// aloneRetry is the advice of a box that reaches nobody: the next try meets another box.
+	// togetherRetry is that of a box which reaches some: they are cut off as well, and the
+	// balancer needs two questions, a second apart, to send callers elsewhere.
+	aloneRetry    = 100 * time.Millisecond
+	togetherRetry = time.Second
 )
 
 // boxes is the part of the view that a reach uses.
@@ -38,6 +43,8 @@
 	pinger pinger
 	logger *slog.Logger
 	cut    atomic.Bool
+	// alone says that no other box is reached.
+	alone  atomic.Bool
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -51,6 +58,14 @@
 	return r.cut.Load()
 }
 
+// Elsewhere is when a caller that comes again is likely to meet a box that is not cut off.
+func (r *reach) Elsewhere() time.Duration {
+	if r.alone.Load() {
+		return aloneRetry
+	}
+	return togetherRetry
+}
+
 // Start implements a service.
 func (r *reach) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -82,6 +97,7 @@
 	if age := r.boxes.ReadAge(); age > readWithin {
 		reached, all := r.count(ctx)
 		cut = 2*reached < all
+		r.alone.Store(reached <= 1)
 		if cut && !r.cut.Load() {
 			r.logger.Warn("node: cut off", "log_silent", age, "reached", reached, "boxes", all)
 		}
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/chain"
 	"mulleingate.dev/gate/shard"
@@ -278,7 +280,7 @@
 				return err
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil && ctx.Err() != nil {
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -22,6 +22,9 @@
 	// Dead is how long a box may be silent, while the log can be read, before it counts as
 	// dead. It covers a few lost heartbeats.
 	Dead time.Duration
+	// Doubt is how long a box may be silent that could not be reached just now. It is above
+	// Beat and Look together, so that a living box which only this one can't reach is heard.
+	Doubt time.Duration
 	// Settle is how long a box listens without a break before it trusts that it hears all.
 	Settle time.Duration
 	// Call bounds one call to the log.
@@ -29,11 +32,12 @@
 }
 
 // Usual are the intervals used where nothing else is set. A box that dies is found after
-// about 2.5 s; a heartbeat costs a call to the log, so that they are not sent more often.
+// 1.0 to 1.3 s where calls are forwarded to it, and after 2.3 s at the latest. Heartbeats and
+// reads are calls to the log, so that they are not more often.
 func Usual() Timing {
 	return Timing{
-		Beat: 700 * time.Millisecond, Look: 400 * time.Millisecond, Dead: 2200 * time.Millisecond,
-		Settle: 1900 * time.Millisecond, Call: time.Second,
+		Beat: 500 * time.Millisecond, Look: 300 * time.Millisecond, Doubt: time.Second, Dead: 2 * time.Second,
+		Settle: 1200 * time.Millisecond, Call: time.Second,
 	}
 }
 
@@ -64,6 +68,8 @@
 	self   work.Box
 	others map[string]entry
 	next   int64
+	// unreached is when a call to a box last failed.
+	unreached map[string]time.Time
 	// since is when the box began to listen without a break.
 	since   time.Time
 	settled bool
@@ -80,7 +86,7 @@
 
 // New makes a view of a box that has not started.
 func New(self work.Box, log Log, timing Timing, logger *slog.Logger) *View {
-	v := &View{self: self, log: log, timing: timing, logger: logger, others: map[string]entry{}, next: -1}
+	v := &View{self: self, log: log, timing: timing, logger: logger, others: map[string]entry{}, unreached: map[string]time.Time{}, next: -1}
 	v.live = []work.Box{self}
 	return v
 }
@@ -143,6 +149,22 @@
 	return e.Box, ok && e.Incarnation == incarnation
 }
 
+// Unreached notes that a call to the box failed to reach it. A box that is silent as well
+// counts as dead sooner.
+func (v *View) Unreached(box work.Box) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.unreached[box.Name] = time.Now()
+}
+
+// silence is how long the box may be silent.
+func (v *View) silence(name string, now time.Time) time.Duration {
+	if at, ok := v.unreached[name]; ok && now.Sub(at) < v.timing.Doubt {
+		return v.timing.Doubt
+	}
+	return v.timing.Dead
+}
+
 // Owner is the box that should own a slot: the rendezvous winner among those that live.
 func (v *View) Owner(slot string) (work.Box, bool) {
 	live := v.Live()
@@ -272,9 +294,10 @@
 func (v *View) update(now time.Time) {
 	v.mu.Lock()
 	for name, e := range v.others {
-		if now.Sub(e.heard) > v.timing.Dead {
+		if now.Sub(e.heard) > v.silence(name, now) {
 			v.logger.Warn("view: box dead", "box", name, "silent", now.Sub(e.heard))
 			delete(v.others, name)
+			delete(v.unreached, name)
 		}
 	}
 	live := v.list()
