test: units of view, detour, shard, events; a fuzz of owners that believe wrongly

Change: synctest tests of each; a rapid plan over three boxes whose views lie, with a log that is away, loses answers or does appends late, and boxes cut apart.

--- /dev/null
+++ b/gate/detour/detour_test.go
@@ -0,0 +1,159 @@
+package detour
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/work"
+)
+
+// fake is a log that fails in one way.
+type fake struct {
+	mu    sync.Mutex
+	err   error
+	after time.Duration
+	calls int
+}
+
+func (f *fake) call(ctx context.Context) error {
+	f.mu.Lock()
+	f.calls++
+	err, after := f.err, f.after
+	f.mu.Unlock()
+	select {
+	case <-time.After(after):
+		return err
+	case <-ctx.Done():
+		return fault.Fail(fault.LogUnavailable, "no answer")
+	}
+}
+
+func (f *fake) Append(ctx context.Context, _ work.Shard, _ work.Writer, _ []work.Record) error {
+	return f.call(ctx)
+}
+
+func (f *fake) Newest(ctx context.Context, _ work.Shard, each func(work.Record)) (int64, error) {
+	err := f.call(ctx)
+	if err == nil {
+		each(work.Record{Key: "k"})
+	}
+	return 1, err
+}
+
+func (f *fake) Read(ctx context.Context, _ work.Shard, _ int64, _ time.Duration) (work.Page, error) {
+	return work.Page{Next: 7}, f.call(ctx)
+}
+
+// peers are the other boxes with the logs that they reach.
+type peers map[string]*fake
+
+func (p peers) Others() []work.Box {
+	var boxes []work.Box
+	for name := range p {
+		boxes = append(boxes, work.Box{Name: name})
+	}
+	return boxes
+}
+
+func (p peers) Via(box work.Box) Log {
+	return p[box.Name]
+}
+
+var (
+	quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+	gone  = fault.Refuse(fault.LogUnavailable, "away")
+)
+
+func TestWays(t *testing.T) {
+	cases := []struct {
+		name   string
+		direct *fake
+		via    *fake
+		err    fault.Kind
+		within time.Duration
+	}{
+		{"directly", &fake{}, &fake{}, "", time.Millisecond},
+		{"refused directly", &fake{err: gone}, &fake{}, "", time.Millisecond},
+		{"no answer directly", &fake{after: time.Hour}, &fake{}, "", patience},
+		{"slow directly, refused by the other box", &fake{after: 2 * patience}, &fake{err: gone}, "", 2 * patience},
+		{"away for all", &fake{err: gone}, &fake{err: gone}, fault.LogUnavailable, time.Millisecond},
+		{"the log's own word is not asked for again", &fake{err: fault.Refuse(fault.NotOwner, "fenced")}, &fake{}, fault.NotOwner, time.Millisecond},
+		{"the log's own word by the other box", &fake{err: gone}, &fake{err: fault.Refuse(fault.NotOwner, "fenced")}, fault.NotOwner, time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := New(c.direct, peers{"b": c.via}, quiet)
+				ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+				defer stop()
+				start := time.Now()
+				err := d.Append(ctx, work.Shard{}, work.Writer{}, nil)
+				if (c.err == "") != (err == nil) || (err != nil && !fault.Is(err, c.err)) {
+					t.Errorf("fault %v, want %q", err, c.err)
+				}
+				if took := time.Since(start); took > c.within {
+					t.Errorf("took %v", took)
+				}
+			})
+		})
+	}
+}
+
+// TestDetourFirstWhileBad checks that calls do not wait for a log that has just failed, and
+// that the direct way is taken again once it works.
+func TestDetourFirstWhileBad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct, via := &fake{err: gone}, &fake{}
+		d := New(direct, peers{"b": via}, quiet)
+		ctx := context.Background()
+		for range 5 {
+			if _, err := d.Read(ctx, work.Shard{}, 0, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if diff := cmp.Diff([]int{1, 5}, []int{direct.calls, via.calls}); diff != "" {
+			t.Errorf("calls directly and by the other box (-want +got):\n%s", diff)
+		}
+		direct.err = nil
+		time.Sleep(2 * badFor)
+		for range 5 {
+			if _, err := d.Newest(ctx, work.Shard{}, func(work.Record) {}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if diff := cmp.Diff([]int{6, 5}, []int{direct.calls, via.calls}); diff != "" {
+			t.Errorf("calls after the return (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestAwayForAll checks that a fleet without its log does not ask around for every call.
+func TestAwayForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		others := peers{}
+		for _, name := range []string{"b", "c", "d", "e", "f"} {
+			others[name] = &fake{err: gone}
+		}
+		d := New(&fake{err: gone}, others, quiet)
+		for range 50 {
+			if err := d.Append(context.Background(), work.Shard{}, work.Writer{}, nil); !fault.Is(err, fault.LogUnavailable) {
+				t.Fatalf("fault %v", err)
+			}
+		}
+		asked := 0
+		for _, other := range others {
+			asked += other.calls
+		}
+		if asked > 2*hopeless {
+			t.Errorf("%d questions to others", asked)
+		}
+	})
+}
--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -13,9 +13,10 @@
 
 const (
 	// ownerTries bounds how often the owner of a slot is looked up for one call, and
-	// ownerPause is the time between: views come to agree within a heartbeat.
-	ownerTries = 3
-	ownerPause = 150 * time.Millisecond
+	// ownerPause is the time between. A refusal that comes later than a quarter of the time in
+	// which callers want an answer helps nobody; a hand-over is done within it.
+	ownerTries = 2
+	ownerPause = 30 * time.Millisecond
 	// retryUnknown is the advice given while the owner of a program can't be asked: most of
 	// the time in which another box takes its slot.
 	retryUnknown = time.Second
@@ -36,6 +37,8 @@
 	Live() []work.Box
 	// Unreached notes that a box could not be reached.
 	Unreached(box work.Box)
+	// Doubted reports that a box could not be reached a moment ago.
+	Doubted(box work.Box) bool
 }
 
 // Reach knows whether this box is cut off from the others and from the log.
@@ -171,6 +174,8 @@
 			err = fault.Refuse(fault.OwnerUnknown, "no box owns the slot")
 		case box.Name == e.self.Name:
 			err = e.RunHere(ctx, slot, call, route, out)
+		case e.boxes.Doubted(box):
+			return fault.Refuse(fault.PeerLost, "the owner of the slot was not reached a moment ago")
 		default:
 			err = e.peers.Turn(ctx, box, slot, call, route, out)
 			if fault.Is(err, fault.PeerLost) && ctx.Err() == nil {
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -161,6 +162,28 @@
 	return !n.leaving.Load() && n.feed.Ready() && n.view.Trusted() && !n.reach.CutOff()
 }
 
+// Figures writes what the box measures, in the usual text exposition format.
+func (n *Node) Figures(out io.Writer) error {
+	figures := n.deps.Meter
+	figures.Gauge("node.slots", int64(n.shards.Held()))
+	figures.Gauge("node.boxes", int64(len(n.view.Live())))
+	figures.Gauge("node.ready", flag(n.Ready()))
+	figures.Gauge("node.cut_off", flag(n.reach.CutOff()))
+	figures.Gauge("node.log_age_ms", n.view.ReadAge().Milliseconds())
+	figures.Gauge("node.replicas", int64(len(n.targets.Listed())))
+	if conf := n.feed.Config(); conf != nil {
+		figures.Gauge("node.config_version", conf.Version)
+	}
+	return figures.WriteText(out)
+}
+
+func flag(on bool) int64 {
+	if on {
+		return 1
+	}
+	return 0
+}
+
 // Limits bound what callers may send. They are nil while no configuration is known.
 func (n *Node) Limits() *work.Limits {
 	conf := n.feed.Config()
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -251,7 +251,7 @@
 
 // pass hands an answer to the caller.
 func (a *attempts) pass(got whole, out work.Answer) error {
-	a.counts.Time("relay.time."+a.route.Name, time.Since(a.call.Arrived))
+	a.counts.Time("relay.time{class="+a.route.Name+"}", time.Since(a.call.Arrived))
 	if err := out.Begin(got.head); err != nil {
 		got.close(target.Dropped)
 		return err
--- /dev/null
+++ b/gate/shard/fakes_test.go
@@ -0,0 +1,220 @@
+package shard
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/work"
+)
+
+// mode is how the fake log fails.
+type mode int
+
+const (
+	up mode = iota
+	// away refuses all calls.
+	away
+	// lossy does appends and loses their answers.
+	lossy
+	// late does appends a while after it has lost their answers.
+	late
+)
+
+type shardLog struct {
+	recs         []work.Record
+	fence, sent  int64
+	first        int64
+	firstAnswers map[int64]bool
+}
+
+// memLog is a log in memory.
+type memLog struct {
+	mu     sync.Mutex
+	mode   mode
+	shards map[int]*shardLog
+	// fences can be switched off, to see that the tests need them.
+	open bool
+}
+
+func newLog() *memLog {
+	return &memLog{shards: map[int]*shardLog{}}
+}
+
+func (l *memLog) set(m mode) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mode = m
+}
+
+func (l *memLog) shard(number int) *shardLog {
+	s, ok := l.shards[number]
+	if !ok {
+		s = &shardLog{}
+		l.shards[number] = s
+	}
+	return s
+}
+
+func (l *memLog) Append(_ context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error {
+	time.Sleep(4 * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch l.mode {
+	case away:
+		return fault.Refuse(fault.LogUnavailable, "away")
+	case late:
+		time.AfterFunc(700*time.Millisecond, func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			_ = l.append(shard.Number, writer, recs) // nobody hears of it
+		})
+		return fault.Fail(fault.LogUnavailable, "answer lost")
+	}
+	err := l.append(shard.Number, writer, recs)
+	if l.mode == lossy {
+		return fault.Fail(fault.LogUnavailable, "answer lost")
+	}
+	return err
+}
+
+func (l *memLog) append(number int, writer work.Writer, recs []work.Record) error {
+	s := l.shard(number)
+	if !l.open {
+		switch {
+		case writer.Epoch < s.fence:
+			return fault.Refuse(fault.NotOwner, "fenced")
+		case writer.Epoch == s.fence && writer.Number <= s.sent:
+			return nil
+		case writer.Epoch == s.fence && writer.Number != s.sent+1:
+			return fault.Refuse(fault.NotOwner, "sequence")
+		}
+		s.fence, s.sent = writer.Epoch, writer.Number
+	}
+	s.recs = append(s.recs, recs...)
+	return nil
+}
+
+func (l *memLog) Newest(_ context.Context, shard work.Shard, each func(work.Record)) (int64, error) {
+	time.Sleep(4 * time.Millisecond)
+	l.mu.Lock()
+	if l.mode == away {
+		l.mu.Unlock()
+		return 0, fault.Refuse(fault.LogUnavailable, "away")
+	}
+	recs := append([]work.Record(nil), l.shard(shard.Number).recs...)
+	l.mu.Unlock()
+	newest := map[string]int{}
+	for i, rec := range recs {
+		newest[rec.Key] = i
+	}
+	for i, rec := range recs {
+		if newest[rec.Key] == i && len(rec.Value) > 0 {
+			each(rec)
+		}
+	}
+	return int64(len(recs)), nil
+}
+
+func (l *memLog) Read(_ context.Context, shard work.Shard, from int64, _ time.Duration) (work.Page, error) {
+	time.Sleep(4 * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.shard(shard.Number)
+	if l.mode == away {
+		return work.Page{}, fault.Refuse(fault.LogUnavailable, "away")
+	}
+	if from < s.first {
+		return work.Page{}, fault.Refuse(fault.HistoryGone, "gone")
+	}
+	recs := append([]work.Record(nil), s.recs[from:]...)
+	return work.Page{Records: recs, Next: int64(len(s.recs)), First: s.first}, nil
+}
+
+// fleet is boxes whose views may be wrong.
+type fleet struct {
+	mu sync.Mutex
+	// believes is which box each box takes for the owner of all slots.
+	believes map[string]string
+	shards   map[string]*Shards
+	// cut holds boxes that others don't reach.
+	cut map[string]bool
+}
+
+func (f *fleet) owner(box string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.believes[box]
+}
+
+func (f *fleet) believe(box, owner string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.believes[box] = owner
+}
+
+// eyes is the view of one box.
+type eyes struct {
+	fleet *fleet
+	self  string
+}
+
+func (e eyes) Owner(string) (work.Box, bool) {
+	return work.Box{Name: e.fleet.owner(e.self)}, true
+}
+func (e eyes) Find(name, _ string) (work.Box, bool) { return work.Box{Name: name}, true }
+func (e eyes) Settled() bool                        { return true }
+func (e eyes) Fresh() bool                          { return true }
+
+func (e eyes) Handover(ctx context.Context, box work.Box, slot int) error {
+	to, err := e.reach(box)
+	if err != nil {
+		return err
+	}
+	return to.Yield(ctx, slot)
+}
+
+func (e eyes) Deliver(ctx context.Context, box work.Box, slot int, recs []work.Record) error {
+	to, err := e.reach(box)
+	if err != nil {
+		return err
+	}
+	return to.Deliver(ctx, slot, recs)
+}
+
+func (e eyes) reach(box work.Box) (*Shards, error) {
+	time.Sleep(time.Millisecond)
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	if e.fleet.cut[box.Name] || e.fleet.cut[e.self] || e.fleet.shards[box.Name] == nil {
+		return nil, fault.Refuse(fault.PeerLost, "cut")
+	}
+	return e.fleet.shards[box.Name], nil
+}
+
+type noCounts struct{}
+
+func (noCounts) Count(string, int64)        {}
+func (noCounts) Time(string, time.Duration) {}
+
+func newFleet(log Log, slots int, names ...string) *fleet {
+	f := &fleet{believes: map[string]string{}, shards: map[string]*Shards{}, cut: map[string]bool{}}
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	for _, name := range names {
+		f.believes[name] = names[0]
+		eye := eyes{fleet: f, self: name}
+		self := work.Box{Name: name, Incarnation: name + "-1"}
+		f.shards[name] = New(self, NewLayout(slots), log, eye, eye, noCounts{}, quiet)
+	}
+	return f
+}
+
+func (f *fleet) stop() {
+	for _, s := range f.shards {
+		s.cancel()
+		s.done.Wait()
+	}
+}
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -167,7 +167,8 @@
 	if slot == nil && wait == nil && s.mine(number) && s.boxes.Settled() {
 		wait = s.claim(number)
 	}
-	if slot == nil && wait != nil {
+	// Without touch to the log a claim can't end soon; the caller is better off elsewhere.
+	if slot == nil && wait != nil && s.boxes.Settled() {
 		select {
 		case <-wait:
 		case <-time.After(claimWait):
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -312,7 +312,7 @@
 		return fault.Fail(fault.LogUnavailable, "the log does not hold the answer").Because(err)
 	}
 	t.counts.Time("turns.confirm_time", time.Since(start))
-	t.counts.Time("turns.first_event."+t.route.Name, t.first)
+	t.counts.Time("turns.first_event{class="+t.route.Name+"}", t.first)
 	t.log.Info("turns: turn answered", "id", t.call.ID, "program", t.open.Program, "slot", t.slot.Number(), "replica", t.replica,
 		"prompt", promptTokens(t.call), "cached", t.cached, "events", collected.count, "first", t.first, "confirm", time.Since(start), "took", time.Since(t.call.Arrived))
 	return nil
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -157,6 +157,15 @@
 	v.unreached[box.Name] = time.Now()
 }
 
+// Doubted reports that the box could not be reached a moment ago and was not heard since.
+// Another try would keep a caller waiting for nothing.
+func (v *View) Doubted(box work.Box) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	at, ok := v.unreached[box.Name]
+	return ok && time.Since(at) < v.timing.Doubt/2 && v.others[box.Name].heard.Before(at)
+}
+
 // silence is how long the box may be silent.
 func (v *View) silence(name string, now time.Time) time.Duration {
 	if at, ok := v.unreached[name]; ok && now.Sub(at) < v.timing.Doubt {
