--- a/base/fault/fault.go
+++ b/base/fault/fault.go
@@ -15,7 +15,7 @@
 	BadRequest      Kind = "bad_request"
 	BadJSON         Kind = "bad_json"
 	TooLarge        Kind = "body_too_large"
-	Unauthorized    Kind = "unknown_tenant"
+	Unauthorized    Kind = "unknown_workspace"
 	NoProgram       Kind = "no_such_program"
 	TurnConflict    Kind = "turn_conflict"
 	ProgramEnded    Kind = "program_ended"
--- a/base/ident/ident.go
+++ b/base/ident/ident.go
@@ -66,9 +66,9 @@
 	return slot, nil
 }
 
-// KeySlot hashes a tenant's idempotency key onto one of the slots.
-func KeySlot(tenant, key string, slots []Slot) Slot {
-	h := xxhash.Sum64String(tenant + "\x00" + key)
+// KeySlot hashes a workspace's idempotency key onto one of the slots.
+func KeySlot(workspace, key string, slots []Slot) Slot {
+	h := xxhash.Sum64String(workspace + "\x00" + key)
 	return slots[h%uint64(len(slots))]
 }
 
--- a/base/revs/check.go
+++ b/base/revs/check.go
@@ -25,7 +25,7 @@
 func Check(cfg types.Config) error {
 	var c checker
 	c.zones(cfg.Zones)
-	c.tenants(cfg.Tenants)
+	c.workspaces(cfg.Workspaces)
 	c.models(cfg.Models)
 	c.services(cfg.Services)
 	c.defaults(cfg.Defaults)
@@ -66,15 +66,15 @@
 	}
 }
 
-func (c *checker) tenants(tenants []types.Tenant) {
+func (c *checker) workspaces(workspaces []types.Workspace) {
 	seen, hashes := map[string]bool{}, map[string]bool{}
-	for i, tenant := range tenants {
-		c.name(seen, at("tenants", i, "name"), tenant.Name)
-		c.need(tenant.Share >= 0, at("tenants", i, "share"), "negative")
-		for _, hash := range tenant.TokenHashes {
+	for i, workspace := range workspaces {
+		c.name(seen, at("workspaces", i, "name"), workspace.Name)
+		c.need(workspace.Share >= 0, at("workspaces", i, "share"), "negative")
+		for _, hash := range workspace.TokenHashes {
 			raw, err := hex.DecodeString(hash)
-			c.need(err == nil && len(raw) == hashBytes, at("tenants", i, "token_hashes"), "not a SHA-256 sum in hexadecimal")
-			c.need(!hashes[hash], at("tenants", i, "token_hashes"), "stands twice")
+			c.need(err == nil && len(raw) == hashBytes, at("workspaces", i, "token_hashes"), "not a SHA-256 sum in hexadecimal")
+			c.need(!hashes[hash], at("workspaces", i, "token_hashes"), "stands twice")
 			hashes[hash] = true
 		}
 	}
--- a/base/revs/revs_test.go
+++ b/base/revs/revs_test.go
@@ -56,7 +56,7 @@
 	}{
 		{"zones[1].name", func(c *types.Config) { c.Zones[1].Name = c.Zones[0].Name }},
 		{"zones[0].slots", func(c *types.Config) { c.Zones[0].Slots = 0 }},
-		{"tenants[0].token_hashes", func(c *types.Config) { c.Tenants[0].TokenHashes = []string{"zz"} }},
+		{"workspaces[0].token_hashes", func(c *types.Config) { c.Workspaces[0].TokenHashes = []string{"zz"} }},
 		{"services[0].hedge_after", func(c *types.Config) { c.Services[0].HedgeAfter = 1 }},
 		{"defaults.turns", func(c *types.Config) { c.Defaults.Turns = 0 }},
 		{"keys", func(c *types.Config) { c.Keys = nil }},
--- a/base/rules/rules.go
+++ b/base/rules/rules.go
@@ -50,7 +50,7 @@
 }
 
 func placeVars() []cel.EnvOption {
-	names := []string{"tenant", "data_class", "kind", "model", "zone", "region", "target", "use"}
+	names := []string{"workspace", "data_class", "kind", "model", "zone", "region", "target", "use"}
 	opts := make([]cel.EnvOption, 0, len(names))
 	for _, name := range names {
 		opts = append(opts, cel.Variable(name, cel.StringType))
@@ -125,7 +125,7 @@
 
 func run(prog cel.Program, in types.RuleInput) (ref.Val, error) {
 	val, _, err := prog.Eval(map[string]any{
-		"tenant": in.Tenant, "data_class": in.DataClass, "kind": in.Kind, "model": in.Model,
+		"workspace": in.Workspace, "data_class": in.DataClass, "kind": in.Kind, "model": in.Model,
 		"zone": in.Zone, "region": in.Region, "target": in.Target, "use": in.Use,
 		"depth": in.Depth, "turn": in.Turn, "budget": in.Budget,
 	})
--- a/base/sample/sample.go
+++ b/base/sample/sample.go
@@ -28,9 +28,9 @@
 	return k.Operator.Public().(ed25519.PublicKey)
 }
 
-// Token is the bearer token of a tenant in samples.
-func Token(tenant string) string {
-	return "token-" + tenant
+// Token is the bearer token of a workspace in samples.
+func Token(workspace string) string {
+	return "token-" + workspace
 }
 
 // Hash is a bearer token as configuration stores it.
@@ -41,19 +41,19 @@
 
 // Shape says what a sample configuration is for.
 type Shape struct {
-	Region   string
-	Zones    []string
-	Slots    int
-	Tenants  []string
-	Models   []string
-	Services []types.Service
+	Region     string
+	Zones      []string
+	Slots      int
+	Workspaces []string
+	Models     []string
+	Services   []types.Service
 }
 
 // Ghent is the deployment of the two teams who book blood donors.
 func Ghent() Shape {
 	return Shape{
 		Region: "be-central", Zones: []string{"hall-gent", "hall-mechelen", "hall-namur"}, Slots: 4,
-		Tenants: []string{"flanders", "wallonia"}, Models: []string{"planner"},
+		Workspaces: []string{"flanders", "wallonia"}, Models: []string{"planner"},
 		Services: []types.Service{
 			{Name: "booking", ProbePath: "/v1/probe", Price: 50, Timeout: types.Duration(5 * time.Second)},
 			{Name: "calendar", Repeatable: true, Price: 5, Timeout: types.Duration(2 * time.Second), HedgeAfter: types.Duration(200 * time.Millisecond)},
@@ -65,7 +65,7 @@
 func Ndokwa() Shape {
 	return Shape{
 		Region: "ng-south", Zones: []string{"enugu-a", "enugu-b", "onitsha-a", "aba-a"}, Slots: 4,
-		Tenants: []string{"trust", "telco"}, Models: []string{"assistant"},
+		Workspaces: []string{"trust", "telco"}, Models: []string{"assistant"},
 		Services: []types.Service{
 			{Name: "topup", ProbePath: "/v1/probe", Price: 50, Timeout: types.Duration(5 * time.Second)},
 			{Name: "balance", Repeatable: true, Price: 5, Timeout: types.Duration(2 * time.Second), HedgeAfter: types.Duration(200 * time.Millisecond)},
@@ -99,8 +99,8 @@
 	for _, zone := range shape.Zones {
 		cfg.Zones = append(cfg.Zones, types.Zone{Name: zone, Region: shape.Region, Slots: shape.Slots})
 	}
-	for _, tenant := range shape.Tenants {
-		cfg.Tenants = append(cfg.Tenants, types.Tenant{Name: tenant, TokenHashes: []string{Hash(Token(tenant))}})
+	for _, workspace := range shape.Workspaces {
+		cfg.Workspaces = append(cfg.Workspaces, types.Workspace{Name: workspace, TokenHashes: []string{Hash(Token(workspace))}})
 	}
 	for _, model := range shape.Models {
 		cfg.Models = append(cfg.Models, types.Model{Name: model, MinWarm: 1})
--- a/base/seal/doc.go
+++ b/base/seal/doc.go
@@ -1,3 +1,3 @@
 // Package seal encrypts tokens and log content with rotating keys. Content is bound to
-// its tenant by a derived key and to its place by additional data.
+// its workspace by a derived key and to its place by additional data.
 package seal
--- a/base/seal/ring.go
+++ b/base/seal/ring.go
@@ -86,9 +86,9 @@
 	return ring, nil
 }
 
-// Seal encrypts plain for the tenant; place must be given again to open it.
-func (r *Ring) Seal(tenant, place string, plain []byte) ([]byte, error) {
-	aead, err := r.aead(r.current, tenant)
+// Seal encrypts plain for the workspace; place must be given again to open it.
+func (r *Ring) Seal(workspace, place string, plain []byte) ([]byte, error) {
+	aead, err := r.aead(r.current, workspace)
 	if err != nil {
 		return nil, err
 	}
@@ -101,8 +101,8 @@
 	return aead.Seal(out, nonce, plain, []byte(place)), nil
 }
 
-// Open decrypts what Seal made for the same tenant and place.
-func (r *Ring) Open(tenant, place string, sealed []byte) ([]byte, error) {
+// Open decrypts what Seal made for the same workspace and place.
+func (r *Ring) Open(workspace, place string, sealed []byte) ([]byte, error) {
 	if len(sealed) < headerLen || sealed[0] != version {
 		return nil, fault.Refuse(fault.BadContinuation, "unknown sealed format")
 	}
@@ -110,7 +110,7 @@
 	if len(sealed) < end {
 		return nil, fault.Refuse(fault.BadContinuation, "sealed data is cut short")
 	}
-	aead, err := r.aead(string(sealed[headerLen:end]), tenant)
+	aead, err := r.aead(string(sealed[headerLen:end]), workspace)
 	if err != nil {
 		return nil, err
 	}
@@ -126,32 +126,32 @@
 }
 
 // SealText is Seal in URL-safe base64.
-func (r *Ring) SealText(tenant, place string, plain []byte) (string, error) {
-	sealed, err := r.Seal(tenant, place, plain)
+func (r *Ring) SealText(workspace, place string, plain []byte) (string, error) {
+	sealed, err := r.Seal(workspace, place, plain)
 	return base64.RawURLEncoding.EncodeToString(sealed), err
 }
 
 // OpenText is Open for SealText.
-func (r *Ring) OpenText(tenant, place, text string) ([]byte, error) {
+func (r *Ring) OpenText(workspace, place, text string) ([]byte, error) {
 	sealed, err := base64.RawURLEncoding.DecodeString(text)
 	if err != nil {
 		return nil, fault.Refuse(fault.BadContinuation, "continuation is not base64url").Because(err)
 	}
-	return r.Open(tenant, place, sealed)
+	return r.Open(workspace, place, sealed)
 }
 
-func (r *Ring) aead(id, tenant string) (cipher.AEAD, error) {
+func (r *Ring) aead(id, workspace string) (cipher.AEAD, error) {
 	key, ok := r.keys[id]
 	if !ok {
 		return nil, fault.Refuse(fault.BadContinuation, "sealed with an unknown or expired key")
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	name := id + "\x00" + tenant
+	name := id + "\x00" + workspace
 	if aead, ok := r.aeads[name]; ok {
 		return aead, nil
 	}
-	aead, err := derive(key, dataInfo+tenant)
+	aead, err := derive(key, dataInfo+workspace)
 	if err != nil {
 		return nil, err
 	}
--- a/base/seal/seal_test.go
+++ b/base/seal/seal_test.go
@@ -25,7 +25,7 @@
 	return r
 }
 
-func TestOnlyTheSameTenantAndPlaceOpen(t *testing.T) {
+func TestOnlyTheSameWorkspaceAndPlaceOpen(t *testing.T) {
 	r := ring(t, "a", "b")
 	sealed, err := r.Seal("one", "turn p", []byte("text"))
 	if err != nil {
@@ -36,7 +36,7 @@
 		t.Fatalf("got %q, %v", plain, err)
 	}
 	if _, err := r.Open("two", "turn p", sealed); !fault.Is(err, fault.BadContinuation) {
-		t.Errorf("another tenant: %v", err)
+		t.Errorf("another workspace: %v", err)
 	}
 	if _, err := r.Open("one", "turn q", sealed); !fault.Is(err, fault.BadContinuation) {
 		t.Errorf("another place: %v", err)
--- a/base/types/calls.go
+++ b/base/types/calls.go
@@ -60,7 +60,7 @@
 	Continuation string `json:"continuation,omitempty"`
 }
 
-// ProgramState describes a program to its tenant.
+// ProgramState describes a program to its workspace.
 type ProgramState struct {
 	ID           string    `json:"id"`
 	Parent       string    `json:"parent,omitempty"`
--- a/base/types/config.go
+++ b/base/types/config.go
@@ -4,13 +4,13 @@
 
 // Config is one published revision's content.
 type Config struct {
-	Zones    []Zone    `json:"zones"`
-	Tenants  []Tenant  `json:"tenants"`
-	Models   []Model   `json:"models"`
-	Services []Service `json:"services"`
-	Policy   Policy    `json:"policy"`
-	Defaults Defaults  `json:"defaults"`
-	Keys     []DataKey `json:"keys"`
+	Zones      []Zone      `json:"zones"`
+	Workspaces []Workspace `json:"workspaces"`
+	Models     []Model     `json:"models"`
+	Services   []Service   `json:"services"`
+	Policy     Policy      `json:"policy"`
+	Defaults   Defaults    `json:"defaults"`
+	Keys       []DataKey   `json:"keys"`
 }
 
 // Zone is an availability zone.
@@ -21,12 +21,12 @@
 	Slots int `json:"slots"`
 }
 
-// Tenant is a customer of the system.
-type Tenant struct {
+// Workspace is a customer of the system.
+type Workspace struct {
 	Name string `json:"name"`
 	// TokenHashes are hexadecimal SHA-256 sums of the bearer tokens in force.
 	TokenHashes []string `json:"token_hashes"`
-	// Share weighs the tenant in fair queues; 0 means 1.
+	// Share weighs the workspace in fair queues; 0 means 1.
 	Share int `json:"share,omitempty"`
 }
 
@@ -78,7 +78,7 @@
 
 // RuleInput is what policy programs see.
 type RuleInput struct {
-	Tenant    string `json:"tenant"`
+	Workspace string `json:"workspace"`
 	DataClass string `json:"data_class"`
 	Kind      string `json:"kind"`
 	Model     string `json:"model"`
--- a/base/types/record.go
+++ b/base/types/record.go
@@ -44,7 +44,7 @@
 	ID        string    `json:"id"`
 	Root      string    `json:"root"`
 	Parent    string    `json:"parent,omitempty"`
-	Tenant    string    `json:"tenant"`
+	Workspace string    `json:"workspace"`
 	Model     string    `json:"model"`
 	DataClass string    `json:"data_class"`
 	Kind      string    `json:"kind,omitempty"`
@@ -61,11 +61,11 @@
 type Turn struct {
 	Program string `json:"program"`
 	Number  int    `json:"number"`
-	// Digest covers program, tenant, number, content and the digest before it.
+	// Digest covers program, workspace, number, content and the digest before it.
 	Digest []byte `json:"digest"`
 	// Ask is the digest of what the caller sent, to tell a repeat from a conflict.
 	Ask []byte `json:"ask"`
-	// Sealed holds the turn's messages, encrypted with the tenant's key.
+	// Sealed holds the turn's messages, encrypted with the workspace's key.
 	Sealed []byte `json:"sealed"`
 	// Spent is what the whole purse had spent when the turn was answered, in tokens.
 	Spent int64     `json:"spent"`
@@ -96,13 +96,13 @@
 
 // Intent says that a call that may not be repeated is about to be dispatched.
 type Intent struct {
-	Key     string    `json:"key"`
-	Attempt string    `json:"attempt"`
-	Tenant  string    `json:"tenant"`
-	Service string    `json:"service"`
-	Program string    `json:"program,omitempty"`
-	Ask     []byte    `json:"ask"`
-	At      time.Time `json:"at"`
+	Key       string    `json:"key"`
+	Attempt   string    `json:"attempt"`
+	Workspace string    `json:"workspace"`
+	Service   string    `json:"service"`
+	Program   string    `json:"program,omitempty"`
+	Ask       []byte    `json:"ask"`
+	At        time.Time `json:"at"`
 }
 
 // Outcome ends an intent.
@@ -152,7 +152,7 @@
 // Continuation is the content of a sealed continuation token.
 type Continuation struct {
 	Program     string `json:"program"`
-	Tenant      string `json:"tenant"`
+	Workspace   string `json:"workspace"`
 	Turn        int    `json:"turn"`
 	Epoch       int64  `json:"epoch"`
 	Incarnation string `json:"incarnation"`
--- a/bench/cmds/capacity.go
+++ b/bench/cmds/capacity.go
@@ -72,8 +72,8 @@
 		tokenCPU:      slope{name: "processor time per token of a turn", unit: "µs"},
 		restMemory:    slope{name: "memory per program at rest", unit: "KiB"},
 		textMemory:    slope{name: "memory per KiB of history", unit: "KiB"},
-		revisionCPU:   slope{name: "processor time per revision and tenant", unit: "µs"},
-		revisionBytes: slope{name: "bytes per revision and tenant", unit: "B"},
+		revisionCPU:   slope{name: "processor time per revision and workspace", unit: "µs"},
+		revisionBytes: slope{name: "bytes per revision and workspace", unit: "B"},
 	}
 }
 
@@ -295,20 +295,20 @@
 	return nil
 }
 
-// revisions: configurations with growing numbers of tenants, published again and again.
+// revisions: configurations with growing numbers of workspaces, published again and again.
 func (c *capacityCmd) revisions(ctx context.Context, b *builder, all *slopes) error {
-	for _, tenants := range []int{10, 200, 460} {
+	for _, workspaces := range []int{10, 200, 460} {
 		f, err := b.fleet(ctx, want{boxes: 1, engines: 1, edit: quickConfig, shape: func(s *sample.Shape) {
 			oneZone(s)
-			s.Tenants = nil
-			for i := range tenants {
-				s.Tenants = append(s.Tenants, fmt.Sprintf("tenant-%d", i))
+			s.Workspaces = nil
+			for i := range workspaces {
+				s.Workspaces = append(s.Workspaces, fmt.Sprintf("workspace-%d", i))
 			}
 		}})
 		if err != nil {
 			return err
 		}
-		err = c.publish(ctx, f, float64(tenants), all)
+		err = c.publish(ctx, f, float64(workspaces), all)
 		f.Close()
 		if err != nil {
 			return err
@@ -324,7 +324,7 @@
 
 const capacityRevisions = 12
 
-func (c *capacityCmd) publish(ctx context.Context, f *fleet.Fleet, tenants float64, all *slopes) error {
+func (c *capacityCmd) publish(ctx context.Context, f *fleet.Fleet, workspaces float64, all *slopes) error {
 	idleFrom, err := probe.Read(f.PID(0))
 	if err != nil {
 		return err
@@ -350,7 +350,7 @@
 	}
 	spent := after.CPU - before.CPU
 	idle := time.Duration(probe.Between(idleFrom, before).Core * float64(after.At.Sub(before.At)))
-	all.revisionCPU.add(tenants, float64((spent-idle).Microseconds())/capacityRevisions)
-	all.revisionBytes.add(tenants, float64(f.Platform.Log.Stats().Bytes-logged.Bytes)/capacityRevisions)
+	all.revisionCPU.add(workspaces, float64((spent-idle).Microseconds())/capacityRevisions)
+	all.revisionBytes.add(workspaces, float64(f.Platform.Log.Stats().Bytes-logged.Bytes)/capacityRevisions)
 	return nil
 }
--- a/bench/cmds/derive.go
+++ b/bench/cmds/derive.go
@@ -8,15 +8,15 @@
 
 // The letter's sizes.
 const (
-	letterNodes     = 1100
-	letterReplicas  = 3000
-	letterRequests  = 17_000
-	letterTokens    = 8_100_000
-	letterPrograms  = 270_000
-	letterTenants   = 460
-	letterZones     = 9
-	letterRevisions = 4500
-	daySeconds      = 86_400
+	letterNodes      = 1100
+	letterReplicas   = 3000
+	letterRequests   = 17_000
+	letterTokens     = 8_100_000
+	letterPrograms   = 270_000
+	letterWorkspaces = 460
+	letterZones      = 9
+	letterRevisions  = 4500
+	daySeconds       = 86_400
 )
 
 // The settings that the page proposes at that size.
@@ -46,16 +46,16 @@
 	polls := letterBusy/letterPoll + (letterSeen-letterBusy)/letterIdle
 	pollCPU := s.pollCPU.line.Slope * measuredPoll * polls
 	pollBytes := s.pollBytes.line.Slope * measuredPoll * polls
-	perRevision := s.revisionCPU.line.Base + s.revisionCPU.line.Slope*letterTenants
+	perRevision := s.revisionCPU.line.Base + s.revisionCPU.line.Slope*letterWorkspaces
 	revisionCPU := perRevision * letterRevisions / daySeconds / 1e6 * percent
-	revisionSize := s.revisionBytes.line.Base + s.revisionBytes.line.Slope*letterTenants
+	revisionSize := s.revisionBytes.line.Base + s.revisionBytes.line.Slope*letterWorkspaces
 	revisionBytes := 2 * revisionSize * letterRevisions / daySeconds
 	row("heartbeats with 12 peers every 2 s", fmt.Sprintf("%.2f%% of a core, %.0f B/s", beatCPU, beatBytes), "", "peer slopes")
 	row("polls: 4 engines in use every 0.5 s, 28 others every 10 s", fmt.Sprintf("%.2f%% of a core, %.0f B/s", pollCPU, pollBytes), "", "poll slopes")
 	row("measured: idle box of 32 with 32 engines and these settings", fmt.Sprintf("%.2f%% of a core, %.1f KB/s", s.proposed.Core*percent, s.proposed.Bytes/1000), "1.1%, 13 KB/s", "one reading")
 	list := listBytes * listChanges / daySeconds
 	row("the list, sent only when it changed", fmt.Sprintf("%.0f B/s", list), "", "4,100 entries of 110 B, 600 changes a day")
-	row("4,500 revisions a day with 460 tenants", fmt.Sprintf("%.3f%% of a core, %.0f B/s, %.0f ms each", revisionCPU, revisionBytes, perRevision/1000), "", "revision slopes")
+	row("4,500 revisions a day with 460 workspaces", fmt.Sprintf("%.3f%% of a core, %.0f B/s, %.0f ms each", revisionCPU, revisionBytes, perRevision/1000), "", "revision slopes")
 	row("control per node", fmt.Sprintf("%.2f%% of a core", beatCPU+pollCPU+revisionCPU), "1.1%", "sum")
 	row("control per node", fmt.Sprintf("%.1f KB/s", (beatBytes+pollBytes+revisionBytes+list)/1000), "13 KB/s", "sum")
 	perNode := float64(letterPrograms) / letterNodes
--- a/bench/cmds/experiment.go
+++ b/bench/cmds/experiment.go
@@ -207,7 +207,7 @@
 	stop := inject(f, balancer, e.faultName, e.length/3)
 	defer stop()
 	stats := load.Run(ctx, load.Spec{
-		Plans: load.Plans(load.Mix(e.mix), rate, e.length, seed), Tenants: shape.Tenants, Model: shape.Models[0],
+		Plans: load.Plans(load.Mix(e.mix), rate, e.length, seed), Workspaces: shape.Workspaces, Model: shape.Models[0],
 		Look: look, Book: book, Entries: balancer, Deadline: time.Minute,
 	})
 	for key, n := range f.Platform.Effects() {
--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -52,7 +52,7 @@
 
 func play(ctx context.Context, b *fleet.Balancer, plans []load.Plan) *load.Stats {
 	return load.Run(ctx, load.Spec{
-		Plans: plans, Tenants: []string{"flanders", "wallonia"}, Model: "planner", Look: "calendar", Book: "booking",
+		Plans: plans, Workspaces: []string{"flanders", "wallonia"}, Model: "planner", Look: "calendar", Book: "booking",
 		Entries: b, Deadline: 2 * time.Minute,
 	})
 }
--- a/bench/load/run.go
+++ b/bench/load/run.go
@@ -19,9 +19,9 @@
 
 // Spec says what to play.
 type Spec struct {
-	Plans   []Plan
-	Tenants []string
-	Model   string
+	Plans      []Plan
+	Workspaces []string
+	Model      string
 	// Look is a repeatable service, Book one that may not be repeated.
 	Look, Book string
 	Entries    Entries
@@ -47,9 +47,9 @@
 		}
 		group.Go(func() {
 			rng := rand.New(rand.NewPCG(plan.Seed, 11))
-			tenant := spec.Tenants[i%len(spec.Tenants)]
-			c := &caller{http: shared, entries: spec.Entries, token: sample.Token(tenant), rng: rng, stats: stats}
-			player := &player{spec: spec, c: c, plan: plan, stats: stats, tenant: tenant}
+			workspace := spec.Workspaces[i%len(spec.Workspaces)]
+			c := &caller{http: shared, entries: spec.Entries, token: sample.Token(workspace), rng: rng, stats: stats}
+			player := &player{spec: spec, c: c, plan: plan, stats: stats, workspace: workspace}
 			err := player.program(ctx)
 			player.note(err, start)
 		})
@@ -69,12 +69,12 @@
 
 // player plays one program and knows all that it must see.
 type player struct {
-	spec   Spec
-	c      *caller
-	plan   Plan
-	stats  *Stats
-	tenant string
-	booked int
+	spec      Spec
+	c         *caller
+	plan      Plan
+	stats     *Stats
+	workspace string
+	booked    int
 }
 
 // note files how the program ended.
--- a/bench/mutant/list.go
+++ b/bench/mutant/list.go
@@ -47,7 +47,7 @@
 		},
 		{
 			Name: "trust_foreign_token", Promise: "history is never mixed", File: "gate/prog/token.go",
-			Old: "if cont.Tenant != tenant || cont.Program != program {", New: "if false {",
+			Old: "if cont.Workspace != workspace || cont.Program != program {", New: "if false {",
 		},
 		{
 			Name: "no_newer_owner", Promise: "history is never lost", File: "gate/desk/adopt.go",
--- a/ctl/cmds/figures.go
+++ b/ctl/cmds/figures.go
@@ -23,7 +23,7 @@
 
 func (*figures) Aliases() []string { return []string{"figures", "metrics"} }
 func (*figures) Help() string {
-	return "print counters and histograms: budgets, claims, log lag, latency per tenant and class"
+	return "print counters and histograms: budgets, claims, log lag, latency per workspace and class"
 }
 
 func (f *figures) Flags(cmd *cobra.Command) {
--- a/gate/admit/admit.go
+++ b/gate/admit/admit.go
@@ -16,7 +16,7 @@
 // Places says where a use of a program's data is allowed.
 type Places interface {
 	Allowed(in types.RuleInput) bool
-	Share(tenant string) int
+	Share(workspace string) int
 }
 
 // Counts receives figures.
--- a/gate/admit/admit_test.go
+++ b/gate/admit/admit_test.go
@@ -45,7 +45,7 @@
 
 func ask(program string) lease.Ask {
 	return lease.Ask{
-		Input: types.RuleInput{Model: "m", Tenant: "one"}, Program: program, Prompt: 10, Expected: 10,
+		Input: types.RuleInput{Model: "m", Workspace: "one"}, Program: program, Prompt: 10, Expected: 10,
 		Work: route.Work{Started: time.Now(), Arrived: time.Now()}, Deadline: time.Now().Add(time.Minute),
 	}
 }
--- a/gate/admit/engine.go
+++ b/gate/admit/engine.go
@@ -190,7 +190,7 @@
 	e := engines[i]
 	e.mine++
 	tokens := req.ask.Prompt - cands[i].Cached + expected
-	l.fair.used(req.ask.Input.Tenant, int64(tokens))
+	l.fair.used(req.ask.Input.Workspace, int64(tokens))
 	place := &lease.Lease{
 		Target: e.target, Cached: cands[i].Cached, Weighed: weighed, Waited: now.Sub(req.arrived), Rank: req.rank,
 		Started: now, Give: func(p *lease.Lease, res lease.Result) { l.send(finishMsg{lease: p, res: res}) },
--- a/gate/admit/learn.go
+++ b/gate/admit/learn.go
@@ -98,17 +98,17 @@
 	delete(p.last, program)
 }
 
-// fair keeps what each tenant has been given, weighed by its share.
+// fair keeps what each workspace has been given, weighed by its share.
 type fair struct {
 	shares Places
 	spent  map[string]float64
-	// floor is the least any tenant counts as having used, so that one that was idle
+	// floor is the least any workspace counts as having used, so that one that was idle
 	// cannot save its share up.
 	floor float64
 }
 
 const (
-	// quantum is the service, in tokens for a share of 1, below which tenants count as equal.
+	// quantum is the service, in tokens for a share of 1, below which workspaces count as equal.
 	quantum  = 20_000
 	maxSaved = 10 * quantum
 )
@@ -117,8 +117,8 @@
 	return &fair{shares: shares, spent: map[string]float64{}}
 }
 
-func (f *fair) used(tenant string, tokens int64) {
-	f.spent[tenant] = math.Max(f.spent[tenant], f.floor) + float64(tokens)/float64(f.shares.Share(tenant))
+func (f *fair) used(workspace string, tokens int64) {
+	f.spent[workspace] = math.Max(f.spent[workspace], f.floor) + float64(tokens)/float64(f.shares.Share(workspace))
 	most := 0.0
 	for _, used := range f.spent {
 		most = math.Max(most, used)
@@ -126,7 +126,7 @@
 	f.floor = math.Max(f.floor, most-maxSaved)
 }
 
-// level is the tenant's weighed use in quanta; lower goes first.
-func (f *fair) level(tenant string) int64 {
-	return int64(math.Max(f.spent[tenant], f.floor) / quantum)
+// level is the workspace's weighed use in quanta; lower goes first.
+func (f *fair) level(workspace string) int64 {
+	return int64(math.Max(f.spent[workspace], f.floor) / quantum)
 }
--- a/gate/admit/queue.go
+++ b/gate/admit/queue.go
@@ -131,7 +131,7 @@
 // maxMisses bounds the calls looked at in vain in one round.
 const maxMisses = 32
 
-// sortQueue puts starved calls first, then goes by priority, the tenants' fair shares and rank.
+// sortQueue puts starved calls first, then goes by priority, the workspaces' fair shares and rank.
 func (l *Loop) sortQueue(now time.Time) {
 	sort.SliceStable(l.queue, func(i, j int) bool {
 		a, b := l.queue[i], l.queue[j]
@@ -145,7 +145,7 @@
 		if a.ask.Work.Priority != b.ask.Work.Priority {
 			return a.ask.Work.Priority > b.ask.Work.Priority
 		}
-		if at, bt := l.fair.level(a.ask.Input.Tenant), l.fair.level(b.ask.Input.Tenant); at != bt {
+		if at, bt := l.fair.level(a.ask.Input.Workspace), l.fair.level(b.ask.Input.Workspace); at != bt {
 			return at < bt
 		}
 		return a.rank > b.rank
--- a/gate/desk/adopt.go
+++ b/gate/desk/adopt.go
@@ -23,7 +23,7 @@
 	if !ok {
 		prog = begun(begins, cont.Program)
 	}
-	if prog == nil || prog.Begin.Tenant != cont.Tenant {
+	if prog == nil || prog.Begin.Workspace != cont.Workspace {
 		return nil, fault.Refuse(fault.NoProgram, "no such program")
 	}
 	turns, err := tail(prog, cont)
@@ -44,8 +44,8 @@
 func (d *Desk) missing(cont types.Continuation) ([]types.Begin, error) {
 	var out []types.Begin
 	for _, b := range cont.Begins {
-		if b.Tenant != cont.Tenant {
-			return nil, fault.Refuse(fault.BadContinuation, "continuation mixes tenants")
+		if b.Workspace != cont.Workspace {
+			return nil, fault.Refuse(fault.BadContinuation, "continuation mixes workspaces")
 		}
 		if _, ok := d.State.Programs[b.ID]; !ok {
 			out = append(out, b)
@@ -128,7 +128,7 @@
 // Continuation makes the token content for the program's head, or for an earlier turn.
 func (d *Desk) Continuation(prog *types.Program, turn int) types.Continuation {
 	cont := types.Continuation{
-		Program: prog.Begin.ID, Tenant: prog.Begin.Tenant, Turn: turn,
+		Program: prog.Begin.ID, Workspace: prog.Begin.Workspace, Turn: turn,
 		Epoch: d.State.Epoch, Incarnation: d.Incarnation,
 	}
 	if turn > 0 {
--- a/gate/desk/call.go
+++ b/gate/desk/call.go
@@ -45,7 +45,7 @@
 	if !ok {
 		return CallStart{}, false, nil
 	}
-	if key.Intent.Tenant != in.Tenant || key.Intent.Service != in.Service || !bytes.Equal(key.Intent.Ask, in.Ask) {
+	if key.Intent.Workspace != in.Workspace || key.Intent.Service != in.Service || !bytes.Equal(key.Intent.Ask, in.Ask) {
 		return CallStart{}, false, fault.Refuse(fault.KeyReused, "the key belongs to another request")
 	}
 	if key.Outcome != nil && !key.Outcome.Unknown {
@@ -62,7 +62,7 @@
 	if ask.Intent.Program == "" {
 		return "", nil, nil
 	}
-	prog, err := d.Program(ask.Intent.Program, ask.Intent.Tenant)
+	prog, err := d.Program(ask.Intent.Program, ask.Intent.Workspace)
 	if err != nil {
 		return "", nil, err
 	}
--- a/gate/desk/desk.go
+++ b/gate/desk/desk.go
@@ -111,10 +111,10 @@
 	return n, ok
 }
 
-// Program finds a tenant's program. Another tenant's looks absent.
-func (d *Desk) Program(id, tenant string) (*types.Program, error) {
+// Program finds a workspace's program. Another workspace's looks absent.
+func (d *Desk) Program(id, workspace string) (*types.Program, error) {
 	prog, ok := d.State.Programs[id]
-	if !ok || prog.Begin.Tenant != tenant {
+	if !ok || prog.Begin.Workspace != workspace {
 		return nil, fault.Refuse(fault.NoProgram, "no such program")
 	}
 	return prog, nil
--- a/gate/desk/purse_test.go
+++ b/gate/desk/purse_test.go
@@ -82,7 +82,7 @@
 		l.write(recs)
 		return
 	}
-	b := types.Begin{ID: testRoot, Tenant: "one", Budget: testBudget, Deadline: testTime.Add(time.Hour), Limits: types.Limits{Turns: 9}}
+	b := types.Begin{ID: testRoot, Workspace: "one", Budget: testBudget, Deadline: testTime.Add(time.Hour), Limits: types.Limits{Turns: 9}}
 	recs, err := l.desk.Begin(testTime, BeginAsk{Begin: b, Chunk: testChunk})
 	if err != nil {
 		l.t.Fatalf("begin: %v", err)
@@ -95,7 +95,7 @@
 func (l *ledger) start(price int64) {
 	l.begin()
 	l.n++
-	ask := CallAsk{Intent: types.Intent{Key: fmt.Sprint(l.n), Attempt: "a", Tenant: "one", Program: testRoot, At: testTime}, Price: price, Chunk: testChunk}
+	ask := CallAsk{Intent: types.Intent{Key: fmt.Sprint(l.n), Attempt: "a", Workspace: "one", Program: testRoot, At: testTime}, Price: price, Chunk: testChunk}
 	start, recs, err := l.desk.StartCall(testTime, ask)
 	if err != nil {
 		return
@@ -109,7 +109,7 @@
 func (l *ledger) turn(tokens int64) {
 	l.begin()
 	start, recs, err := l.desk.StartTurn(testTime, TurnAsk{
-		Program: testRoot, Tenant: "one", Turn: 1, Ask: []byte("a"), Prompt: 1, MaxTokens: tokens, Chunk: testChunk,
+		Program: testRoot, Workspace: "one", Turn: 1, Ask: []byte("a"), Prompt: 1, MaxTokens: tokens, Chunk: testChunk,
 	})
 	l.write(recs)
 	if err != nil || start.Run == nil {
--- a/gate/desk/sweep_test.go
+++ b/gate/desk/sweep_test.go
@@ -17,7 +17,7 @@
 	d := New(fold.New(), "i")
 	for i := range n {
 		b := types.Begin{
-			ID: fmt.Sprint(i), Tenant: "one", Budget: 100, Created: testTime, Deadline: testTime.Add(time.Hour),
+			ID: fmt.Sprint(i), Workspace: "one", Budget: 100, Created: testTime, Deadline: testTime.Add(time.Hour),
 			Limits: types.Limits{Turns: 9, Depth: 2, FanOut: 2, Idle: types.Duration(time.Minute)},
 		}
 		if _, err := d.Begin(testTime, BeginAsk{Begin: b, Chunk: 10}); err != nil {
@@ -29,7 +29,7 @@
 
 func TestProgramsEndWithTheirReason(t *testing.T) {
 	d := withPrograms(t, 3)
-	child := types.Begin{ID: "c", Parent: "0", Tenant: "one", Created: testTime.Add(50 * time.Second), Deadline: testTime.Add(time.Hour), Limits: types.Limits{Turns: 9}}
+	child := types.Begin{ID: "c", Parent: "0", Workspace: "one", Created: testTime.Add(50 * time.Second), Deadline: testTime.Add(time.Hour), Limits: types.Limits{Turns: 9}}
 	if _, err := d.Begin(testTime.Add(50*time.Second), BeginAsk{Begin: child}); err != nil {
 		t.Fatal(err)
 	}
--- a/gate/desk/turn.go
+++ b/gate/desk/turn.go
@@ -20,7 +20,7 @@
 func (d *Desk) Begin(now time.Time, ask BeginAsk) ([]types.Record, error) {
 	b := ask.Begin
 	if have, ok := d.State.Programs[b.ID]; ok {
-		if have.Begin.Tenant != b.Tenant {
+		if have.Begin.Workspace != b.Workspace {
 			return nil, fault.Refuse(fault.NoProgram, "no such program")
 		}
 		return nil, nil
@@ -30,7 +30,7 @@
 		b.Grant = min(b.Budget, ask.Chunk)
 		return d.begun(b), nil
 	}
-	parent, err := d.Program(b.Parent, b.Tenant)
+	parent, err := d.Program(b.Parent, b.Workspace)
 	if err != nil {
 		return nil, err
 	}
@@ -78,9 +78,9 @@
 
 // TurnAsk asks to run a turn.
 type TurnAsk struct {
-	Program string
-	Tenant  string
-	Turn    int
+	Program   string
+	Workspace string
+	Turn      int
 	// Ask is a digest of what the caller sent.
 	Ask []byte
 	// Prompt is a bound on the prompt, in tokens; MaxTokens is what the caller allows.
@@ -101,7 +101,7 @@
 
 // StartTurn decides on a turn. The caller sets Run.Run before the loop goes on.
 func (d *Desk) StartTurn(now time.Time, ask TurnAsk) (TurnStart, []types.Record, error) {
-	prog, err := d.Program(ask.Program, ask.Tenant)
+	prog, err := d.Program(ask.Program, ask.Workspace)
 	if err != nil {
 		return TurnStart{}, nil, err
 	}
--- a/gate/fold/chain.go
+++ b/gate/fold/chain.go
@@ -20,7 +20,7 @@
 	return prog.Turns[len(prog.Turns)-1].Digest
 }
 
-// Digest chains a turn to the one before it: it covers program, tenant, number, what
+// Digest chains a turn to the one before it: it covers program, workspace, number, what
 // was asked, the sealed content and the digest before.
 func Digest(b types.Begin, t types.Turn, before []byte) []byte {
 	sum := sha256.New()
@@ -29,7 +29,7 @@
 		_, _ = sum.Write(data)
 	}
 	part([]byte(b.ID))
-	part([]byte(b.Tenant))
+	part([]byte(b.Workspace))
 	_ = binary.Write(sum, binary.BigEndian, uint64(t.Number))
 	part(t.Ask)
 	part(t.Sealed)
--- a/gate/fold/fold_test.go
+++ b/gate/fold/fold_test.go
@@ -24,7 +24,7 @@
 }
 
 func begin(epoch, seq int64, id string) types.Entry {
-	b := types.Begin{ID: id, Root: id, Tenant: "one", Budget: 100, Grant: 30, Deadline: time.Unix(1000, 0)}
+	b := types.Begin{ID: id, Root: id, Workspace: "one", Budget: 100, Grant: 30, Deadline: time.Unix(1000, 0)}
 	return types.Entry{Epoch: epoch, Seq: seq, Records: []types.Record{{Begin: &b}}}
 }
 
--- a/gate/front/front.go
+++ b/gate/front/front.go
@@ -22,9 +22,9 @@
 type Programs interface {
 	Begin(ctx context.Context, begin types.Begin, parent string) (types.ProgramState, error)
 	Turn(ctx context.Context, ask prog.TurnAsk) (*prog.Run, error)
-	State(ctx context.Context, tenant, id, token string) (types.ProgramState, error)
-	End(ctx context.Context, tenant, id string) (types.ProgramState, error)
-	Continuation(tenant, program, token string) (*types.Continuation, error)
+	State(ctx context.Context, workspace, id, token string) (types.ProgramState, error)
+	End(ctx context.Context, workspace, id string) (types.ProgramState, error)
+	Continuation(workspace, program, token string) (*types.Continuation, error)
 }
 
 // Calls runs calls of services on this box.
@@ -48,7 +48,7 @@
 
 // Policies is the configuration in force.
 type Policies interface {
-	Tenant(token string) (types.Tenant, error)
+	Workspace(token string) (types.Workspace, error)
 	Ready() error
 	Model(name string) (types.Model, error)
 	Service(name string) (types.Service, error)
@@ -61,7 +61,7 @@
 // Counts receives figures.
 type Counts interface {
 	Count(name string, n int64)
-	Latency(name, tenant, class string, d time.Duration)
+	Latency(name, workspace, class string, d time.Duration)
 }
 
 // Options bound what the front takes.
@@ -131,14 +131,14 @@
 
 // call is one request on its way.
 type call struct {
-	w       http.ResponseWriter
-	r       *http.Request
-	id      string
-	tenant  string
-	peer    bool
-	hop     int
-	body    []byte
-	started time.Time
+	w         http.ResponseWriter
+	r         *http.Request
+	id        string
+	workspace string
+	peer      bool
+	hop       int
+	body      []byte
+	started   time.Time
 	// sent says that part of an answer has been written.
 	sent bool
 }
@@ -169,11 +169,11 @@
 	if err := f.policies.Ready(); err != nil {
 		return err
 	}
-	tenant, err := f.policies.Tenant(bearer(c.r))
+	workspace, err := f.policies.Workspace(bearer(c.r))
 	if err != nil {
 		return err
 	}
-	c.tenant = tenant.Name
+	c.workspace = workspace.Name
 	c.body, err = readBody(c.w, c.r, f.opts)
 	return err
 }
--- a/gate/front/programs.go
+++ b/gate/front/programs.go
@@ -21,7 +21,7 @@
 	if err := c.decode(&body); err != nil {
 		return err
 	}
-	begin, err := f.begin(c.tenant, body)
+	begin, err := f.begin(c.workspace, body)
 	if err != nil {
 		return err
 	}
@@ -42,7 +42,7 @@
 }
 
 // begin checks what both programs and sub-agents ask for.
-func (f *Front) begin(tenant string, body types.NewProgram) (types.Begin, error) {
+func (f *Front) begin(workspace string, body types.NewProgram) (types.Begin, error) {
 	if _, err := f.policies.Model(body.Model); err != nil {
 		return types.Begin{}, err
 	}
@@ -56,7 +56,7 @@
 	def := f.policies.Defaults()
 	now := time.Now()
 	begin := types.Begin{
-		Tenant: tenant, Model: body.Model, DataClass: body.DataClass, Kind: body.Kind, Created: now,
+		Workspace: workspace, Model: body.Model, DataClass: body.DataClass, Kind: body.Kind, Created: now,
 		Deadline: now.Add(time.Duration(shortest(body.Deadline, def.Deadline))),
 		Limits: types.Limits{
 			Turns: least(lim.Turns, def.Turns), Depth: least(lim.Depth, def.Depth),
@@ -94,7 +94,7 @@
 
 func ruleInput(b types.Begin) types.RuleInput {
 	return types.RuleInput{
-		Tenant: b.Tenant, DataClass: b.DataClass, Kind: b.Kind, Model: b.Model, Depth: int64(b.Depth), Budget: b.Budget,
+		Workspace: b.Workspace, DataClass: b.DataClass, Kind: b.Kind, Model: b.Model, Depth: int64(b.Depth), Budget: b.Budget,
 	}
 }
 
@@ -148,7 +148,7 @@
 	if err := c.decode(&body); err != nil {
 		return err
 	}
-	begin, err := f.begin(c.tenant, body)
+	begin, err := f.begin(c.workspace, body)
 	if err != nil {
 		return err
 	}
@@ -185,7 +185,7 @@
 	}
 	token := c.r.URL.Query().Get("continuation")
 	return f.onOwner(c, slot, c.r.URL.RequestURI(), func() error {
-		return f.answer(c, http.StatusOK)(f.programs.State(c.r.Context(), c.tenant, id, token))
+		return f.answer(c, http.StatusOK)(f.programs.State(c.r.Context(), c.workspace, id, token))
 	})
 }
 
@@ -196,7 +196,7 @@
 		return err
 	}
 	return f.onOwner(c, slot, c.r.URL.RequestURI(), func() error {
-		return f.answer(c, http.StatusOK)(f.programs.End(c.r.Context(), c.tenant, id))
+		return f.answer(c, http.StatusOK)(f.programs.End(c.r.Context(), c.workspace, id))
 	})
 }
 
@@ -213,7 +213,7 @@
 	if err != nil {
 		return err
 	}
-	ask := prog.TurnAsk{Program: id, Tenant: c.tenant, Request: c.id, Body: body}
+	ask := prog.TurnAsk{Program: id, Workspace: c.workspace, Request: c.id, Body: body}
 	return f.onOwner(c, slot, PathPrograms+"/"+id+"/turns", func() error {
 		run, err := f.programs.Turn(c.r.Context(), ask)
 		if err != nil {
--- a/gate/front/services.go
+++ b/gate/front/services.go
@@ -23,11 +23,11 @@
 	}
 	path := PathPrograms + "/" + ask.Program + "/calls/" + ask.Service.Name
 	return f.onOwner(c, slot, path, func() error {
-		ask.Adopt, err = f.programs.Continuation(c.tenant, ask.Program, token)
+		ask.Adopt, err = f.programs.Continuation(c.workspace, ask.Program, token)
 		if err != nil {
 			return err
 		}
-		state, err := f.programs.State(c.r.Context(), c.tenant, ask.Program, token)
+		state, err := f.programs.State(c.r.Context(), c.workspace, ask.Program, token)
 		if err != nil {
 			return err
 		}
@@ -48,7 +48,7 @@
 		return f.call(c, ident.Slot{}, ask)
 	}
 	slots := f.policies.Slots()
-	slot := ident.KeySlot(c.tenant, ask.Key, slots)
+	slot := ident.KeySlot(c.workspace, ask.Key, slots)
 	return f.onOwner(c, slot, c.r.URL.RequestURI(), func() error {
 		return f.call(c, slot, ask)
 	})
@@ -71,7 +71,7 @@
 		return plain.Ask{}, "", fault.Refuse(fault.BadRequest, "input is missing")
 	}
 	ask := plain.Ask{
-		Service: svc, Input: types.RuleInput{Tenant: c.tenant}, Key: key, Body: body.Input,
+		Service: svc, Input: types.RuleInput{Workspace: c.workspace}, Key: key, Body: body.Input,
 		Chunk: f.policies.Defaults().GrantChunk,
 	}
 	return ask, body.Continuation, nil
--- a/gate/meter/doc.go
+++ b/gate/meter/doc.go
@@ -1,2 +1,2 @@
-// Package meter counts and times what a box does, with histograms per tenant and class.
+// Package meter counts and times what a box does, with histograms per workspace and class.
 package meter
--- a/gate/meter/meter.go
+++ b/gate/meter/meter.go
@@ -12,7 +12,7 @@
 
 const (
 	sampleSize = 1028
-	// maxNames bounds the figures, whatever tenants and classes callers name.
+	// maxNames bounds the figures, whatever workspaces and classes callers name.
 	maxNames = 4096
 )
 
@@ -59,9 +59,9 @@
 	}
 }
 
-// Latency adds a duration to the histogram of a tenant and class.
-func (m *Meter) Latency(name, tenant, class string, d time.Duration) {
-	m.Time(name+"{tenant="+tenant+",class="+class+"}", d)
+// Latency adds a duration to the histogram of a workspace and class.
+func (m *Meter) Latency(name, workspace, class string, d time.Duration) {
+	m.Time(name+"{workspace="+workspace+",class="+class+"}", d)
 }
 
 func (m *Meter) get(name string, make func() any) any {
--- a/gate/parts/errors_test.go
+++ b/gate/parts/errors_test.go
@@ -48,7 +48,7 @@
 	}{
 		{"bad json", request{"POST", turns(own.ID), token, "", `{"turn":`}, fault.BadJSON},
 		{"oversize body", request{"POST", turns(own.ID), token, "", `"` + strings.Repeat("x", 70<<10) + `"`}, fault.TooLarge},
-		{"unknown tenant", request{"POST", turns(own.ID), "wrong", "", ask}, fault.Unauthorized},
+		{"unknown workspace", request{"POST", turns(own.ID), "wrong", "", ask}, fault.Unauthorized},
 		{"no token", request{"POST", turns(own.ID), "", "", ask}, fault.Unauthorized},
 		{"foreign program", request{"POST", turns(own.ID), sample.Token("wallonia"), "", ask}, fault.NoProgram},
 		{"foreign state", request{"GET", "/v1/programs/" + own.ID, sample.Token("wallonia"), "", ""}, fault.NoProgram},
--- a/gate/peer/peer.go
+++ b/gate/peer/peer.go
@@ -14,7 +14,7 @@
 	"mulleingate.dev/base/wire"
 )
 
-// HopHeader counts how often a request was forwarded; TenantHeader names the tenant that
+// HopHeader counts how often a request was forwarded; WorkspaceHeader names the workspace that
 // the first box has authenticated. Only the listener for boxes honours them.
 const (
 	HopHeader     = "X-Mulleingate-Hop"
--- a/gate/plain/plain.go
+++ b/gate/plain/plain.go
@@ -44,7 +44,7 @@
 type Ask struct {
 	Service types.Service
 	Input   types.RuleInput
-	// Key is empty for calls without one. It is the caller's, within its tenant.
+	// Key is empty for calls without one. It is the caller's, within its workspace.
 	Key     string
 	Program string
 	Body    json.RawMessage
@@ -112,7 +112,7 @@
 
 // scoped is the key as the log and the service see it.
 func scoped(ask Ask) string {
-	return ask.Input.Tenant + "/" + ask.Key
+	return ask.Input.Workspace + "/" + ask.Key
 }
 
 // pay charges a call without an intent before it is sent.
@@ -120,7 +120,7 @@
 	if ask.Program == "" || ask.Service.Price == 0 {
 		return nil
 	}
-	intent := types.Intent{Tenant: ask.Input.Tenant, Program: ask.Program}
+	intent := types.Intent{Workspace: ask.Input.Workspace, Program: ask.Program}
 	price := desk.CallAsk{Intent: intent, Price: ask.Service.Price, Chunk: ask.Chunk}
 	ticket, err := p.owner.Do(ctx, slot, desk.Durable, func(now time.Time, d *desk.Desk) ([]types.Record, error) {
 		adopted, err := adopt(d, ask.Adopt)
@@ -154,7 +154,7 @@
 	_, _ = sum.Write([]byte(ask.Service.Name + "\x00"))
 	_, _ = sum.Write(ask.Body)
 	intent := types.Intent{
-		Key: scoped(ask), Attempt: ident.Random(), Tenant: ask.Input.Tenant, Service: ask.Service.Name,
+		Key: scoped(ask), Attempt: ident.Random(), Workspace: ask.Input.Workspace, Service: ask.Service.Name,
 		Program: ask.Program, Ask: sum.Sum(nil), At: time.Now(),
 	}
 	fl := newFlight(intent.Attempt)
@@ -250,7 +250,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return ring.Seal(ask.Input.Tenant, scoped(ask), out)
+	return ring.Seal(ask.Input.Workspace, scoped(ask), out)
 }
 
 func (p *Plain) stored(ask Ask, out types.Outcome) (types.ServiceAnswer, error) {
@@ -258,7 +258,7 @@
 	if err != nil {
 		return types.ServiceAnswer{}, err
 	}
-	plain, err := ring.Open(ask.Input.Tenant, scoped(ask), out.Sealed)
+	plain, err := ring.Open(ask.Input.Workspace, scoped(ask), out.Sealed)
 	if err != nil {
 		return types.ServiceAnswer{}, fault.Fail(fault.OutcomeUnknown, "the stored answer cannot be opened").Because(err)
 	}
--- a/gate/policy/rules.go
+++ b/gate/policy/rules.go
@@ -57,21 +57,21 @@
 	return 0
 }
 
-// Share is the fair share of a tenant, at least 1.
-func (s *Store) Share(tenant string) int {
+// Share is the fair share of a workspace, at least 1.
+func (s *Store) Share(workspace string) int {
 	if st := s.current.Load(); st != nil {
-		return st.Share(tenant)
+		return st.Share(workspace)
 	}
 	return 1
 }
 
-// Tenant finds the tenant of a bearer token.
-func (s *Store) Tenant(token string) (types.Tenant, error) {
+// Workspace finds the workspace of a bearer token.
+func (s *Store) Workspace(token string) (types.Workspace, error) {
 	st, err := s.Current()
 	if err != nil {
-		return types.Tenant{}, err
+		return types.Workspace{}, err
 	}
-	return st.Tenant(token)
+	return st.Workspace(token)
 }
 
 // Model finds a model.
--- a/gate/policy/state.go
+++ b/gate/policy/state.go
@@ -21,11 +21,11 @@
 	Rules    *rules.Set
 	Ring     *seal.Ring
 
-	slots    []ident.Slot
-	tenants  map[string]types.Tenant
-	models   map[string]types.Model
-	services map[string]types.Service
-	regions  map[string]string
+	slots      []ident.Slot
+	workspaces map[string]types.Workspace
+	models     map[string]types.Model
+	services   map[string]types.Service
+	regions    map[string]string
 	// verdicts keeps place verdicts by input, at most maxVerdicts of them.
 	verdicts sync.Map
 	kept     atomic.Int64
@@ -44,7 +44,7 @@
 		return nil, err
 	}
 	st := &State{
-		Revision: rev, Rules: set, Ring: ring, tenants: map[string]types.Tenant{},
+		Revision: rev, Rules: set, Ring: ring, workspaces: map[string]types.Workspace{},
 		models: map[string]types.Model{}, services: map[string]types.Service{}, regions: map[string]string{},
 	}
 	st.index(cfg)
@@ -58,9 +58,9 @@
 			st.slots = append(st.slots, ident.Slot{Zone: zone.Name, Number: n})
 		}
 	}
-	for _, tenant := range cfg.Tenants {
-		for _, hash := range tenant.TokenHashes {
-			st.tenants[hash] = tenant
+	for _, workspace := range cfg.Workspaces {
+		for _, hash := range workspace.TokenHashes {
+			st.workspaces[hash] = workspace
 		}
 	}
 	for _, model := range cfg.Models {
@@ -71,14 +71,14 @@
 	}
 }
 
-// Tenant finds the tenant of a bearer token.
-func (st *State) Tenant(token string) (types.Tenant, error) {
+// Workspace finds the workspace of a bearer token.
+func (st *State) Workspace(token string) (types.Workspace, error) {
 	sum := sha256.Sum256([]byte(token))
-	tenant, ok := st.tenants[hex.EncodeToString(sum[:])]
+	workspace, ok := st.workspaces[hex.EncodeToString(sum[:])]
 	if !ok {
-		return types.Tenant{}, fault.Refuse(fault.Unauthorized, "the bearer token is not known")
+		return types.Workspace{}, fault.Refuse(fault.Unauthorized, "the bearer token is not known")
 	}
-	return tenant, nil
+	return workspace, nil
 }
 
 // Model finds a model.
@@ -109,13 +109,13 @@
 	return st.slots
 }
 
-// Share is the fair share of a tenant, at least 1.
-func (st *State) Share(tenant string) int {
-	i := slices.IndexFunc(st.Revision.Config.Tenants, func(t types.Tenant) bool { return t.Name == tenant })
+// Share is the fair share of a workspace, at least 1.
+func (st *State) Share(workspace string) int {
+	i := slices.IndexFunc(st.Revision.Config.Workspaces, func(t types.Workspace) bool { return t.Name == workspace })
 	if i < 0 {
 		return 1
 	}
-	return max(1, st.Revision.Config.Tenants[i].Share)
+	return max(1, st.Revision.Config.Workspaces[i].Share)
 }
 
 // Defaults are the configured limits.
--- a/gate/prog/begin.go
+++ b/gate/prog/begin.go
@@ -23,7 +23,7 @@
 	if err := p.placed(input(begin)); err != nil {
 		return types.ProgramState{}, err
 	}
-	cont, err := p.open(begin.Tenant, begin.Parent, parent)
+	cont, err := p.open(begin.Workspace, begin.Parent, parent)
 	if err != nil {
 		return types.ProgramState{}, err
 	}
@@ -41,7 +41,7 @@
 	}
 	p.counts.Count("prog.begun", 1)
 	p.await(ctx, ticket)
-	return p.State(ctx, begin.Tenant, begin.ID, "")
+	return p.State(ctx, begin.Workspace, begin.ID, "")
 }
 
 // await gives the log its short time to confirm; what it has not confirmed by then
@@ -62,12 +62,12 @@
 }
 
 // State describes a program; token may bring what the log does not hold.
-func (p *Prog) State(ctx context.Context, tenant, id, token string) (types.ProgramState, error) {
+func (p *Prog) State(ctx context.Context, workspace, id, token string) (types.ProgramState, error) {
 	slot, err := ident.ProgramSlot(id)
 	if err != nil {
 		return types.ProgramState{}, err
 	}
-	given, err := p.open(tenant, id, token)
+	given, err := p.open(workspace, id, token)
 	if err != nil {
 		return types.ProgramState{}, err
 	}
@@ -78,7 +78,7 @@
 		if err != nil {
 			return nil, err
 		}
-		prog, err := d.Program(id, tenant)
+		prog, err := d.Program(id, workspace)
 		if err != nil {
 			return recs, err
 		}
@@ -105,7 +105,7 @@
 
 // End closes a program and all below it, cancels their runs and frees their caches. It
 // answers once the log holds the end: else a crash could bring the program back.
-func (p *Prog) End(ctx context.Context, tenant, id string) (types.ProgramState, error) {
+func (p *Prog) End(ctx context.Context, workspace, id string) (types.ProgramState, error) {
 	slot, err := ident.ProgramSlot(id)
 	if err != nil {
 		return types.ProgramState{}, err
@@ -113,7 +113,7 @@
 	var state types.ProgramState
 	var ids []string
 	ticket, err := p.owner.Do(ctx, slot, desk.Urgent, func(now time.Time, d *desk.Desk) ([]types.Record, error) {
-		prog, err := d.Program(id, tenant)
+		prog, err := d.Program(id, workspace)
 		if err != nil {
 			return nil, err
 		}
--- a/gate/prog/execute.go
+++ b/gate/prog/execute.go
@@ -162,7 +162,7 @@
 	end, err := p.engines.Run(ctx, place.Target, call, func(ev types.EngineEvent) {
 		if first.IsZero() {
 			first = time.Now()
-			p.counts.Latency("prog.first_token", j.begin.Tenant, j.begin.DataClass, first.Sub(j.started))
+			p.counts.Latency("prog.first_token", j.begin.Workspace, j.begin.DataClass, first.Sub(j.started))
 		}
 		run.add(ev.Text)
 	})
@@ -240,7 +240,7 @@
 		return
 	}
 	p.counts.Count("prog.turns", 1)
-	p.counts.Latency("prog.turn", j.begin.Tenant, j.begin.DataClass, time.Since(j.started))
+	p.counts.Latency("prog.turn", j.begin.Workspace, j.begin.DataClass, time.Since(j.started))
 	p.notes.Note(types.Step{Request: j.ask.Request, Program: j.ask.Program, What: "turn answered"})
 	run.finish(reply(j, content, token), nil)
 }
@@ -266,7 +266,7 @@
 	p.await(ctx, ticket)
 	var cont types.Continuation
 	_, err = p.owner.Do(ctx, j.slot, desk.Finish, func(_ time.Time, d *desk.Desk) ([]types.Record, error) {
-		prog, err := d.Program(j.ask.Program, j.ask.Tenant)
+		prog, err := d.Program(j.ask.Program, j.ask.Workspace)
 		if err != nil || fold.Head(prog) < turn.Number {
 			return nil, fault.Fail(fault.NotOwner, "the program has moved").Because(err)
 		}
--- a/gate/prog/prog.go
+++ b/gate/prog/prog.go
@@ -57,7 +57,7 @@
 type Counts interface {
 	Count(name string, n int64)
 	Time(name string, d time.Duration)
-	Latency(name, tenant, class string, d time.Duration)
+	Latency(name, workspace, class string, d time.Duration)
 }
 
 const (
@@ -183,7 +183,7 @@
 
 func input(b types.Begin) types.RuleInput {
 	return types.RuleInput{
-		Tenant: b.Tenant, DataClass: b.DataClass, Kind: b.Kind, Model: b.Model,
+		Workspace: b.Workspace, DataClass: b.DataClass, Kind: b.Kind, Model: b.Model,
 		Depth: int64(b.Depth), Budget: b.Budget,
 	}
 }
--- a/gate/prog/token.go
+++ b/gate/prog/token.go
@@ -9,7 +9,7 @@
 
 const tokenPlace = "continuation"
 
-// token seals a continuation for its tenant.
+// token seals a continuation for its workspace.
 func (p *Prog) token(cont types.Continuation) (string, error) {
 	ring, err := p.policies.Ring()
 	if err != nil {
@@ -19,11 +19,11 @@
 	if err != nil {
 		return "", fault.Fail(fault.Internal, "continuation does not encode").Because(err)
 	}
-	return ring.SealText(cont.Tenant, tokenPlace, raw)
+	return ring.SealText(cont.Workspace, tokenPlace, raw)
 }
 
-// open reads a token; nil without one. A token of another program or tenant is refused.
-func (p *Prog) open(tenant, program, token string) (*types.Continuation, error) {
+// open reads a token; nil without one. A token of another program or workspace is refused.
+func (p *Prog) open(workspace, program, token string) (*types.Continuation, error) {
 	if token == "" {
 		return nil, nil
 	}
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := ring.OpenText(tenant, tokenPlace, token)
+	raw, err := ring.OpenText(workspace, tokenPlace, token)
 	if err != nil {
 		return nil, err
 	}
@@ -39,15 +39,15 @@
 	if json.Unmarshal(raw, &cont) != nil {
 		return nil, fault.Refuse(fault.BadContinuation, "continuation does not decode")
 	}
-	if cont.Tenant != tenant || cont.Program != program {
+	if cont.Workspace != workspace || cont.Program != program {
 		return nil, fault.Refuse(fault.BadContinuation, "continuation is of another program")
 	}
 	return &cont, nil
 }
 
 // Continuation opens a token for other services.
-func (p *Prog) Continuation(tenant, program, token string) (*types.Continuation, error) {
-	return p.open(tenant, program, token)
+func (p *Prog) Continuation(workspace, program, token string) (*types.Continuation, error) {
+	return p.open(workspace, program, token)
 }
 
 // contentPlace binds sealed content to its program.
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, fault.Fail(fault.Internal, "turn does not encode").Because(err)
 	}
-	return ring.Seal(b.Tenant, contentPlace(b.ID), raw)
+	return ring.Seal(b.Workspace, contentPlace(b.ID), raw)
 }
 
 func (p *Prog) unseal(b types.Begin, turn types.Turn) (types.TurnContent, error) {
@@ -73,7 +73,7 @@
 	if err != nil {
 		return content, err
 	}
-	raw, err := ring.Open(b.Tenant, contentPlace(b.ID), turn.Sealed)
+	raw, err := ring.Open(b.Workspace, contentPlace(b.ID), turn.Sealed)
 	if err != nil {
 		return content, err
 	}
--- a/gate/prog/turn.go
+++ b/gate/prog/turn.go
@@ -15,10 +15,10 @@
 
 // TurnAsk is a call of one turn.
 type TurnAsk struct {
-	Program string
-	Tenant  string
-	Request string
-	Body    types.TurnRequest
+	Program   string
+	Workspace string
+	Request   string
+	Body      types.TurnRequest
 }
 
 // view is what a turn needs of the program, copied out of the slot's memory.
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cont, err := p.open(ask.Tenant, ask.Program, ask.Body.Continuation)
+	cont, err := p.open(ask.Workspace, ask.Program, ask.Body.Continuation)
 	if err != nil {
 		return nil, err
 	}
@@ -60,7 +60,7 @@
 		if err != nil {
 			return nil, err
 		}
-		prog, err := d.Program(ask.Program, ask.Tenant)
+		prog, err := d.Program(ask.Program, ask.Workspace)
 		if err != nil {
 			return recs, err
 		}
@@ -135,7 +135,7 @@
 		var recs []types.Record
 		var err error
 		start, recs, err = d.StartTurn(now, desk.TurnAsk{
-			Program: j.ask.Program, Tenant: j.ask.Tenant, Turn: j.ask.Body.Turn, Ask: j.digest,
+			Program: j.ask.Program, Workspace: j.ask.Workspace, Turn: j.ask.Body.Turn, Ask: j.digest,
 			Prompt: j.prompt, MaxTokens: int64(j.maxTokens), Chunk: defaults.GrantChunk,
 		})
 		if err != nil {
--- a/gate/proof/caller_test.go
+++ b/gate/proof/caller_test.go
@@ -26,19 +26,19 @@
 
 // program is what an honest caller knows of its program.
 type program struct {
-	id, root, tenant, parent string
-	token                    string
-	history                  []types.Message
-	turn                     int
-	ended                    bool
-	busy                     bool
+	id, root, workspace, parent string
+	token                       string
+	history                     []types.Message
+	turn                        int
+	ended                       bool
+	busy                        bool
 	// tokens are all tokens it ever got, for replays.
 	tokens []string
 }
 
 // keyCall is what a caller knows of an idempotency key.
 type keyCall struct {
-	key, tenant, service, input string
+	key, workspace, service, input string
 	// maybe says that some request of the key may have run.
 	maybe bool
 	asked int
@@ -119,7 +119,7 @@
 }
 
 // begin makes a program through a box.
-func (o *oracle) begin(entry int, tenant string) {
+func (o *oracle) begin(entry int, workspace string) {
 	b := o.w.box(entry)
 	if !b.isUp() || o.live() >= mostPrograms {
 		return
@@ -130,7 +130,7 @@
 	}
 	now := time.Now()
 	begin := types.Begin{
-		ID: ident.NewProgram(slot), Tenant: tenant, Model: "m", DataClass: "personal", Created: now,
+		ID: ident.NewProgram(slot), Workspace: workspace, Model: "m", DataClass: "personal", Created: now,
 		Budget: o.budget, Deadline: now.Add(time.Hour),
 		Limits: types.Limits{Turns: 100, Depth: 2, FanOut: 4, Idle: types.Duration(time.Hour)},
 	}
@@ -165,7 +165,7 @@
 	}
 	now := time.Now()
 	begin := types.Begin{
-		ID: ident.NewProgram(slot), Tenant: parent.tenant, Parent: parent.id, Model: "m", DataClass: "personal",
+		ID: ident.NewProgram(slot), Workspace: parent.workspace, Parent: parent.id, Model: "m", DataClass: "personal",
 		Created: now, Deadline: now.Add(time.Hour),
 		Limits: types.Limits{Turns: 100, Depth: 2, FanOut: 4, Idle: types.Duration(time.Hour)},
 	}
@@ -191,7 +191,7 @@
 	defer o.mu.Unlock()
 	o.ok++
 	o.programs = append(o.programs, &program{
-		id: begin.ID, root: root, tenant: begin.Tenant, parent: begin.Parent, token: state.Continuation, tokens: []string{state.Continuation},
+		id: begin.ID, root: root, workspace: begin.Workspace, parent: begin.Parent, token: state.Continuation, tokens: []string{state.Continuation},
 	})
 }
 
@@ -226,7 +226,7 @@
 	defer stop()
 	var answer types.TurnAnswer
 	err := o.route(ctx, entry, slot, func(b *box) error {
-		run, err := b.progs.Turn(ctx, prog.TurnAsk{Program: p.id, Tenant: p.tenant, Request: "r", Body: body})
+		run, err := b.progs.Turn(ctx, prog.TurnAsk{Program: p.id, Workspace: p.workspace, Request: "r", Body: body})
 		if err != nil {
 			return err
 		}
@@ -331,9 +331,9 @@
 		svc.ProbePath = "/v1/probe"
 	}
 	ask := plain.Ask{
-		Service: svc, Input: types.RuleInput{Tenant: k.tenant}, Key: k.key, Body: json.RawMessage(k.input), Chunk: 150,
+		Service: svc, Input: types.RuleInput{Workspace: k.workspace}, Key: k.key, Body: json.RawMessage(k.input), Chunk: 150,
 	}
-	slot := ident.KeySlot(k.tenant, k.key, o.w.slots())
+	slot := ident.KeySlot(k.workspace, k.key, o.w.slots())
 	if p != nil {
 		ask.Program = p.id
 		slot, _ = ident.ProgramSlot(p.id)
@@ -341,7 +341,7 @@
 	var answer types.ServiceAnswer
 	err := o.route(ctx, entry, slot, func(b *box) error {
 		if p != nil {
-			cont, err := b.progs.Continuation(p.tenant, p.id, o.tokenOf(p))
+			cont, err := b.progs.Continuation(p.workspace, p.id, o.tokenOf(p))
 			if err != nil {
 				return err
 			}
@@ -370,7 +370,7 @@
 	if string(answer.Output) != k.input {
 		o.fail("own_whole_answer_from_own_history", "key %s: got %s, want %s", k.key, answer.Output, k.input)
 	}
-	if n := o.w.tools.count(k.tenant + "/" + k.key); n != 1 {
+	if n := o.w.tools.count(k.workspace + "/" + k.key); n != 1 {
 		o.fail("at_most_once", "key %s: answered, and ran %d times", k.key, n)
 	}
 }
@@ -396,10 +396,10 @@
 	defer stop()
 	err := o.route(ctx, entry, slot, func(b *box) error {
 		// The token brings what the log does not hold.
-		if _, err := b.progs.State(ctx, p.tenant, p.id, o.tokenOf(p)); err != nil {
+		if _, err := b.progs.State(ctx, p.workspace, p.id, o.tokenOf(p)); err != nil {
 			return err
 		}
-		_, err := b.progs.End(ctx, p.tenant, p.id)
+		_, err := b.progs.End(ctx, p.workspace, p.id)
 		return err
 	})
 	if err != nil {
--- a/gate/proof/fuzz_test.go
+++ b/gate/proof/fuzz_test.go
@@ -255,7 +255,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	k := &keyCall{
-		key: fmt.Sprintf("k%d", len(o.keys)), tenant: "one", service: []string{"book", "probed"}[s.C%2],
+		key: fmt.Sprintf("k%d", len(o.keys)), workspace: "one", service: []string{"book", "probed"}[s.C%2],
 		input: fmt.Sprintf(`{"n":%d}`, len(o.keys)),
 	}
 	o.keys = append(o.keys, k)
@@ -264,7 +264,7 @@
 
 // payer is the program on whose behalf a call runs, for every other call.
 func (o *oracle) payer(p *program, s step) *program {
-	if p == nil || s.B%2 == 0 || p.tenant != "one" {
+	if p == nil || s.B%2 == 0 || p.workspace != "one" {
 		return nil
 	}
 	o.mu.Lock()
@@ -368,7 +368,7 @@
 	for _, k := range o.keys {
 		for _, p := range o.programs {
 			if strings.HasPrefix(k.key, "of "+p.id+" ") {
-				spent[p.root] += int64(40 * o.w.tools.count(k.tenant+"/"+k.key))
+				spent[p.root] += int64(40 * o.w.tools.count(k.workspace+"/"+k.key))
 			}
 		}
 	}
@@ -382,7 +382,7 @@
 
 func (o *oracle) onceEach() {
 	for _, k := range o.keys {
-		if n := o.w.tools.count(k.tenant + "/" + k.key); n > 1 {
+		if n := o.w.tools.count(k.workspace + "/" + k.key); n > 1 {
 			o.fail("at_most_once", "key %s ran %d times", k.key, n)
 		}
 	}
@@ -392,7 +392,7 @@
 func (o *oracle) judge() {
 	o.watch()
 	for _, k := range o.keys {
-		if n := o.w.tools.count(k.tenant + "/" + k.key); !k.maybe && n > 0 {
+		if n := o.w.tools.count(k.workspace + "/" + k.key); !k.maybe && n > 0 {
 			o.fail("not_run_is_true", "key %s: every answer said not run, and it ran", k.key)
 		}
 	}
--- a/gate/proof/stop_test.go
+++ b/gate/proof/stop_test.go
@@ -52,7 +52,7 @@
 		if ok, err := o.turn(p, []int{entry}); !ok {
 			o.fail("stop_cuts_nothing", "%s turn %d: %v", p.id, p.turn+1, err)
 		}
-		k := &keyCall{key: fmt.Sprintf("%d-%d", n, i), tenant: "one", service: "book", input: "1"}
+		k := &keyCall{key: fmt.Sprintf("%d-%d", n, i), workspace: "one", service: "book", input: "1"}
 		o.call(k, nil, up(o.w, n+i))
 		if !k.maybe {
 			o.fail("stop_cuts_nothing", "key %s was refused", k.key)
--- a/gate/proof/world_test.go
+++ b/gate/proof/world_test.go
@@ -83,7 +83,7 @@
 	w.tools = &tools{counts: map[string]int{}, outputs: map[string]json.RawMessage{}}
 	w.models = newModels()
 	cfg, err := sample.Config(sample.Shape{
-		Region: "home", Zones: zones, Slots: slotCount, Tenants: []string{"one", "two"}, Models: []string{"m"},
+		Region: "home", Zones: zones, Slots: slotCount, Workspaces: []string{"one", "two"}, Models: []string{"m"},
 		Services: []types.Service{{Name: "book", Price: 40}, {Name: "probed", Price: 40, ProbePath: "/v1/probe"}},
 	}, w.keys)
 	if err != nil {
