--- /dev/null
+++ b/gate/dial/dial_test.go
@@ -0,0 +1,253 @@
+package dial
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mulleingate.dev/base/fault"
+)
+
+// serve answers each request on each connection by do, which gets the number of the
+// request on its connection and returns the raw answer and whether to go on.
+func serve(t *testing.T, do func(n int, req *http.Request) (string, bool)) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				in := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					raw, on := do(n, req)
+					if _, err := io.WriteString(conn, raw); err != nil || !on {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+const fine = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: 1\r\n\r\nok"
+
+func get(t *testing.T, p *Pool, req Request) (string, error) {
+	t.Helper()
+	req.Method, req.Target, req.Host = http.MethodGet, "/x", "h"
+	resp, err := p.Send(context.Background(), req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	raw, err := io.ReadAll(resp)
+	return string(raw), err
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	p := New(serve(t, func(int, *http.Request) (string, bool) { return fine, true }), 2)
+	for range 5 {
+		if got, err := get(t, p, Request{}); got != "ok" || err != nil {
+			t.Fatalf("%q, %v", got, err)
+		}
+	}
+	if p.Dials() != 1 {
+		t.Errorf("%d connections for 5 requests", p.Dials())
+	}
+}
+
+// TestConnectionIsRetired checks every reason for which a connection must not be used again.
+func TestConnectionIsRetired(t *testing.T) {
+	cases := map[string]string{
+		"the peer says so":       strings.Replace(fine, "\r\n", "\r\nConnection: close\r\n", 1),
+		"bytes behind an answer": fine + "more",
+		"no length":              "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok",
+	}
+	for name, raw := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := New(serve(t, func(int, *http.Request) (string, bool) { return raw, !strings.Contains(raw, "close") }), 2)
+			for range 3 {
+				if got, err := get(t, p, Request{}); got != "ok" || err != nil {
+					t.Fatalf("%q, %v", got, err)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			if p.Dials() != 3 {
+				t.Errorf("%d connections for 3 requests", p.Dials())
+			}
+		})
+	}
+}
+
+// TestConnectionClosedWhileIdle checks that a request does not go onto a connection that the
+// peer has closed meanwhile.
+func TestConnectionClosedWhileIdle(t *testing.T) {
+	p := New(serve(t, func(int, *http.Request) (string, bool) { return fine, false }), 2)
+	for range 3 {
+		if got, err := get(t, p, Request{}); got != "ok" || err != nil {
+			t.Fatalf("%q, %v", got, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestNothingIsSentTwice checks that a request whose connection dies is not sent again, and
+// that the fault does not say that it has not run.
+func TestNothingIsSentTwice(t *testing.T) {
+	seen := make(chan string, 10)
+	addr := serve(t, func(n int, req *http.Request) (string, bool) {
+		seen <- req.Method
+		if n == 0 {
+			return fine, true
+		}
+		return "", false
+	})
+	p := New(addr, 2)
+	if _, err := get(t, p, Request{}); err != nil {
+		t.Fatal(err)
+	}
+	_, err := get(t, p, Request{})
+	if f := fault.From(err); f.Kind != fault.TargetFailed || f.NotRun {
+		t.Errorf("fault %v, not run %v", err, f.NotRun)
+	}
+	if diff := cmp.Diff(2, len(seen)); diff != "" {
+		t.Errorf("requests seen (-want +got):\n%s", diff)
+	}
+}
+
+func TestNotReached(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().(*net.TCPAddr).AddrPort()
+	_ = ln.Close()
+	_, err = get(t, New(addr, 1), Request{})
+	if f := fault.From(err); f.Kind != fault.NoTarget || !f.NotRun {
+		t.Errorf("fault %v, not run %v", err, f.NotRun)
+	}
+}
+
+// TestAnswersOfOthers checks that answers to earlier requests are skipped, and that a peer
+// which sends nothing else is given up.
+func TestAnswersOfOthers(t *testing.T) {
+	mine := func(header http.Header) bool { return header.Get("Id") == "1" }
+	other := strings.Replace(fine, "Id: 1", "Id: 0", 1)
+	p := New(serve(t, func(int, *http.Request) (string, bool) { return other + fine, true }), 2)
+	if got, err := get(t, p, Request{Mine: mine}); got != "ok" || err != nil {
+		t.Errorf("%q, %v", got, err)
+	}
+	if _, err := get(t, p, Request{Mine: mine}); err != nil || p.Dials() != 2 {
+		t.Errorf("%v after %d connections", err, p.Dials())
+	}
+	p = New(serve(t, func(int, *http.Request) (string, bool) { return strings.Repeat(other, 6), true }), 2)
+	if _, err := get(t, p, Request{Mine: mine}); !fault.Is(err, fault.TargetFailed) {
+		t.Errorf("fault %v", err)
+	}
+}
+
+func TestBrokenAnswerIsNotWhole(t *testing.T) {
+	for name, raw := range map[string]string{
+		"short":   "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := New(serve(t, func(int, *http.Request) (string, bool) { return raw, false }), 2)
+			if got, err := get(t, p, Request{}); err == nil {
+				t.Errorf("%q looks whole", got)
+			}
+		})
+	}
+}
+
+// TestEarlyAnswerToALongRequest checks that a connection on which the rest of a request is
+// due is not used again.
+func TestEarlyAnswerToALongRequest(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				buf := make([]byte, 100)
+				_, _ = conn.Read(buf) // the beginning is enough
+				_, _ = io.WriteString(conn, fine)
+			}()
+		}
+	}()
+	p := New(ln.Addr().(*net.TCPAddr).AddrPort(), 3)
+	for range 2 {
+		resp, err := p.Send(context.Background(), Request{Method: http.MethodPost, Target: "/", Host: "h", Body: make([]byte, 32<<20)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if raw, err := io.ReadAll(resp); string(raw) != "ok" || err != nil {
+			t.Errorf("%q, %v", raw, err)
+		}
+		resp.Close()
+	}
+	if p.Dials() != 2 {
+		t.Errorf("%d connections", p.Dials())
+	}
+}
+
+func TestLimit(t *testing.T) {
+	free := make(chan struct{})
+	p := New(serve(t, func(int, *http.Request) (string, bool) { <-free; return fine, true }), 1)
+	done := make(chan error)
+	go func() {
+		_, err := get(t, p, Request{})
+		done <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	if !p.Full() {
+		t.Error("not full")
+	}
+	if _, err := get(t, p, Request{}); !fault.Is(err, fault.Overloaded) || !fault.From(err).NotRun {
+		t.Errorf("fault %v", err)
+	}
+	close(free)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCallerLeaves(t *testing.T) {
+	p := New(serve(t, func(int, *http.Request) (string, bool) { time.Sleep(time.Minute); return fine, true }), 1)
+	ctx, stop := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer stop()
+	start := time.Now()
+	_, err := p.Send(ctx, Request{Method: http.MethodGet, Target: "/", Host: "h"})
+	if !fault.Is(err, fault.TimedOut) || time.Since(start) > time.Second {
+		t.Errorf("%v after %v", err, time.Since(start))
+	}
+	if p.Full() {
+		t.Error("the connection is still counted")
+	}
+}
--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -51,6 +51,8 @@
 // Slots holds the slots of this box.
 type Slots interface {
 	Get(ctx context.Context, number int) (*shard.Slot, error)
+	// Holds reports whether this box holds the slot now.
+	Holds(number int) bool
 	// All returns the slots held.
 	All() []*shard.Slot
 }
@@ -170,6 +172,9 @@
 		}
 		box, ok := e.boxes.Owner(e.layout.Name(slot))
 		switch {
+		// A box that gives up its slots still holds them until another asks.
+		case e.slots.Holds(slot):
+			err = e.RunHere(ctx, slot, call, route, out)
 		case !ok:
 			err = fault.Refuse(fault.OwnerUnknown, "no box owns the slot")
 		case box.Name == e.self.Name:
@@ -177,6 +182,7 @@
 		case e.boxes.Doubted(box):
 			return fault.Refuse(fault.PeerLost, "the owner of the slot was not reached a moment ago")
 		default:
+			e.log.Info("entry: turn forwarded", "id", call.ID, "program", call.Turn.Program, "slot", slot, "owner", box.Name, "try", try)
 			err = e.peers.Turn(ctx, box, slot, call, route, out)
 			if fault.Is(err, fault.PeerLost) && ctx.Err() == nil {
 				e.boxes.Unreached(box)
--- /dev/null
+++ b/gate/feed/feed_test.go
@@ -0,0 +1,230 @@
+package feed
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sort"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/work"
+)
+
+// source is the log that operators and replicas write to.
+type source struct {
+	mu     sync.Mutex
+	topics map[work.Topic][]work.Record
+	first  map[work.Topic]int64
+	away   bool
+}
+
+func (s *source) put(topic work.Topic, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics[topic] = append(s.topics[topic], work.Record{Key: key, Value: []byte(value)})
+}
+
+func (s *source) set(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+// forget drops the history.
+func (s *source) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for topic, recs := range s.topics {
+		s.first[topic] = int64(len(recs))
+	}
+}
+
+func (s *source) Newest(_ context.Context, shard work.Shard, each func(work.Record)) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return 0, fault.Refuse(fault.LogUnavailable, "away")
+	}
+	recs := s.topics[shard.Topic]
+	newest := map[string]int{}
+	for i, rec := range recs {
+		newest[rec.Key] = i
+	}
+	for i, rec := range recs {
+		if newest[rec.Key] == i && len(rec.Value) > 0 {
+			each(rec)
+		}
+	}
+	return int64(len(recs)), nil
+}
+
+func (s *source) Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error) {
+	for end := time.Now().Add(wait); ; time.Sleep(50 * time.Millisecond) {
+		s.mu.Lock()
+		recs, first, away := s.topics[shard.Topic], s.first[shard.Topic], s.away
+		s.mu.Unlock()
+		switch {
+		case away:
+			return work.Page{}, fault.Refuse(fault.LogUnavailable, "away")
+		case from < first:
+			return work.Page{}, fault.Refuse(fault.HistoryGone, "gone")
+		case int64(len(recs)) > from || time.Now().After(end) || ctx.Err() != nil:
+			return work.Page{Records: recs[from:], Next: int64(len(recs)), First: first}, nil
+		}
+	}
+}
+
+// plain decodes a version as a number, and a replica as anything but "broken".
+type plain struct{}
+
+func (plain) Config(rec work.Record) (*work.Config, error) {
+	version, err := strconv.ParseInt(string(rec.Value), 10, 64)
+	if err != nil {
+		return nil, fault.Fail(fault.BadConfig, "malformed").Because(err)
+	}
+	return work.NewConfig(version, nil, nil, work.Limits{}), nil
+}
+
+func (plain) Replica(rec work.Record) (work.Replica, error) {
+	if string(rec.Value) == "broken" {
+		return work.Replica{}, fault.Fail(fault.Protocol, "malformed")
+	}
+	return work.Replica{ID: rec.Key}, nil
+}
+
+// list is the replicas as the feed tells them.
+type list struct {
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+func (l *list) Configure(*work.Config) {}
+func (l *list) Put(rep work.Replica) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ids[rep.ID] = true
+}
+func (l *list) Drop(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.ids, id)
+}
+func (l *list) Listed() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ids := []string{}
+	for id := range l.ids {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func play(t *testing.T, do func(t *testing.T, s *source, f *Feed, l *list)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{topics: map[work.Topic][]work.Record{}, first: map[work.Topic]int64{}}
+		l := &list{ids: map[string]bool{}}
+		f := New(s, plain{}, l, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		s.put(work.Settings, "config", "4")
+		s.put(work.Replicas, "a", "x")
+		s.put(work.Replicas, "b", "x")
+		if err := f.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		do(t, s, f, l)
+		_ = f.Stop(context.Background()) // it never fails
+	})
+}
+
+func expect(t *testing.T, l *list, want ...string) {
+	t.Helper()
+	if diff := cmp.Diff(want, l.Listed()); diff != "" {
+		t.Errorf("replicas (-want +got):\n%s", diff)
+	}
+}
+
+func TestFollows(t *testing.T) {
+	play(t, func(t *testing.T, s *source, f *Feed, l *list) {
+		if !f.Ready() || f.Config().Version != 4 {
+			t.Errorf("configuration %+v", f.Config())
+		}
+		expect(t, l, "a", "b")
+		s.put(work.Replicas, "c", "x")
+		s.put(work.Replicas, "d", "broken")
+		s.put(work.Replicas, "a", "")
+		s.put(work.Settings, "config", "9")
+		s.put(work.Settings, "config", "5")
+		s.put(work.Settings, "config", "broken")
+		time.Sleep(800 * time.Millisecond)
+		expect(t, l, "b", "c")
+		if f.Config().Version != 9 {
+			t.Errorf("version %d", f.Config().Version)
+		}
+	})
+}
+
+// TestHistoryGone checks that changes whose records were dropped unseen are found.
+func TestHistoryGone(t *testing.T) {
+	play(t, func(t *testing.T, s *source, f *Feed, l *list) {
+		s.put(work.Replicas, "a", "")
+		s.put(work.Replicas, "c", "x")
+		s.put(work.Settings, "config", "7")
+		s.forget()
+		time.Sleep(1500 * time.Millisecond)
+		expect(t, l, "b", "c")
+		if f.Config().Version != 7 {
+			t.Errorf("version %d", f.Config().Version)
+		}
+	})
+}
+
+// TestLapsedEntries checks that entries which went while the log was away are kept until
+// about two seconds after its return, and no longer.
+func TestLapsedEntries(t *testing.T) {
+	play(t, func(t *testing.T, s *source, f *Feed, l *list) {
+		s.set(true)
+		time.Sleep(6 * time.Second)
+		expect(t, l, "a", "b")
+		s.put(work.Replicas, "a", "")
+		s.put(work.Replicas, "b", "")
+		s.set(false)
+		time.Sleep(time.Second)
+		expect(t, l, "a", "b")
+		s.put(work.Replicas, "b", "x")
+		time.Sleep(2500 * time.Millisecond)
+		expect(t, l, "b")
+	})
+}
+
+// TestBeginsWithoutTheLog checks that a box which has never reached the log knows that it
+// knows nothing.
+func TestBeginsWithoutTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{topics: map[work.Topic][]work.Record{}, first: map[work.Topic]int64{}, away: true}
+		l := &list{ids: map[string]bool{}}
+		f := New(s, plain{}, l, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if err := f.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		if f.Ready() || f.Config() != nil {
+			t.Error("ready without the log")
+		}
+		s.put(work.Settings, "config", "4")
+		s.set(false)
+		time.Sleep(time.Second)
+		if !f.Ready() {
+			t.Error("not ready after the log's return")
+		}
+		_ = f.Stop(context.Background()) // it never fails
+	})
+}
--- /dev/null
+++ b/gate/load/load.go
@@ -0,0 +1,198 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/ident"
+	"mulleingate.dev/gate/work"
+)
+
+const (
+	// tickEvery is the time between two looks at which replicas are due.
+	tickEvery = 300 * time.Millisecond
+	// calmEvery is the time between two questions to a replica that is not busy. A question
+	// has its price, and an idle replica needs none.
+	calmEvery = 1500 * time.Millisecond
+	// busyShare of a replica's places makes it busy.
+	busyShare = 0.2
+	// askWait bounds one question.
+	askWait = 250 * time.Millisecond
+	// maxDatagram bounds a message, in bytes.
+	maxDatagram = 512
+)
+
+// Reporter asks a replica how busy it is.
+type Reporter interface {
+	Report(ctx context.Context, rep work.Replica) (work.Load, error)
+}
+
+// Targets holds what is believed of replicas.
+type Targets interface {
+	// Models returns the model replicas of this box's zone that take work.
+	Models() []work.Replica
+	// Loaded takes the load of a replica.
+	Loaded(id string, load work.Load)
+}
+
+// Boxes tells who lives.
+type Boxes interface {
+	Live() []work.Box
+}
+
+// message is what boxes tell each other.
+type message struct {
+	Replica string    `json:"replica"`
+	Load    work.Load `json:"load"`
+}
+
+// Watch is the service.
+type Watch struct {
+	self     work.Box
+	reporter Reporter
+	targets  Targets
+	boxes    Boxes
+	log      *slog.Logger
+	conn     *net.UDPConn
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+
+	mu sync.Mutex
+	// asked is when a replica was last asked, and calm whether it was not busy then.
+	asked map[string]time.Time
+	calm  map[string]bool
+}
+
+// New makes a watch that does not run yet.
+func New(self work.Box, reporter Reporter, targets Targets, boxes Boxes, log *slog.Logger) *Watch {
+	return &Watch{
+		self: self, reporter: reporter, targets: targets, boxes: boxes, log: log,
+		asked: map[string]time.Time{}, calm: map[string]bool{},
+	}
+}
+
+// Start implements a service.
+func (w *Watch) Start(context.Context) error {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(w.self.Peer))
+	if err != nil {
+		return fault.Refuse(fault.BadSettings, "cannot take datagrams on "+w.self.Peer.String()).Because(err)
+	}
+	w.conn = conn
+	ctx, cancel := context.WithCancel(context.Background())
+	w.cancel = cancel
+	w.done.Go(func() { w.run(ctx) })
+	w.done.Go(w.listen)
+	return nil
+}
+
+// Stop implements a service.
+func (w *Watch) Stop(context.Context) error {
+	w.cancel()
+	err := w.conn.Close()
+	w.done.Wait()
+	return err
+}
+
+func (w *Watch) run(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			w.look(ctx)
+		}
+	}
+}
+
+// look asks the replicas that are this box's to ask and are due.
+func (w *Watch) look(ctx context.Context) {
+	mates := w.mates()
+	names := make([]string, 0, len(mates))
+	for _, box := range mates {
+		names = append(names, box.Name)
+	}
+	for _, rep := range w.targets.Models() {
+		if ident.Winner(rep.ID, names) == w.self.Name && w.due(rep.ID) {
+			w.done.Go(func() { w.ask(ctx, rep, mates) })
+		}
+	}
+}
+
+// mates are the living boxes of this zone.
+func (w *Watch) mates() []work.Box {
+	var mates []work.Box
+	for _, box := range w.boxes.Live() {
+		if box.Zone == w.self.Zone {
+			mates = append(mates, box)
+		}
+	}
+	return mates
+}
+
+func (w *Watch) due(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if w.calm[id] && now.Sub(w.asked[id]) < calmEvery {
+		return false
+	}
+	if len(w.asked) > 2*len(w.calm)+64 {
+		w.asked = map[string]time.Time{} // replicas that are gone
+	}
+	w.asked[id] = now
+	return true
+}
+
+func (w *Watch) ask(ctx context.Context, rep work.Replica, mates []work.Box) {
+	ctx, stop := context.WithTimeout(ctx, askWait)
+	defer stop()
+	got, err := w.reporter.Report(ctx, rep)
+	if err != nil {
+		w.log.Debug("load: replica does not report", "replica", rep.ID, "cause", err)
+		return
+	}
+	w.mu.Lock()
+	w.calm[rep.ID] = float64(got.Running+got.Waiting) < busyShare*float64(rep.Slots)
+	w.mu.Unlock()
+	w.targets.Loaded(rep.ID, got)
+	raw, err := json.Marshal(message{Replica: rep.ID, Load: got})
+	if err != nil {
+		w.log.Error("load: report does not encode", "cause", err)
+		return
+	}
+	for _, box := range mates {
+		if box.Name != w.self.Name {
+			w.tell(box.Peer, raw)
+		}
+	}
+}
+
+func (w *Watch) tell(to netip.AddrPort, raw []byte) {
+	if _, err := w.conn.WriteToUDPAddrPort(raw, to); err != nil {
+		w.log.Debug("load: report not told", "to", to.String(), "cause", err)
+	}
+}
+
+func (w *Watch) listen() {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := w.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return // the socket was closed at the stop
+		}
+		var msg message
+		if err := json.Unmarshal(buf[:n], &msg); err != nil {
+			w.log.Warn("load: malformed report", "from", from.String())
+			continue
+		}
+		w.targets.Loaded(msg.Replica, msg.Load)
+	}
+}
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -12,6 +12,7 @@
 	"mulleingate.dev/gate/entry"
 	"mulleingate.dev/gate/feed"
 	"mulleingate.dev/gate/kernel"
+	"mulleingate.dev/gate/load"
 	"mulleingate.dev/gate/meter"
 	"mulleingate.dev/gate/relay"
 	"mulleingate.dev/gate/remote"
@@ -39,6 +40,7 @@
 type Replicas interface {
 	target.Opener
 	relay.Sender
+	load.Reporter
 }
 
 // Front takes callers' connections. Start begins to listen; Stop finishes calls under way.
@@ -73,6 +75,7 @@
 	targets *target.Targets
 	server  *remote.Server
 	reach   *reach
+	watch   *load.Watch
 	front   Front
 	leaving atomic.Bool
 }
@@ -87,6 +90,7 @@
 	n.feed = feed.New(reached, deps.Decoder, n.targets, log)
 	n.view = view.New(deps.Self, reached, deps.Timing, log)
 	n.shards = shard.New(deps.Self, layout, reached, n.view, n.peers, deps.Meter, log)
+	n.watch = load.New(deps.Self, deps.Replicas, n.targets, n.view, log)
 	n.reach = newReach(deps.Self.Name, n.view, n.peers, log)
 	runner := turns.New(n.targets, deps.Replicas, deps.Meter, log)
 	carrier := relay.New(n.targets, deps.Replicas, deps.Meter, log)
@@ -132,6 +136,7 @@
 		{Name: "meter", Make: made(n.deps.Meter)},
 		{Name: "feed", Needs: []string{"meter"}, Make: made(n.feed)},
 		{Name: "view", Needs: []string{"meter"}, Make: made(n.view)},
+		{Name: "load", Needs: []string{"view", "feed"}, Make: made(n.watch)},
 		{Name: "reach", Needs: []string{"view"}, Make: made(n.reach)},
 		{Name: "peers", Needs: []string{"view", "feed"}, Make: made(n.server)},
 		{Name: "shards", Needs: []string{"peers"}, Make: made(n.shards)},
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -224,6 +224,8 @@
 		return whole{}, fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
 	}
 	end(target.Answered)
+	a.log.Info("relay: call answered", "id", a.call.ID, "route", a.route.Name, "replica", lease.Replica.ID, "status", reply.Head.Status,
+		"score", lease.Score, "among", lease.Among, "sent", a.sent, "took", time.Since(a.call.Arrived))
 	if a.failed(reply) {
 		return whole{}, fault.Fail(fault.TargetFailed, "the replica failed the call")
 	}
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -121,6 +121,12 @@
 	return nil
 }
 
+// Holds reports whether this box holds the slot now.
+func (s *Shards) Holds(number int) bool {
+	slot, _ := s.get(number)
+	return slot != nil
+}
+
 // All returns the slots of this box.
 func (s *Shards) All() []*Slot {
 	s.mu.Lock()
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -17,6 +17,12 @@
 	// streamCost is what one more stream of this box costs a model call; it stands for those of
 	// the other boxes too. Measured together with missWeight.
 	streamCost = 20 * time.Millisecond
+	// loadFor is how long a replica's own report is used.
+	loadFor = 2 * time.Second
+	// runningCost is what one more stream, of whatever box, costs a model call: its share of
+	// each step and its prefill. waitingCost is a turn's time at a full replica.
+	runningCost = 8 * time.Millisecond
+	waitingCost = 400 * time.Millisecond
 	// modelSteps weighs a replica's time between events into the cost of a call. More makes
 	// programs follow its noise.
 	modelSteps = 3
@@ -131,11 +137,22 @@
 	c.cached = t.cached(now, ask, s)
 	missing := max(0, ask.Prompt.Tokens-c.cached)
 	c.score += time.Duration(float64(missWeight*missing) / prefillRate * float64(time.Millisecond))
-	c.score += streamCost * time.Duration(s.busy)
+	c.score += t.crowd(now, s)
 	c.score += time.Duration(s.slow * modelSteps * float64(t.usually(ask.Work)))
 	return c
 }
 
+// crowd is what the calls that a replica has cost one more. Without a report only those of
+// this box are known.
+func (t *Targets) crowd(now time.Time, s *state) time.Duration {
+	if now.Sub(s.loadAt) > loadFor || s.Slots == 0 {
+		return streamCost * time.Duration(s.busy)
+	}
+	all := s.load.Running + s.load.Waiting + max(0, s.busy-s.busyThen)
+	over := max(0, all+1-s.Slots)
+	return runningCost*time.Duration(all) + waitingCost*time.Duration(over)/time.Duration(s.Slots)
+}
+
 // cached estimates how many tokens of the prompt the replica holds.
 func (t *Targets) cached(now time.Time, ask Ask, s *state) int {
 	seen := ask.Seen[s.ID]
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -40,6 +40,10 @@
 	// parts names the shared parts of prompts that were sent there lately.
 	parts map[string]time.Time
 	pool  Closer
+	// load is its own report, loadAt when it came, and busyThen what busy was.
+	load     work.Load
+	loadAt   time.Time
+	busyThen int
 }
 
 // Closer ends the connections to a replica.
@@ -124,6 +128,28 @@
 	}
 }
 
+// Models returns the model replicas of this box's zone that take work.
+func (t *Targets) Models() []work.Replica {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var models []work.Replica
+	for _, s := range t.byID {
+		if s.Zone == t.zone && !s.Draining && t.conf != nil && t.conf.Services[s.Service].Engine != nil {
+			models = append(models, s.Replica)
+		}
+	}
+	return models
+}
+
+// Loaded takes the load of a replica.
+func (t *Targets) Loaded(id string, load work.Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.byID[id]; ok {
+		s.load, s.loadAt, s.busyThen = load, time.Now(), s.busy
+	}
+}
+
 // Listed returns the ids of the replicas.
 func (t *Targets) Listed() []string {
 	t.mu.Lock()
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -74,7 +74,12 @@
 	// cached and replica are of the lease that ran it.
 	replica string
 	cached  int
-	first   time.Duration
+	// score is what the call was expected to cost there, among that many candidates.
+	score time.Duration
+	among int
+	// sent counts the replicas that the turn was offered to.
+	sent  int
+	first time.Duration
 }
 
 // Run runs the turn on the slot. It returns nil after a whole answer that the log holds; a
@@ -142,7 +147,7 @@
 // abandon ends a turn without a whole answer.
 func (t *turn) abandon(ctx context.Context, err error) {
 	t.log.Info("turns: turn failed", "id", t.call.ID, "program", t.open.Program, "slot", t.slot.Number(), "ran", t.ran,
-		"replica", t.replica, "caller_gone", ctx.Err() == context.Canceled, "after", time.Since(t.call.Arrived), "cause", err)
+		"replica", t.replica, "sent", t.sent, "caller_gone", ctx.Err() == context.Canceled, "after", time.Since(t.call.Arrived), "cause", err)
 	t.counts.Count("turns.failed", 1)
 	if t.ran {
 		t.slot.Change(func(state *chain.State) { state.Break(t.open) })
@@ -184,7 +189,8 @@
 
 // offer sends the turn to one replica.
 func (t *turn) offer(ctx context.Context, lease *target.Lease) (work.Reply, error) {
-	t.replica, t.cached = lease.Replica.ID, lease.Cached
+	t.replica, t.cached, t.score, t.among = lease.Replica.ID, lease.Cached, lease.Score, lease.Among
+	t.sent++
 	call := *t.call
 	call.Body = t.prompt
 	reply, err := t.sender.Send(ctx, lease, &call, time.Until(call.Deadline))
@@ -314,7 +320,8 @@
 	t.counts.Time("turns.confirm_time", time.Since(start))
 	t.counts.Time("turns.first_event{class="+t.route.Name+"}", t.first)
 	t.log.Info("turns: turn answered", "id", t.call.ID, "program", t.open.Program, "slot", t.slot.Number(), "replica", t.replica,
-		"prompt", promptTokens(t.call), "cached", t.cached, "events", collected.count, "first", t.first, "confirm", time.Since(start), "took", time.Since(t.call.Arrived))
+		"prompt", promptTokens(t.call), "cached", t.cached,
+		"score", t.score, "among", t.among, "sent", t.sent, "events", collected.count, "first", t.first, "confirm", time.Since(start), "took", time.Since(t.call.Arrived))
 	return nil
 }
 
--- a/gate/work/call.go
+++ b/gate/work/call.go
@@ -111,3 +111,13 @@
 	// called.
 	Close()
 }
+
+// Load is how busy a model replica is by its own report.
+type Load struct {
+	// Running and Waiting are calls.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// Used and Total are its memory for prompts, in tokens.
+	Used  int `json:"used"`
+	Total int `json:"total"`
+}
