--- a/gate/dial/pool.go
+++ b/gate/dial/pool.go
@@ -24,7 +24,7 @@
 	keepAliveEvery = time.Second
 	keepAliveCount = 2
 	// maxIdle is how long a connection may rest unless the peer names a shorter time.
-	maxIdle = 4 * time.Second
+	maxIdle = 8 * time.Second
 	// idleMargin is taken off the time that a peer names, so that both don't meet there.
 	idleMargin = time.Second
 	// readBuffer is enough for the head of an answer, in bytes.
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -26,7 +26,10 @@
 	// Beat and Look together, so that a living box which only this one can't reach is heard.
 	Doubt time.Duration
 	// Settle is how long a box listens without a break before it trusts that it hears all.
+	// After a break others may be waiting for a call to the log to fail, so it covers Call.
 	Settle time.Duration
+	// Begin is the same for a box that has just started and reached the log at once.
+	Begin time.Duration
 	// Call bounds one call to the log.
 	Call time.Duration
 }
@@ -37,7 +40,7 @@
 func Usual() Timing {
 	return Timing{
 		Beat: 500 * time.Millisecond, Look: 300 * time.Millisecond, Doubt: time.Second, Dead: 2 * time.Second,
-		Settle: 1200 * time.Millisecond, Call: time.Second,
+		Settle: 1500 * time.Millisecond, Begin: 800 * time.Millisecond, Call: time.Second,
 	}
 }
 
@@ -70,6 +73,8 @@
 	next   int64
 	// unreached is when a call to a box last failed.
 	unreached map[string]time.Time
+	// begun is when the box started.
+	begun time.Time
 	// since is when the box began to listen without a break.
 	since   time.Time
 	settled bool
@@ -100,6 +105,7 @@
 func (v *View) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
+	v.begun = time.Now()
 	v.done.Go(func() { v.beat(ctx) })
 	v.done.Go(func() { v.look(ctx) })
 	return nil
@@ -283,6 +289,7 @@
 			v.others[name] = e
 		}
 		v.since = now
+		time.AfterFunc(v.quarantine(), func() { v.update(time.Now()) })
 	}
 	v.readAt = now
 	for _, rec := range recs {
@@ -310,7 +317,7 @@
 		}
 	}
 	live := v.list()
-	settled := !v.since.IsZero() && now.Sub(v.since) >= v.timing.Settle
+	settled := !v.since.IsZero() && now.Sub(v.since) >= v.quarantine()
 	same := settled == v.settled && equal(live, v.live)
 	v.live, v.settled = live, settled
 	v.trusted = v.trusted || settled
@@ -324,6 +331,14 @@
 	}
 }
 
+// quarantine is how long the box must have listened.
+func (v *View) quarantine() time.Duration {
+	if v.since.Sub(v.begun) < v.timing.Beat {
+		return v.timing.Begin
+	}
+	return v.timing.Settle
+}
+
 func (v *View) list() []work.Box {
 	var live []work.Box
 	if !v.self.Leaving {
