entry: tell callers when the next owner will be there

Cause: after a kill callers were told to come again after a second whatever the state of the take-over: too soon for one detected late, too late for one almost done; each try counts.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -17,9 +17,9 @@
 	// which callers want an answer helps nobody; a hand-over is done within it.
 	ownerTries = 2
 	ownerPause = 30 * time.Millisecond
-	// retryUnknown is the advice given while the owner of a program can't be asked: most of
-	// the time in which another box takes its slot.
-	retryUnknown = time.Second
+	// retryUnknown is the advice given while the owner of a program can't be asked and it is
+	// not known for how long; it bounds the advice where that is known.
+	retryUnknown = 1200 * time.Millisecond
 	// findWait bounds the question to all boxes for a turn: a round trip between availability
 	// zones, and the log's word where an owner needs it.
 	findWait = 600 * time.Millisecond
@@ -37,6 +37,8 @@
 	Live() []work.Box
 	// Unreached notes that a box could not be reached.
 	Unreached(box work.Box)
+	// Patience is how long it takes until a slot of the box is likely to have another owner.
+	Patience(box work.Box) time.Duration
 	// Doubted reports that a box could not be reached a moment ago.
 	Doubted(box work.Box) bool
 }
@@ -165,7 +167,16 @@
 	}
 	e.counts.Count("entry.owner_unknown", 1)
 	e.log.Info("entry: owner not reached", "id", call.ID, "program", call.Turn.Program, "after", time.Since(call.Arrived), "cause", err)
-	return fault.Refuse(fault.TurnUnknown, "the owner of the program can't be asked now").After(retryUnknown).Because(err)
+	return fault.Refuse(fault.TurnUnknown, "the owner of the program can't be asked now").After(e.patience(home)).Because(err)
+}
+
+// patience is when a caller should come again whose program's owner can't be asked.
+func (e *Entry) patience(slot int) time.Duration {
+	box, ok := e.boxes.Owner(e.layout.Name(slot))
+	if !ok {
+		return retryUnknown
+	}
+	return min(e.boxes.Patience(box), retryUnknown)
 }
 
 // elsewhere reports that the owner does not keep the turn to go on from.
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -51,6 +51,10 @@
 	Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error)
 }
 
+// claimTime is the time from a change of the view to the end of a claim: half the time
+// between two looks, and some calls to the log.
+const claimTime = 250 * time.Millisecond
+
 var boxes = work.Shard{Topic: work.Boxes}
 
 // entry is what is known of one other box.
@@ -172,6 +176,21 @@
 	return ok && time.Since(at) < v.timing.Doubt/2 && v.others[box.Name].heard.Before(at)
 }
 
+// Patience is how long it takes until a slot of the box is likely to have another owner, or
+// until this box itself may claim its slots.
+func (v *View) Patience(box work.Box) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	left := time.Duration(0)
+	if box.Name == v.self.Name {
+		left = v.since.Add(v.quarantine()).Sub(now)
+	} else if e, ok := v.others[box.Name]; ok {
+		left = e.heard.Add(v.silence(box.Name, now)).Sub(now)
+	}
+	return max(left, 0) + claimTime
+}
+
 // silence is how long the box may be silent.
 func (v *View) silence(name string, now time.Time) time.Duration {
 	if at, ok := v.unreached[name]; ok && now.Sub(at) < v.timing.Doubt {
