target: leave replicas that fail part of their calls

Change: a running share of failures that fades in 4 s weighs into the choice; a replica that gave no answer for 1.5 s is blamed though the caller has left; own failures count a third. Shown: TestReplicaThatFailsPartOfItsCalls.

--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -27,6 +27,9 @@
 	// retryAfter is the advice given with a refusal: about the time until a replica of a
 	// full service has a place again.
 	retryAfter = 150 * time.Millisecond
+	// hangsAfter is the time without an answer from which a replica is blamed even though the
+	// caller has left: no call of the users' services takes so long.
+	hangsAfter = 1500 * time.Millisecond
 	// maxWhole is the longest answer that is read whole before it is passed on, in bytes.
 	maxWhole = 64 << 10
 )
@@ -160,7 +163,7 @@
 	reply, err := a.sender.Send(tryCtx, lease, a.call, limit)
 	if err != nil {
 		stop()
-		return whole{}, a.broken(ctx, lease, err)
+		return whole{}, a.broken(ctx, lease, start, err)
 	}
 	if reply.NotRun {
 		reply.Body.Close()
@@ -186,13 +189,13 @@
 }
 
 // broken ends an attempt without an answer.
-func (a *attempts) broken(ctx context.Context, lease *target.Lease, err error) error {
+func (a *attempts) broken(ctx context.Context, lease *target.Lease, start time.Time, err error) error {
 	if fault.From(err).NotRun {
 		lease.Done(target.Unreached, 0)
 		return err
 	}
 	a.ran++
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && time.Since(start) < hangsAfter {
 		lease.Done(target.Dropped, 0)
 		return err
 	}
@@ -217,13 +220,13 @@
 		reply.Body.Close()
 		stop()
 		a.ran--
-		return whole{}, a.broken(ctx, lease, fault.Fail(fault.TargetFailed, "the answer broke off").Because(err))
+		return whole{}, a.broken(ctx, lease, start, fault.Fail(fault.TargetFailed, "the answer broke off").Because(err))
 	}
 	if reply.Head.Status < http.StatusMultipleChoices && !reply.Sound {
 		end(target.Broken)
 		return whole{}, fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
 	}
-	end(target.Answered)
+	end(verdict(reply))
 	a.log.Info("relay: call answered", "id", a.call.ID, "route", a.route.Name, "replica", lease.Replica.ID, "status", reply.Head.Status,
 		"score", lease.Score, "among", lease.Among, "sent", a.sent, "took", time.Since(a.call.Arrived))
 	if a.failed(reply) {
@@ -243,6 +246,14 @@
 	return whole{head: reply.Head, rest: reply.Body, end: end}
 }
 
+// verdict tells a replica's own failure from its other answers.
+func verdict(reply work.Reply) target.Outcome {
+	if reply.Head.Status >= http.StatusInternalServerError {
+		return target.Failed
+	}
+	return target.Answered
+}
+
 // failed reports whether a replica's own failure is worth another try.
 func (a *attempts) failed(reply work.Reply) bool {
 	if reply.Head.Status < http.StatusInternalServerError || a.route.Kind != work.Repeatable {
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -28,6 +28,8 @@
 	modelSteps = 3
 	// farCost prices another availability zone: its round trips and the bytes of a chain.
 	farCost = 12 * time.Millisecond
+	// failCost is what a call that goes wrong costs: about the time that its program loses.
+	failCost = 1500 * time.Millisecond
 	// nearTime is how much worse than the best a candidate may be to be drawn, so that boxes
 	// with the same beliefs don't all choose the same replica.
 	nearTime = 2 * time.Millisecond
@@ -130,6 +132,7 @@
 	if s.Zone != t.zone {
 		c.score += farCost
 	}
+	c.score += time.Duration(s.failing(now) * float64(failCost))
 	if ask.Prompt == nil {
 		c.score += time.Duration(s.slow * float64(s.busy+1) * float64(t.usually(ask.Work)))
 		return c
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"sort"
 	"sync"
@@ -33,6 +34,10 @@
 	// usually takes: 1 for an ordinary replica. A unit is a call of a plain service, or the
 	// time between two events of a model.
 	slow float64
+	// fails is the running share of calls that went wrong lately, 0 to 1, as of failedAt; it
+	// fades with time, so that a replica which is left gets another try.
+	fails    float64
+	failedAt time.Time
 	// gone says that the replica is no longer listed.
 	gone bool
 	// suspect is until when the replica is avoided after a failed connection.
@@ -209,6 +214,8 @@
 	Unreached
 	// Broken means that the answer did not come, or not whole.
 	Broken
+	// Failed means a whole answer that says that the replica failed the call.
+	Failed
 	// Dropped means that the caller left or its time ran out; it says nothing of the replica.
 	Dropped
 )
@@ -233,6 +240,30 @@
 	}
 }
 
+const (
+	// blameShare is the weight of a new outcome in the share of failures, and blameFailed
+	// what a failure of the replica's own counts: calls may fail for reasons of theirs.
+	blameShare  = 0.2
+	blameFailed = 0.3
+	// failsFade is the time in which a share of failures halves by itself.
+	failsFade = 4 * time.Second
+)
+
+// blame folds an outcome into the share of failures.
+func (s *state) blame(now time.Time, wrong float64) {
+	share := s.failing(now)
+	s.fails = share + blameShare*(wrong-share)
+	s.failedAt = now
+}
+
+// failing is the share of failures as of now.
+func (s *state) failing(now time.Time) float64 {
+	if s.fails == 0 {
+		return 0
+	}
+	return s.fails * math.Exp2(-now.Sub(s.failedAt).Seconds()/failsFade.Seconds())
+}
+
 // usually is the time of a unit of a kind of work.
 func (t *Targets) usually(kind string) time.Duration {
 	if usual, ok := t.usual[kind]; ok {
@@ -245,11 +276,16 @@
 	now := time.Now()
 	switch out {
 	case Answered:
+		s.blame(now, 0)
+		t.eject(s.Service).Good(s.ID)
+	case Failed:
+		s.blame(now, blameFailed)
 		t.eject(s.Service).Good(s.ID)
 	case Unreached:
 		s.suspect = now.Add(suspectFor)
 		t.log.Warn("target: replica not reached", "replica", s.ID, "service", s.Service)
 	case Broken:
+		s.blame(now, 1)
 		if t.eject(s.Service).Bad(now, s.ID, len(t.services[s.Service])) {
 			t.log.Warn("target: replica left for a while after failures", "replica", s.ID, "service", s.Service)
 		}
--- a/gate/target/target_test.go
+++ b/gate/target/target_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -211,3 +212,34 @@
 		}
 	})
 }
+
+// TestReplicaThatFailsPartOfItsCalls checks that a replica whose failures never come in a row
+// is left, and tried again later.
+func TestReplicaThatFailsPartOfItsCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets, _ := newTargets(4, false)
+		play := func(n int) (grey int) {
+			for i := range n {
+				lease := take(t, targets, Ask{})
+				out := Answered
+				if lease.Replica.ID == "r0" {
+					grey++
+					if i%5 < 2 {
+						out = Broken
+					}
+				}
+				time.Sleep(10 * time.Millisecond)
+				lease.Done(out, 20*time.Millisecond)
+			}
+			return grey
+		}
+		play(60)
+		if n := play(200); n > 20 {
+			t.Errorf("%d of 200 calls went to a replica that fails two in five", n)
+		}
+		time.Sleep(30 * time.Second)
+		if play(40) == 0 {
+			t.Error("the replica is never tried again")
+		}
+	})
+}
