view: keep the fleet in the store's group instead of records

Members are read when the generation changes and a few times after; a change is answered by joining again at once, since a new member is named only then.

--- a/gate/detour/detour.go
+++ b/gate/detour/detour.go
@@ -30,6 +30,9 @@
 	Append(ctx context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error
 	Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (next int64, err error)
 	Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error)
+	Join(ctx context.Context, member string, generation int64, ttl time.Duration) (int64, error)
+	Leave(ctx context.Context, member string) error
+	Members(ctx context.Context) ([]string, error)
 }
 
 // Others are the boxes that may be asked.
@@ -60,54 +63,82 @@
 	return &Detour{direct: direct, others: others, logger: logger, avoid: map[string]time.Time{}}
 }
 
-// result is the end of one call.
+// result is the end of one call; which fields hold something depends on the call.
 type result struct {
-	page work.Page
-	err  error
+	page       work.Page
+	generation int64
+	members    []string
+	err        error
 	// way is the box that was asked; empty for a direct call.
 	way work.Box
 }
 
 // call is one of the calls of the log.
-type call func(ctx context.Context, log Log) (work.Page, error)
+type call func(ctx context.Context, log Log) result
 
 // Append implements the log. The same writer and number may go both ways: the log does it once.
 func (d *Detour) Append(ctx context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error {
-	_, err := d.do(ctx, patience, func(ctx context.Context, log Log) (work.Page, error) {
-		return work.Page{}, log.Append(ctx, shard, writer, recs)
+	return d.do(ctx, patience, func(ctx context.Context, log Log) result {
+		return result{err: log.Append(ctx, shard, writer, recs)}
+	}).err
+}
+
+// Join implements the log.
+func (d *Detour) Join(ctx context.Context, member string, generation int64, ttl time.Duration) (int64, error) {
+	got := d.do(ctx, patience, func(ctx context.Context, log Log) result {
+		generation, err := log.Join(ctx, member, generation, ttl)
+		return result{generation: generation, err: err}
+	})
+	return got.generation, got.err
+}
+
+// Leave implements the log.
+func (d *Detour) Leave(ctx context.Context, member string) error {
+	return d.do(ctx, patience, func(ctx context.Context, log Log) result {
+		return result{err: log.Leave(ctx, member)}
+	}).err
+}
+
+// Members implements the log.
+func (d *Detour) Members(ctx context.Context) ([]string, error) {
+	got := d.do(ctx, patience, func(ctx context.Context, log Log) result {
+		members, err := log.Members(ctx)
+		return result{members: members, err: err}
 	})
-	return err
+	return got.members, got.err
 }
 
 // Newest implements the log.
 func (d *Detour) Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (int64, error) {
-	page, err := d.do(ctx, 2*patience, func(ctx context.Context, log Log) (work.Page, error) {
+	got := d.do(ctx, 2*patience, func(ctx context.Context, log Log) result {
 		var page work.Page
 		next, err := log.Newest(ctx, shard, func(rec work.Record) { page.Records = append(page.Records, rec) })
 		page.Next = next
-		return page, err
+		return result{page: page, err: err}
 	})
-	if err != nil {
-		return 0, err
+	if got.err != nil {
+		return 0, got.err
 	}
-	for _, rec := range page.Records {
+	for _, rec := range got.page.Records {
 		each(rec)
 	}
-	return page.Next, nil
+	return got.page.Next, nil
 }
 
 // Read implements the log.
 func (d *Detour) Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error) {
-	return d.do(ctx, wait+patience, func(ctx context.Context, log Log) (work.Page, error) {
-		return log.Read(ctx, shard, from, wait)
+	got := d.do(ctx, wait+patience, func(ctx context.Context, log Log) result {
+		page, err := log.Read(ctx, shard, from, wait)
+		return result{page: page, err: err}
 	})
+	return got.page, got.err
 }
 
 // do makes the call directly, and by way of another box if that fails or takes too long.
-func (d *Detour) do(ctx context.Context, patience time.Duration, make call) (work.Page, error) {
+func (d *Detour) do(ctx context.Context, patience time.Duration, make call) result {
 	if d.bad() {
 		if got, ok := d.around(ctx, make); ok {
-			return got.page, got.err
+			return got
 		}
 	}
 	ctx, stop := context.WithCancel(ctx)
@@ -119,7 +150,7 @@
 	case got := <-results:
 		if !away(got.err) || ctx.Err() != nil {
 			d.good(got.err)
-			return got.page, got.err
+			return got
 		}
 		d.failed(got.err)
 		return d.second(ctx, make, got)
@@ -132,8 +163,7 @@
 func (d *Detour) start(ctx context.Context, make call) chan result {
 	results := newResults()
 	go func() {
-		page, err := make(ctx, d.direct)
-		results <- result{page: page, err: err}
+		results <- make(ctx, d.direct)
 	}()
 	return results
 }
@@ -143,11 +173,11 @@
 }
 
 // second tries the detour after a direct call failed.
-func (d *Detour) second(ctx context.Context, make call, first result) (work.Page, error) {
+func (d *Detour) second(ctx context.Context, make call, first result) result {
 	if got, ok := d.around(ctx, make); ok {
-		return got.page, got.err
+		return got
 	}
-	return first.page, first.err
+	return first
 }
 
 // around makes the call by way of other boxes until one gets the log's word.
@@ -165,11 +195,10 @@
 }
 
 // beside tries the detour beside a direct call that takes long.
-func (d *Detour) beside(ctx context.Context, make call, results chan result) (work.Page, error) {
+func (d *Detour) beside(ctx context.Context, make call, results chan result) result {
 	box, ok := d.choose()
 	if !ok {
-		got := <-results
-		return got.page, got.err
+		return <-results
 	}
 	go func() { results <- d.via(ctx, box, make) }()
 	first := <-results
@@ -177,24 +206,24 @@
 		if first.way.Name != "" {
 			d.failed(fault.Fail(fault.LogUnavailable, "the log does not answer"))
 		}
-		return first.page, first.err
+		return first
 	}
-	got := <-results
-	return got.page, got.err
+	return <-results
 }
 
 // via makes the call by way of the box.
 func (d *Detour) via(ctx context.Context, box work.Box, make call) result {
-	page, err := make(ctx, d.others.Via(box))
+	got := make(ctx, d.others.Via(box))
+	got.way = box
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if away(err) {
+	if away(got.err) {
 		d.used = work.Box{}
 		d.avoid[box.Name] = time.Now().Add(avoidFor)
 	} else {
 		d.used = box
 	}
-	return result{page: page, err: err, way: box}
+	return got
 }
 
 // away reports that a call failed for want of the log, not by the log's own word.
--- a/gate/detour/detour_test.go
+++ b/gate/detour/detour_test.go
@@ -40,6 +40,18 @@
 	return f.call(ctx)
 }
 
+func (f *fake) Join(ctx context.Context, _ string, _ int64, _ time.Duration) (int64, error) {
+	return 7, f.call(ctx)
+}
+
+func (f *fake) Leave(ctx context.Context, _ string) error {
+	return f.call(ctx)
+}
+
+func (f *fake) Members(ctx context.Context) ([]string, error) {
+	return []string{"m"}, f.call(ctx)
+}
+
 func (f *fake) Newest(ctx context.Context, _ work.Shard, each func(work.Record)) (int64, error) {
 	err := f.call(ctx)
 	if err == nil {
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -33,7 +33,7 @@
 
 // Log is the log as a box uses it.
 type Log interface {
-	shard.Log
+	detour.Log
 }
 
 // Replicas speaks to replicas.
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -2,81 +2,60 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"sort"
 	"sync"
 	"time"
 
-	"mulleingate.dev/base/fault"
 	"mulleingate.dev/base/ident"
 	"mulleingate.dev/gate/work"
 )
 
-// Timing holds the intervals of a view.
-type Timing struct {
-	// Beat is the time between two heartbeats.
-	Beat time.Duration
-	// Look is the time between two reads of the others' heartbeats.
-	Look time.Duration
-	// Dead is how long a box may be silent, while the log can be read, before it counts as
-	// dead. It covers a few lost heartbeats.
-	Dead time.Duration
-	// Doubt is how long a box may be silent that could not be reached just now. It is above
-	// Beat and Look together, so that a living box which only this one can't reach is heard.
-	Doubt time.Duration
-	// Settle is how long a box listens without a break before it trusts that it hears all.
-	// After a break others may be waiting for a call to the log to fail, so it covers Call.
-	Settle time.Duration
-	// Begin is the same for a box that has just started and reached the log at once.
-	Begin time.Duration
-	// Call bounds one call to the log.
-	Call time.Duration
-}
-
-// Usual are the intervals used where nothing else is set. A box that dies is found after
-// 1.0 to 1.3 s where calls are forwarded to it, and after 2.3 s at the latest. Heartbeats and
-// reads are calls to the log, so that they are not more often.
-func Usual() Timing {
-	return Timing{
-		Beat: 500 * time.Millisecond, Look: 300 * time.Millisecond, Doubt: time.Second, Dead: 2 * time.Second,
-		Settle: 1500 * time.Millisecond, Begin: 800 * time.Millisecond, Call: time.Second,
-	}
-}
-
 // Log is the part of the log that a view uses.
 type Log interface {
-	Append(ctx context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error
-	Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (next int64, err error)
-	Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error)
+	// Join keeps the member in the fleet for ttl. The generation rises with each change of the
+	// fleet; the one heard last is handed back.
+	Join(ctx context.Context, member string, generation int64, ttl time.Duration) (int64, error)
+	Leave(ctx context.Context, member string) error
+	// Members returns all members.
+	Members(ctx context.Context) ([]string, error)
 }
 
-// claimTime is the time from a change of the view to the end of a claim: half the time
-// between two looks, and some calls to the log.
-const claimTime = 250 * time.Millisecond
-
-var boxes = work.Shard{Topic: work.Boxes}
-
 // entry is what is known of one other box.
 type entry struct {
 	work.Box
-	heard time.Time
+	// member says that the log named the box when it was last asked.
+	member bool
+	heard  time.Time
 }
 
+// failure is a row of failed calls to a box.
+type failure struct{ first, last time.Time }
+
 // View is the service.
 type View struct {
+	self   work.Box
 	log    Log
 	timing Timing
 	logger *slog.Logger
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
-	mu     sync.Mutex
-	self   work.Box
-	others map[string]entry
-	next   int64
-	// unreached is when a call to a box last failed.
-	unreached map[string]time.Time
+	mu      sync.Mutex
+	leaving bool
+	others  map[string]entry
+	// left holds boxes that are no longer in the fleet, as they were heard last.
+	left map[string]entry
+	// unreached holds boxes to which calls failed lately.
+	unreached map[string]failure
+	// generation is the one heard last, known the one whose members were read.
+	generation, known int64
+	// again is when the members of the known generation are read once more: a new member is
+	// named only after others have joined again.
+	again   time.Time
+	rereads int
+	// took is how long the log's last answer took.
+	took time.Duration
 	// begun is when the box started.
 	begun time.Time
 	// since is when the box began to listen without a break.
@@ -84,10 +63,9 @@
 	settled bool
 	// trusted is set once the view has settled for the first time.
 	trusted bool
-	// saidAt is when the newest heartbeat was sent that the log has confirmed.
-	saidAt time.Time
-	// readAt is when the log was last read with success.
-	readAt time.Time
+	// saidAt is when the newest heartbeat was sent that the log has confirmed, readAt when the
+	// confirmation came.
+	saidAt, readAt time.Time
 	// live is sorted by name and holds this box too unless it leaves.
 	live    []work.Box
 	changed []func()
@@ -95,9 +73,10 @@
 
 // New makes a view of a box that has not started.
 func New(self work.Box, log Log, timing Timing, logger *slog.Logger) *View {
-	v := &View{self: self, log: log, timing: timing, logger: logger, others: map[string]entry{}, unreached: map[string]time.Time{}, next: -1}
-	v.live = []work.Box{self}
-	return v
+	return &View{
+		self: self, log: log, timing: timing, logger: logger, live: []work.Box{self}, known: -1,
+		others: map[string]entry{}, left: map[string]entry{}, unreached: map[string]failure{},
+	}
 }
 
 // OnChange calls do after each change of the living boxes. It must be called before Start.
@@ -110,8 +89,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
 	v.begun = time.Now()
-	v.done.Go(func() { v.beat(ctx) })
-	v.done.Go(func() { v.look(ctx) })
+	v.done.Go(func() { v.run(ctx) })
 	return nil
 }
 
@@ -127,7 +105,7 @@
 func (v *View) Settled() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.settled && time.Since(v.readAt) <= v.timing.Dead/2
+	return v.settled && time.Since(v.readAt) <= v.hold()
 }
 
 // Trusted reports whether the view has settled at least once since the start.
@@ -137,7 +115,14 @@
 	return v.trusted
 }
 
-// ReadAge is the time since the log was last read; the view is no newer than that.
+// Fresh reports that this box was heard so lately that no other counts it as dead.
+func (v *View) Fresh() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Since(v.saidAt) < v.timing.Hold*3/4
+}
+
+// ReadAge is the time since the log was last heard; the view is no newer than that.
 func (v *View) ReadAge() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -151,29 +136,56 @@
 	return v.live
 }
 
-// Find returns the box with the name and incarnation if it lives, also one that leaves.
+// Find returns the box with the name and incarnation if it can be asked: it lives, or it
+// left the fleet lately and answers.
 func (v *View) Find(name, incarnation string) (work.Box, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	e, ok := v.others[name]
+	if !ok || e.Incarnation != incarnation {
+		e, ok = v.left[name]
+	}
+	if _, failed := v.unreached[name]; failed {
+		return work.Box{}, false
+	}
 	return e.Box, ok && e.Incarnation == incarnation
 }
 
-// Unreached notes that a call to the box failed to reach it. A box that is silent as well
-// counts as dead sooner.
+// Owner is the box that should own a slot: the rendezvous winner among those that live.
+func (v *View) Owner(slot string) (work.Box, bool) {
+	live := v.Live()
+	best, found := -1, uint64(0)
+	for i, box := range live {
+		if weight := ident.Weight(slot, box.Name); best < 0 || weight > found {
+			best, found = i, weight
+		}
+	}
+	if best < 0 {
+		return work.Box{}, false
+	}
+	return live[best], true
+}
+
+// Unreached notes that a call to the box failed to reach it.
 func (v *View) Unreached(box work.Box) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.unreached[box.Name] = time.Now()
+	now := time.Now()
+	f, ok := v.unreached[box.Name]
+	if !ok {
+		f.first = now
+	}
+	f.last = now
+	v.unreached[box.Name] = f
 }
 
-// Doubted reports that the box could not be reached a moment ago and was not heard since.
-// Another try would keep a caller waiting for nothing.
+// Doubted reports that the box could not be reached a moment ago. Another try would keep a
+// caller waiting for nothing.
 func (v *View) Doubted(box work.Box) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	at, ok := v.unreached[box.Name]
-	return ok && time.Since(at) < v.timing.Doubt/2 && v.others[box.Name].heard.Before(at)
+	f, ok := v.unreached[box.Name]
+	return ok && time.Since(f.last) < doubt
 }
 
 // Patience is how long it takes until a slot of the box is likely to have another owner, or
@@ -181,61 +193,40 @@
 func (v *View) Patience(box work.Box) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := time.Now()
 	left := time.Duration(0)
 	if box.Name == v.self.Name {
-		left = v.since.Add(v.quarantine()).Sub(now)
-	} else if e, ok := v.others[box.Name]; ok {
-		left = e.heard.Add(v.silence(box.Name, now)).Sub(now)
+		left = time.Until(v.since.Add(v.quarantine()))
+	} else if f, ok := v.unreached[box.Name]; ok {
+		left = time.Until(f.first.Add(v.hold() + v.timing.Beat))
 	}
 	return max(left, 0) + claimTime
 }
 
-// silence is how long the box may be silent.
-func (v *View) silence(name string, now time.Time) time.Duration {
-	if at, ok := v.unreached[name]; ok && now.Sub(at) < v.timing.Doubt {
-		return v.timing.Doubt
-	}
-	return v.timing.Dead
-}
-
-// Owner is the box that should own a slot: the rendezvous winner among those that live.
-func (v *View) Owner(slot string) (work.Box, bool) {
-	live := v.Live()
-	best, found := -1, uint64(0)
-	for i, box := range live {
-		if weight := ident.Weight(slot, box.Name); best < 0 || weight > found {
-			best, found = i, weight
-		}
-	}
-	if best < 0 {
-		return work.Box{}, false
-	}
-	return live[best], true
-}
-
-// Leave tells the others that this box gives up its slots.
+// Leave takes this box out of the fleet.
 func (v *View) Leave(ctx context.Context) {
 	v.mu.Lock()
-	v.self.Leaving = true
+	v.leaving = true
 	v.mu.Unlock()
-	v.say(ctx)
+	ctx, stop := context.WithTimeout(ctx, v.timing.Call)
+	defer stop()
+	if err := v.log.Leave(ctx, v.self.Member()); err != nil {
+		v.logger.Warn("view: others not told that this box leaves", "cause", err)
+	}
 	v.update(time.Now())
 }
 
-func (v *View) beat(ctx context.Context) {
-	v.every(ctx, v.timing.Beat, v.say)
+// hold is how long the log keeps a box after its heartbeat.
+func (v *View) hold() time.Duration {
+	return min(v.timing.Hold+slowAnswers*v.took, v.timing.HoldMost)
 }
 
-func (v *View) look(ctx context.Context) {
-	v.every(ctx, v.timing.Look, func(ctx context.Context) { v.listen(ctx) })
-}
-
-func (v *View) every(ctx context.Context, pause time.Duration, do func(context.Context)) {
-	tick := time.NewTicker(pause)
+func (v *View) run(ctx context.Context) {
+	tick := time.NewTicker(v.timing.Beat)
 	defer tick.Stop()
 	for {
-		do(ctx)
+		if err := v.beat(ctx); err != nil && ctx.Err() == nil {
+			v.logger.Debug("view: heartbeat not sent", "cause", err)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -244,97 +235,109 @@
 	}
 }
 
-// say appends one heartbeat.
-func (v *View) say(ctx context.Context) {
-	v.mu.Lock()
-	self := v.self
-	v.mu.Unlock()
-	raw, err := json.Marshal(self)
-	if err != nil {
-		v.logger.Error("view: heartbeat does not encode", "error", err)
-		return
-	}
+// beat joins the fleet once more, and reads its members if they have changed.
+func (v *View) beat(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, v.timing.Call)
 	defer stop()
-	start := time.Now()
-	err = v.log.Append(ctx, boxes, work.Writer{}, []work.Record{{Key: self.Name, Value: raw}})
-	if err != nil {
-		v.logger.Debug("view: heartbeat not sent", "error", err)
-		return
-	}
 	v.mu.Lock()
-	v.saidAt = start
+	leaving, generation, hold := v.leaving, v.generation, v.hold()
 	v.mu.Unlock()
-}
-
-// Fresh reports that this box was heard so lately that no other counts it as dead.
-func (v *View) Fresh() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return time.Since(v.saidAt) < v.timing.Dead/2
-}
-
-// listen reads the others' heartbeats.
-func (v *View) listen(ctx context.Context) {
-	ctx, stop := context.WithTimeout(ctx, v.timing.Call)
-	defer stop()
-	if v.next < 0 {
-		// What was said before this box began may be old: only later heartbeats count.
-		next, err := v.log.Newest(ctx, boxes, func(work.Record) {})
-		if err != nil {
-			return
+	start := time.Now()
+	if !leaving {
+		var err error
+		if generation, err = v.join(ctx, generation, hold); err != nil {
+			return err
 		}
-		v.next = next
 	}
-	page, err := v.log.Read(ctx, boxes, v.next, 0)
-	if fault.Is(err, fault.HistoryGone) {
-		v.next = -1
-		return
+	v.heard(start, generation)
+	if v.changedFleet() || leaving {
+		members, err := v.log.Members(ctx)
+		if err != nil {
+			return err
+		}
+		v.take(generation, members)
 	}
-	if err != nil {
-		return
+	v.update(time.Now())
+	return nil
+}
+
+// join joins the fleet, and once more at once if it has changed: a new member is named only
+// after the others have joined with the new generation.
+func (v *View) join(ctx context.Context, generation int64, hold time.Duration) (int64, error) {
+	member := v.self.Member()
+	got, err := v.log.Join(ctx, member, generation, hold)
+	if err != nil || got == generation {
+		return got, err
 	}
-	v.next = page.Next
-	v.take(page.Records)
+	return v.log.Join(ctx, member, got, hold)
 }
 
-func (v *View) take(recs []work.Record) {
-	now := time.Now()
+// heard notes an answer of the log.
+func (v *View) heard(start time.Time, generation int64) {
 	v.mu.Lock()
-	if now.Sub(v.readAt) > v.timing.Dead/2 {
+	defer v.mu.Unlock()
+	now := time.Now()
+	if now.Sub(v.readAt) > v.hold() {
 		// Nobody could be heard meanwhile: all get their time anew.
-		for name, e := range v.others {
-			e.heard = now
-			v.others[name] = e
-		}
-		v.since = now
+		v.since, v.known = now, -1
 		time.AfterFunc(v.quarantine(), func() { v.update(time.Now()) })
+		time.AfterFunc(v.timing.Grace, func() { v.update(time.Now()) })
 	}
-	v.readAt = now
-	for _, rec := range recs {
-		var box work.Box
-		if err := json.Unmarshal(rec.Value, &box); err != nil || box.Name != rec.Key {
-			v.logger.Warn("view: malformed heartbeat", "key", rec.Key)
+	v.took, v.saidAt, v.readAt, v.generation = now.Sub(start), start, now, generation
+}
+
+func (v *View) changedFleet() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.known != v.generation || time.Now().After(v.again)
+}
+
+// take takes the members of a generation.
+func (v *View) take(generation int64, members []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	named := map[string]bool{}
+	for _, text := range members {
+		box, err := work.ParseMember(text)
+		if err != nil {
+			v.logger.Warn("view: malformed member", "cause", err)
 			continue
 		}
-		if box.Name != v.self.Name {
-			v.others[box.Name] = entry{Box: box, heard: now}
+		if box.Name == v.self.Name {
+			continue
 		}
+		// A box that started again is named twice until its start before is forgotten.
+		if have, ok := v.others[box.Name]; ok && named[box.Name] && have.Incarnation != box.Incarnation && v.left[box.Name].Incarnation == box.Incarnation {
+			continue
+		}
+		if have, ok := v.others[box.Name]; ok && have.Incarnation != box.Incarnation {
+			v.left[box.Name] = have
+		}
+		named[box.Name] = true
+		v.others[box.Name] = entry{Box: box, member: true, heard: now}
 	}
-	v.mu.Unlock()
-	v.update(now)
+	for name, e := range v.others {
+		if !named[name] {
+			e.member = false
+			v.others[name] = e
+		}
+	}
+	if v.known != generation {
+		v.rereads = rereads + 1
+	}
+	v.rereads--
+	v.again = now.Add(rereadAfter*v.timing.Beat - v.timing.Beat/2)
+	if v.rereads <= 0 {
+		v.again = now.Add(v.timing.Reread)
+	}
+	v.known = generation
 }
 
-// update forgets dead boxes and tells of changes.
+// update forgets boxes that the log no longer names and tells of changes.
 func (v *View) update(now time.Time) {
 	v.mu.Lock()
-	for name, e := range v.others {
-		if now.Sub(e.heard) > v.silence(name, now) {
-			v.logger.Warn("view: box dead", "box", name, "silent", now.Sub(e.heard))
-			delete(v.others, name)
-			delete(v.unreached, name)
-		}
-	}
+	v.forget(now)
 	live := v.list()
 	settled := !v.since.IsZero() && now.Sub(v.since) >= v.quarantine()
 	same := settled == v.settled && equal(live, v.live)
@@ -350,6 +353,27 @@
 	}
 }
 
+func (v *View) forget(now time.Time) {
+	for name, e := range v.others {
+		if !e.member && now.Sub(v.since) >= v.timing.Grace {
+			v.logger.Info("view: box left or died", "box", name, "heard", now.Sub(e.heard))
+			e.heard = now
+			v.left[name] = e
+			delete(v.others, name)
+		}
+	}
+	for name, e := range v.left {
+		if now.Sub(e.heard) > v.timing.Remember {
+			delete(v.left, name)
+		}
+	}
+	for name, f := range v.unreached {
+		if now.Sub(f.last) > streak {
+			delete(v.unreached, name)
+		}
+	}
+}
+
 // quarantine is how long the box must have listened.
 func (v *View) quarantine() time.Duration {
 	if v.since.Sub(v.begun) < v.timing.Beat {
@@ -360,13 +384,11 @@
 
 func (v *View) list() []work.Box {
 	var live []work.Box
-	if !v.self.Leaving {
+	if !v.leaving {
 		live = append(live, v.self)
 	}
 	for _, e := range v.others {
-		if !e.Leaving {
-			live = append(live, e.Box)
-		}
+		live = append(live, e.Box)
 	}
 	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
 	return live
--- a/gate/work/record.go
+++ b/gate/work/record.go
@@ -1,6 +1,11 @@
 package work
 
-import "net/netip"
+import (
+	"net/netip"
+	"strings"
+
+	"mulleingate.dev/base/fault"
+)
 
 // Topic is one of the logs that boxes read or write.
 type Topic string
@@ -9,8 +14,6 @@
 const (
 	// Turns holds what is kept of programs, by slot.
 	Turns Topic = "turns"
-	// Boxes holds the heartbeats of boxes.
-	Boxes Topic = "boxes"
 	// Settings holds the operators' configuration. Boxes only read it.
 	Settings Topic = "settings"
 	// Replicas holds the list of replicas. Boxes only read it.
@@ -54,5 +57,22 @@
 	Peer netip.AddrPort `json:"peer"`
 	// Incarnation is new for every start.
 	Incarnation string `json:"incarnation"`
-	Leaving     bool   `json:"leaving"`
+}
+
+// Member is the box as one text, by which it is a member of the fleet.
+func (b Box) Member() string {
+	return strings.Join([]string{b.Name, b.Zone, b.Peer.String(), b.Incarnation}, "|")
+}
+
+// ParseMember reads the form that Member writes.
+func ParseMember(text string) (Box, error) {
+	fields := strings.Split(text, "|")
+	if len(fields) != 4 {
+		return Box{}, fault.Fail(fault.Protocol, "malformed member")
+	}
+	peer, err := netip.ParseAddrPort(fields[2])
+	if err != nil {
+		return Box{}, fault.Fail(fault.Protocol, "member without an address").Because(err)
+	}
+	return Box{Name: fields[0], Zone: fields[1], Peer: peer, Incarnation: fields[3]}, nil
 }
