work: let the size of an event travel with the route

Change: the route holds the stride and travels with a forwarded turn; where it is not known, a turn counts at its most.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -61,7 +61,7 @@
 
 // Runner runs turns on slots of this box.
 type Runner interface {
-	Run(ctx context.Context, slot *shard.Slot, call *work.Call, route *work.Route, stride int, out work.Answer) error
+	Run(ctx context.Context, slot *shard.Slot, call *work.Call, route *work.Route, out work.Answer) error
 }
 
 // Peers forwards turns to other boxes.
@@ -239,20 +239,5 @@
 	if err != nil {
 		return err
 	}
-	return e.runner.Run(ctx, slot, call, route, e.stride(route), out)
-}
-
-// stride is the tokens in one event of the route's answers.
-func (e *Entry) stride(route *work.Route) int {
-	conf := e.feed.Config()
-	if conf == nil || len(route.Splits) == 0 {
-		return 1
-	}
-	most := 1
-	for _, split := range route.Splits {
-		if engine := conf.Services[split.Service].Engine; engine != nil {
-			most = max(most, engine.Stride)
-		}
-	}
-	return most
+	return e.runner.Run(ctx, slot, call, route, out)
 }
--- a/gate/entry/entry_test.go
+++ b/gate/entry/entry_test.go
@@ -55,7 +55,7 @@
 	return nil, fault.Refuse(fault.NotOwner, "no")
 }
 
-func (w *world) Run(context.Context, *shard.Slot, *work.Call, *work.Route, int, work.Answer) error {
+func (w *world) Run(context.Context, *shard.Slot, *work.Call, *work.Route, work.Answer) error {
 	return w.next()
 }
 
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -61,8 +61,6 @@
 	call  *work.Call
 	route *work.Route
 	open  chain.Open
-	// stride is the tokens in one event.
-	stride int
 	// input is what the caller sent; prompt the whole chain with it.
 	input, prompt []byte
 	// seen is what replicas keep of the chain, in tokens.
@@ -84,10 +82,10 @@
 
 // Run runs the turn on the slot. It returns nil after a whole answer that the log holds; a
 // fault with NotRun if the turn has not run and won't; any other fault if it may have.
-func (r *Runner) Run(ctx context.Context, slot *shard.Slot, call *work.Call, route *work.Route, stride int, out work.Answer) error {
+func (r *Runner) Run(ctx context.Context, slot *shard.Slot, call *work.Call, route *work.Route, out work.Answer) error {
 	ctx, stop := context.WithDeadline(ctx, call.Deadline)
 	defer stop()
-	t := &turn{Runner: r, slot: slot, call: call, route: route, stride: max(stride, 1), input: call.Body}
+	t := &turn{Runner: r, slot: slot, call: call, route: route, input: call.Body}
 	t.open = chain.Open{
 		ID: call.ID, Program: call.Turn.Program, Previous: call.Turn.Previous, Most: most(call), Retention: route.Retention,
 	}
@@ -299,9 +297,18 @@
 	}
 }
 
+// spent is the tokens of an answer with so many events. Where the size of an event is not
+// known, the turn counts at its most.
+func (t *turn) spent(events int) int {
+	if t.route.Stride == 0 {
+		return t.open.Most
+	}
+	return events * t.route.Stride
+}
+
 // finish writes the turn to the log; the answer's end waits for it.
 func (t *turn) finish(ctx context.Context, collected events) error {
-	tokens := collected.count * t.stride
+	tokens := t.spent(collected.count)
 	var pending *shard.Pending
 	t.slot.Change(func(state *chain.State) {
 		made, recs := state.Finish(time.Now(), t.open, tokens, collected.text)
--- a/gate/work/config.go
+++ b/gate/work/config.go
@@ -49,6 +49,10 @@
 	Stateful bool
 	// Retention is how long an answered turn is kept after its end.
 	Retention time.Duration
+	// Stride is the tokens in one event of an answer, the most of the route's services; zero
+	// for plain services. It travels with the route, since the box that owns a program may
+	// know no configuration yet.
+	Stride int
 	// Affinity says that replicas work faster on objects that they have lately seen.
 	Affinity bool
 }
@@ -103,11 +107,23 @@
 	}
 	for i := range conf.Routes {
 		route := &conf.Routes[i]
+		route.Stride = conf.stride(route)
 		conf.byHost[route.Host] = append(conf.byHost[route.Host], route)
 	}
 	return conf
 }
 
+// stride is the most tokens in one event of the route's services.
+func (c *Config) stride(route *Route) int {
+	most := 0
+	for _, split := range route.Splits {
+		if engine := c.Services[split.Service].Engine; engine != nil {
+			most = max(most, engine.Stride)
+		}
+	}
+	return most
+}
+
 // Find returns the host's route with the longest prefix of the path, or nil.
 func (c *Config) Find(host, path string) *Route {
 	var best *Route
