gate: one copy of what stood twice, and nothing that is never used

Change: work.Copy; remote.Client.ask and order; slices and maps; one case in entry for a slot that is this box's.

--- a/gate/chain/chain.go
+++ b/gate/chain/chain.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"slices"
 	"time"
 
 	"mulleingate.dev/base/fault"
@@ -179,9 +180,7 @@
 		back = append(back, t)
 		at = t.previous
 	}
-	for i, j := 0, len(back)-1; i < j; i, j = i+1, j-1 {
-		back[i], back[j] = back[j], back[i]
-	}
+	slices.Reverse(back)
 	return back, nil
 }
 
--- a/gate/dial/conn.go
+++ b/gate/dial/conn.go
@@ -13,8 +13,6 @@
 	in  *bufio.Reader
 	// since is when the last answer ended.
 	since time.Time
-	// written is set before the first byte of the request under way is written.
-	written bool
 }
 
 func newConn(raw net.Conn) *conn {
--- a/gate/dial/pool.go
+++ b/gate/dial/pool.go
@@ -81,17 +81,6 @@
 	p.idle = nil
 }
 
-// Trim ends connections that have rested too long.
-func (p *Pool) Trim(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for len(p.idle) > 0 && now.Sub(p.idle[0].since) > p.rest {
-		p.idle[0].end()
-		p.idle = p.idle[1:]
-		p.open--
-	}
-}
-
 // take returns an idle connection that has rested at most maxRest and still looks alive,
 // or a new one.
 func (p *Pool) take(ctx context.Context, maxRest time.Duration) (*conn, error) {
--- a/gate/dial/send.go
+++ b/gate/dial/send.go
@@ -66,7 +66,6 @@
 	if err != nil {
 		return nil, err
 	}
-	c.written = true
 	resp := &Response{pool: p, conn: c, sent: make(chan struct{}), failed: &atomic.Bool{}}
 	resp.stop = context.AfterFunc(ctx, c.interrupt)
 	resp.write(req)
--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -202,12 +202,10 @@
 		box, ok := e.boxes.Owner(e.layout.Name(slot))
 		switch {
 		// A box that gives up its slots still holds them until another asks.
-		case e.slots.Holds(slot):
+		case e.slots.Holds(slot), ok && box.Name == e.self.Name:
 			err = e.RunHere(ctx, slot, call, route, out)
 		case !ok:
 			err = fault.Refuse(fault.OwnerUnknown, "no box owns the slot")
-		case box.Name == e.self.Name:
-			err = e.RunHere(ctx, slot, call, route, out)
 		case e.boxes.Doubted(box):
 			return fault.Refuse(fault.PeerLost, "the owner of the slot was not reached a moment ago")
 		default:
--- a/gate/meter/text.go
+++ b/gate/meter/text.go
@@ -4,7 +4,8 @@
 	"bufio"
 	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 
 	"mulleingate.dev/base/types"
@@ -25,13 +26,8 @@
 }
 
 func writeNumbers(w *bufio.Writer, kind, suffix string, values map[string]int64) {
-	names := make([]string, 0, len(values))
-	for name := range values {
-		names = append(names, name)
-	}
-	sort.Strings(names)
 	typed := ""
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(values)) {
 		base, labels := split(name)
 		if base != typed {
 			_, _ = fmt.Fprintf(w, "# TYPE %s%s %s\n", base, suffix, kind) // Flush tells of a failure
@@ -42,13 +38,8 @@
 }
 
 func writeHistograms(w *bufio.Writer, values map[string]types.Histogram) {
-	names := make([]string, 0, len(values))
-	for name := range values {
-		names = append(names, name)
-	}
-	sort.Strings(names)
 	typed := ""
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(values)) {
 		base, labels := split(name)
 		if base != typed {
 			_, _ = fmt.Fprintf(w, "# TYPE %s_us summary\n", base) // Flush tells of a failure
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -17,8 +17,8 @@
 const (
 	// maxSends bounds the replicas that one call is offered to, whether they run it or not.
 	maxSends = 5
-	// patience is how many times its usual time a repeatable call may take at one replica
-	// before another is tried.
+	// patience is the part of the time left, one in so many, that a repeatable call may take at
+	// one replica before another is tried, unless its objective is longer.
 	patience = 5
 	// leastPatience bounds that from below: a network round trip and a full queue.
 	leastPatience = 250 * time.Millisecond
@@ -110,13 +110,10 @@
 	if ctx.Err() != nil || time.Until(a.call.Deadline) < worthTrying || a.sent >= maxSends {
 		return false
 	}
-	if fault.Is(err, fault.NoTarget) && fault.From(err).NotRun && a.sent == 0 {
+	if noneLeft(err) {
 		return false
 	}
-	if a.ran == 0 {
-		return !noneLeft(err)
-	}
-	return a.route.Kind == work.Repeatable && a.ran < a.route.Attempts && !noneLeft(err)
+	return a.ran == 0 || (a.route.Kind == work.Repeatable && a.ran < a.route.Attempts)
 }
 
 // noneLeftError says that no replica is left to try.
@@ -269,12 +266,16 @@
 		got.close(target.Dropped)
 		return err
 	}
-	if err := a.begin(got, out); err != nil || got.rest == nil {
-		got.close(target.Dropped)
-		return err
+	if len(got.body) > 0 {
+		if err := out.Write(got.body); err != nil {
+			got.close(target.Dropped)
+			return err
+		}
 	}
-	err := copyRest(got.rest, out)
-	if err != nil {
+	if got.rest == nil {
+		return nil
+	}
+	if err := work.Copy(got.rest, out, fault.TargetFailed); err != nil {
 		got.close(target.Broken)
 		return err
 	}
@@ -282,33 +283,8 @@
 	return nil
 }
 
-func (a *attempts) begin(got whole, out work.Answer) error {
-	if len(got.body) == 0 {
-		return nil
-	}
-	return out.Write(got.body)
-}
-
 func (w whole) close(out target.Outcome) {
 	if w.end != nil {
 		w.end(out)
 	}
 }
-
-func copyRest(from io.Reader, out work.Answer) error {
-	buf := make([]byte, 16<<10)
-	for {
-		n, err := from.Read(buf)
-		if n > 0 {
-			if err := out.Write(buf[:n]); err != nil {
-				return err
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return fault.Fail(fault.TargetFailed, "the answer broke off").Because(err)
-		}
-	}
-}
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/dial"
 	"mulleingate.dev/gate/work"
@@ -110,25 +108,7 @@
 	if err := out.Begin(*head.Head); err != nil {
 		return err
 	}
-	return copyBody(resp, out)
-}
-
-func copyBody(resp *dial.Response, out work.Answer) error {
-	buf := make([]byte, 4<<10)
-	for {
-		n, err := resp.Read(buf)
-		if n > 0 {
-			if err := out.Write(buf[:n]); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return fault.Fail(fault.PeerLost, "the owner's answer broke off").Because(err)
-		}
-	}
+	return work.Copy(resp, out, fault.PeerLost)
 }
 
 // lost keeps a box's failure apart from a target's.
@@ -137,35 +117,45 @@
 	return &fault.Fault{Kind: fault.PeerLost, Detail: "the owner of the slot is not reached: " + f.Error(), NotRun: f.NotRun}
 }
 
-// Handover asks a box to give a slot up, and returns once it has.
-func (c *Client) Handover(ctx context.Context, box work.Box, slot int) error {
+// ask sends a short message to a box and reads its whole answer.
+func (c *Client) ask(ctx context.Context, box work.Box, method, path string, query url.Values, body []byte) (status int, raw []byte, err error) {
 	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{
-		Method: http.MethodPost, Target: yieldPath + "?" + url.Values{slotParam: {strconv.Itoa(slot)}}.Encode(), Host: box.Peer.String(),
+		Method: method, Target: path + "?" + query.Encode(), Host: box.Peer.String(), Body: body,
 	})
 	if err != nil {
-		return lost(err)
+		return 0, nil, lost(err)
 	}
 	defer resp.Close()
-	_, _ = io.Copy(io.Discard, resp) // the status says it all
-	if resp.Status != http.StatusOK {
-		return fault.Fail(fault.PeerLost, "the box does not give the slot up: status "+strconv.Itoa(resp.Status))
+	raw, err = io.ReadAll(io.LimitReader(resp, maxBody))
+	if err != nil {
+		return 0, nil, fault.Fail(fault.PeerLost, "another box's answer broke off").Because(err)
+	}
+	return resp.Status, raw, nil
+}
+
+// order sends a message whose answer is its status: 200 if the box has done it.
+func (c *Client) order(ctx context.Context, box work.Box, path string, query url.Values, body []byte) error {
+	status, _, err := c.ask(ctx, box, http.MethodPost, path, query, body)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return fault.Fail(fault.PeerLost, "the box does not do as asked: status "+strconv.Itoa(status))
 	}
 	return nil
 }
 
+// Handover asks a box to give a slot up, and returns once it has.
+func (c *Client) Handover(ctx context.Context, box work.Box, slot int) error {
+	return c.order(ctx, box, yieldPath, url.Values{slotParam: {strconv.Itoa(slot)}}, nil)
+}
+
 // Find implements entry.Peers.
 func (c *Client) Find(ctx context.Context, box work.Box, turn string, home int) ([]byte, []int, error) {
 	query := url.Values{turnParam: {turn}, slotParam: {strconv.Itoa(home)}}
-	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{
-		Method: http.MethodGet, Target: findPath + "?" + query.Encode(), Host: box.Peer.String(),
-	})
-	if err != nil {
-		return nil, nil, lost(err)
-	}
-	defer resp.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp, maxBody))
+	_, raw, err := c.ask(ctx, box, http.MethodGet, findPath, query, nil)
 	if err != nil {
-		return nil, nil, fault.Fail(fault.PeerLost, "another box's answer broke off").Because(err)
+		return nil, nil, err
 	}
 	var out findAnswer
 	if err := json.Unmarshal(raw, &out); err != nil {
@@ -180,42 +170,16 @@
 	if err != nil {
 		return fault.Refuse(fault.Internal, "records do not encode").Because(err)
 	}
-	query := url.Values{slotParam: {strconv.Itoa(slot)}}
-	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{
-		Method: http.MethodPost, Target: deliverPath + "?" + query.Encode(), Host: box.Peer.String(), Body: raw,
-	})
-	if err != nil {
-		return lost(err)
-	}
-	defer resp.Close()
-	_, _ = io.Copy(io.Discard, resp) // the status says it all
-	if resp.Status != http.StatusOK {
-		return fault.Fail(fault.PeerLost, "the box does not take the records: status "+strconv.Itoa(resp.Status))
-	}
-	return nil
+	return c.order(ctx, box, deliverPath, url.Values{slotParam: {strconv.Itoa(slot)}}, raw)
 }
 
 // Leaving tells a box that another, named by its member text, leaves.
 func (c *Client) Leaving(ctx context.Context, box work.Box, member string) error {
-	query := url.Values{memberParam: {member}}
-	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{
-		Method: http.MethodPost, Target: leftPath + "?" + query.Encode(), Host: box.Peer.String(),
-	})
-	if err != nil {
-		return lost(err)
-	}
-	defer resp.Close()
-	_, _ = io.Copy(io.Discard, resp) // any answer will do
-	return nil
+	return c.order(ctx, box, leftPath, url.Values{memberParam: {member}}, nil)
 }
 
 // Ping reports whether the box answers.
 func (c *Client) Ping(ctx context.Context, box work.Box) bool {
-	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{Method: http.MethodGet, Target: pingPath, Host: box.Peer.String()})
-	if err != nil {
-		return false
-	}
-	defer resp.Close()
-	_, _ = io.Copy(io.Discard, resp) // any answer will do
-	return true
+	_, _, err := c.ask(ctx, box, http.MethodGet, pingPath, nil, nil)
+	return err == nil
 }
--- a/gate/remote/log.go
+++ b/gate/remote/log.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
 	"mulleingate.dev/base/fault"
-	"mulleingate.dev/gate/dial"
 	"mulleingate.dev/gate/work"
 )
 
@@ -117,15 +115,9 @@
 	if err != nil {
 		return logAnswer{}, fault.Refuse(fault.Internal, "call to the log does not encode").Because(err)
 	}
-	addr := v.box.Peer
-	resp, err := v.client.pool(addr).Send(ctx, dial.Request{Method: http.MethodPost, Target: logPath, Host: addr.String(), Body: raw})
+	_, raw, err = v.client.ask(ctx, v.box, http.MethodPost, logPath, nil, raw)
 	if err != nil {
-		return logAnswer{}, lost(err)
-	}
-	defer resp.Close()
-	raw, err = io.ReadAll(io.LimitReader(resp, maxBody))
-	if err != nil {
-		return logAnswer{}, fault.Fail(fault.PeerLost, "another box's answer broke off").Because(err)
+		return logAnswer{}, err
 	}
 	var out logAnswer
 	if err := json.Unmarshal(raw, &out); err != nil {
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"mulleingate.dev/gate/work"
@@ -88,7 +89,7 @@
 	least := time.Duration(math.MaxInt64)
 	ejector := t.eject(service)
 	for _, s := range t.services[service] {
-		if s.Draining || contains(ask.Avoid, s.ID) || t.full(s) {
+		if s.Draining || slices.Contains(ask.Avoid, s.ID) || t.full(s) {
 			continue
 		}
 		if !desperate && (now.Before(s.suspect) || ejector.Ejected(now, s.ID)) {
@@ -117,15 +118,6 @@
 	return s.busy >= t.share(s.Service)
 }
 
-func contains(list []string, id string) bool {
-	for _, have := range list {
-		if have == id {
-			return true
-		}
-	}
-	return false
-}
-
 // cost is the expected time of the call at the replica, and what it takes from others.
 func (t *Targets) cost(now time.Time, ask Ask, s *state) choice {
 	c := choice{state: s}
--- a/gate/work/call.go
+++ b/gate/work/call.go
@@ -81,8 +81,6 @@
 	Header http.Header
 	// Length is the number of bytes of the body, or negative if it isn't known before.
 	Length int64
-	// Close says that the connection ends with this answer.
-	Close bool
 }
 
 // Answer takes the answer of a call. Its methods are called from one goroutine.
