entry: ask the boxes behind the owner while it joins

Cause: a box that joins (after a start, a heal of its zone, a replacement) is the owner of its slots in all views before it may claim them; it listens for 1.5 s first. Ruled out: a last known holder kept by each box, which a box that has just started does not have; the rendezvous ranks behind the owner need no memory. A stale holder writes nothing: the store fences it, and the first event waits for the start record. Change: up to four ranks are asked, the first word counts.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -12,11 +12,15 @@
 )
 
 const (
-	// ownerTries bounds how often the owner of a slot is looked up for one call, and
+	// ownerTries bounds how often the owners of a slot are looked up for one call, and
 	// ownerPause is the time between. A refusal that comes later than a quarter of the time in
 	// which callers want an answer helps nobody; a hand-over is done within it.
 	ownerTries = 2
 	ownerPause = 30 * time.Millisecond
+	// ownerRanks is how many boxes are asked in one look: the one that should own the slot,
+	// and those that would without it. While a box joins, the next of them holds the slot still;
+	// of an availability zone that comes back, three boxes may join at once.
+	ownerRanks = 4
 	// retryUnknown is the advice given while the owner of a program can't be asked and it is
 	// not known for how long; it bounds the advice where that is known.
 	retryUnknown = 1200 * time.Millisecond
@@ -34,6 +38,9 @@
 // Boxes tells who should own a slot.
 type Boxes interface {
 	Owner(slot string) (work.Box, bool)
+	// Owners returns the box that should own a slot and, in order, those that should if the
+	// ones before were gone: n at most.
+	Owners(slot string, n int) []work.Box
 	Live() []work.Box
 	// Unreached notes that a box could not be reached.
 	Unreached(box work.Box)
@@ -192,32 +199,57 @@
 	return fault.Is(err, fault.NotOwner) || fault.Is(err, fault.PeerLost) || fault.Is(err, fault.OwnerUnknown)
 }
 
-// runAt runs the turn at the owner of the slot.
+// runAt runs the turn at whoever holds the slot.
 func (e *Entry) runAt(ctx context.Context, slot int, call *work.Call, route *work.Route, out work.Answer) error {
 	var err error
 	for try := range ownerTries {
 		if try > 0 && !pause(ctx) {
 			return err
 		}
-		box, ok := e.boxes.Owner(e.layout.Name(slot))
-		switch {
-		// A box that gives up its slots still holds them until another asks.
-		case e.slots.Holds(slot), ok && box.Name == e.self.Name:
-			err = e.RunHere(ctx, slot, call, route, out)
-		case !ok:
-			err = fault.Refuse(fault.OwnerUnknown, "no box owns the slot")
-		case e.boxes.Doubted(box):
-			return fault.Refuse(fault.PeerLost, "the owner of the slot was not reached a moment ago")
-		default:
-			e.log.Info("entry: turn forwarded", "id", call.ID, "program", call.Turn.Program, "slot", slot, "owner", box.Name, "try", try)
-			err = e.peers.Turn(ctx, box, slot, call, route, out)
-			if fault.Is(err, fault.PeerLost) && ctx.Err() == nil {
-				e.boxes.Unreached(box)
-			}
+		if err = e.look(ctx, slot, call, route, out); !unreached(err) {
+			return err
+		}
+	}
+	return err
+}
+
+// look asks the boxes that may hold the slot, the likeliest first. The fault of the first one
+// is returned if none does.
+func (e *Entry) look(ctx context.Context, slot int, call *work.Call, route *work.Route, out work.Answer) error {
+	// A box that gives up its slots still holds them until another asks.
+	if e.slots.Holds(slot) {
+		if err := e.RunHere(ctx, slot, call, route, out); !unreached(err) {
+			return err
 		}
+	}
+	var first error
+	for rank, box := range e.boxes.Owners(e.layout.Name(slot), ownerRanks) {
+		err := e.runOn(ctx, box, rank, slot, call, route, out)
 		if !unreached(err) {
 			return err
 		}
+		if first == nil {
+			first = err
+		}
+	}
+	if first == nil {
+		return fault.Refuse(fault.OwnerUnknown, "no box owns the slot")
+	}
+	return first
+}
+
+// runOn runs the turn on one box if that holds the slot.
+func (e *Entry) runOn(ctx context.Context, box work.Box, rank, slot int, call *work.Call, route *work.Route, out work.Answer) error {
+	if box.Name == e.self.Name {
+		return e.RunHere(ctx, slot, call, route, out)
+	}
+	if e.boxes.Doubted(box) {
+		return fault.Refuse(fault.PeerLost, "the owner of the slot was not reached a moment ago")
+	}
+	e.log.Info("entry: turn forwarded", "id", call.ID, "program", call.Turn.Program, "slot", slot, "owner", box.Name, "rank", rank)
+	err := e.peers.Turn(ctx, box, slot, call, route, out)
+	if fault.Is(err, fault.PeerLost) && ctx.Err() == nil {
+		e.boxes.Unreached(box)
 	}
 	return err
 }
--- a/gate/entry/entry_test.go
+++ b/gate/entry/entry_test.go
@@ -17,8 +17,10 @@
 
 // world is a box with fakes of all that its entry uses.
 type world struct {
-	conf     *work.Config
-	owner    work.Box
+	conf  *work.Config
+	owner work.Box
+	// behind are the boxes that would own the slot without the owner.
+	behind   []work.Box
 	doubted  bool
 	cutOff   bool
 	holds    bool
@@ -36,8 +38,15 @@
 	err   error
 }
 
-func (w *world) Config() *work.Config            { return w.conf }
-func (w *world) Owner(string) (work.Box, bool)   { return w.owner, w.owner.Name != "" }
+func (w *world) Config() *work.Config          { return w.conf }
+func (w *world) Owner(string) (work.Box, bool) { return w.owner, w.owner.Name != "" }
+func (w *world) Owners(_ string, n int) []work.Box {
+	if w.owner.Name == "" {
+		return nil
+	}
+	all := append([]work.Box{w.owner}, w.behind...)
+	return all[:min(n, len(all))]
+}
 func (w *world) Unreached(work.Box)              { w.calls = append(w.calls, "unreached") }
 func (w *world) Doubted(work.Box) bool           { return w.doubted }
 func (w *world) Patience(work.Box) time.Duration { return w.patience }
@@ -95,6 +104,14 @@
 	return &world{conf: work.NewConfig(1, routes, nil, work.Limits{}), owner: work.Box{Name: "b"}, turn: []error{nil}}
 }
 
+func boxes(names ...string) []work.Box {
+	var all []work.Box
+	for _, name := range names {
+		all = append(all, work.Box{Name: name})
+	}
+	return all
+}
+
 func turnCall(previous string) *work.Call {
 	return &work.Call{ID: "i", Host: "H:80", Target: "/chat/x?q", Arrived: time.Now(), Turn: &work.Turn{Program: "p", Previous: previous}}
 }
@@ -111,6 +128,16 @@
 	}{
 		{"to the owner", func(*world) {}, "", 0, []string{"to b"}},
 		{"this box holds the slot, whoever should", func(w *world) { w.holds = true }, "", 0, []string{"here"}},
+		{"to the holder while the owner joins", func(w *world) { w.behind, w.turn = boxes("c"), []error{notOwner, nil} }, "", 0, []string{"to b", "to c"}},
+		{"the owner's word counts if no holder is found", func(w *world) {
+			w.behind, w.turn, w.patience = boxes("c"), []error{gone, notOwner}, 300*time.Millisecond
+		}, fault.TurnUnknown, 300 * time.Millisecond, []string{"to b", "unreached", "to c", "to b", "to c"}},
+		{"no more than a few are asked", func(w *world) {
+			w.behind, w.turn = boxes("c", "d", "e", "f", "g"), []error{notOwner, notOwner, notOwner, notOwner, nil}
+		}, "", 0, []string{"to b", "to c", "to d", "to e", "to b"}},
+		{"a holder that may have run it ends the search", func(w *world) {
+			w.behind, w.turn = boxes("c", "d"), []error{notOwner, fault.Fail(fault.PeerLost, "broke off")}
+		}, fault.PeerLost, 0, []string{"to b", "to c", "unreached"}},
 		{"again after a hand-over", func(w *world) { w.turn = []error{notOwner, nil} }, "", 0, []string{"to b", "to b"}},
 		{"owner not reached", func(w *world) { w.turn, w.patience = []error{gone}, 400*time.Millisecond }, fault.TurnUnknown, 400 * time.Millisecond, []string{"to b", "unreached", "to b", "unreached"}},
 		{"owner not reached a moment ago", func(w *world) { w.doubted = true }, fault.TurnUnknown, 0, nil},
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -155,17 +156,31 @@
 
 // Owner is the box that should own a slot: the rendezvous winner among those that live.
 func (v *View) Owner(slot string) (work.Box, bool) {
-	live := v.Live()
-	best, found := -1, uint64(0)
-	for i, box := range live {
-		if weight := ident.Weight(slot, box.Name); best < 0 || weight > found {
-			best, found = i, weight
-		}
-	}
-	if best < 0 {
+	owners := v.Owners(slot, 1)
+	if len(owners) == 0 {
 		return work.Box{}, false
 	}
-	return live[best], true
+	return owners[0], true
+}
+
+// Owners returns the winner and the next n-1 boxes of the slot's rendezvous, best first: where
+// a box has just come, the one behind it held its slots until then.
+func (v *View) Owners(slot string, n int) []work.Box {
+	best := make([]work.Box, 0, n+1)
+	weights := make([]uint64, 0, n+1)
+	for _, box := range v.Live() {
+		weight := ident.Weight(slot, box.Name)
+		at := 0
+		for at < len(weights) && weights[at] >= weight {
+			at++
+		}
+		if at == n {
+			continue
+		}
+		best = slices.Insert(best, at, box)[:min(len(best)+1, n)]
+		weights = slices.Insert(weights, at, weight)[:min(len(weights)+1, n)]
+	}
+	return best
 }
 
 // Unreached notes that a call to the box failed to reach it.
--- a/gate/view/view_test.go
+++ b/gate/view/view_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -154,6 +155,31 @@
 	})
 }
 
+// TestOwnersAreRanked checks that without the owner of a slot the next rank is its owner, so
+// that a call finds the holder while a box joins.
+func TestOwnersAreRanked(t *testing.T) {
+	v := New(work.Box{Name: "a"}, nil, Usual(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		v.live = append(v.live[:len(v.live):len(v.live)], work.Box{Name: name})
+	}
+	v.live = v.live[1:] // it was there from the start
+	for _, slot := range []string{"0", "1", "2", "3", "4", "5", "6", "7"} {
+		ranks := v.Owners(slot, 4)
+		all := v.live
+		for rank, want := range ranks {
+			got, _ := v.Owner(slot)
+			if got != want {
+				t.Errorf("slot %s: rank %d is %s, and %s once those before are gone", slot, rank, want.Name, got.Name)
+			}
+			v.live = slices.DeleteFunc(slices.Clone(v.live), func(box work.Box) bool { return box == got })
+		}
+		v.live = all
+		if got := len(v.Owners(slot, 9)); len(ranks) != 4 || got != 6 {
+			t.Errorf("slot %s: %d of 4 ranks, %d of 6", slot, len(ranks), got)
+		}
+	}
+}
+
 func TestDeadBoxIsFound(t *testing.T) {
 	for _, slow := range []time.Duration{0, 250 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
