reach: send callers of a zone that is cut off elsewhere sooner

The advice of 1 s brought them back before the balancer, which asks every second and wants two misses, had moved. And calls of tools went to all zones alike, so a cut broke off four of nine of those under way, for good where they may not be repeated.

--- a/gate/node/reach.go
+++ b/gate/node/reach.go
@@ -18,10 +18,10 @@
 	// each of a slow store.
 	readWithin = 900 * time.Millisecond
 	// aloneRetry is the advice of a box that reaches nobody: the next try meets another box.
-	// togetherRetry is that of a box which reaches some: they are cut off as well, and the
-	// balancer needs two questions, a second apart, to send callers elsewhere.
-	aloneRetry    = 100 * time.Millisecond
-	togetherRetry = time.Second
+	aloneRetry = 100 * time.Millisecond
+	// balancerMoves is how long the balancer takes to send new connections elsewhere: it asks
+	// every second and wants two misses. Boxes that are cut off together advise to wait for it.
+	balancerMoves = 2100 * time.Millisecond
 )
 
 // boxes is the part of the view that a reach uses.
@@ -43,6 +43,8 @@
 	pinger pinger
 	logger *slog.Logger
 	cut    atomic.Bool
+	// since is when the box was found to be cut off, in nanoseconds of the Unix time.
+	since atomic.Int64
 	// alone says that no other box is reached.
 	alone  atomic.Bool
 	cancel context.CancelFunc
@@ -63,7 +65,8 @@
 	if r.alone.Load() {
 		return aloneRetry
 	}
-	return togetherRetry
+	left := balancerMoves - time.Since(time.Unix(0, r.since.Load()))
+	return max(left, aloneRetry)
 }
 
 // Start implements a service.
@@ -99,6 +102,7 @@
 		cut = 2*reached < all
 		r.alone.Store(reached <= 1)
 		if cut && !r.cut.Load() {
+			r.since.Store(time.Now().UnixNano())
 			r.logger.Warn("node: cut off", "log_silent", age, "reached", reached, "boxes", all)
 		}
 	}
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -29,6 +29,9 @@
 	modelSteps = 3
 	// farCost prices another availability zone: its round trips and the bytes of a chain.
 	farCost = 12 * time.Millisecond
+	// farCalls prices it for calls of plain services, in calls of this box under way: what a cut
+	// between zones breaks off is lost for good where a call may not be repeated.
+	farCalls = 0.7
 	// failCost is what a call that goes wrong costs: about the time that its program loses.
 	failCost = 1500 * time.Millisecond
 	// nearTime is how much worse than the best a candidate may be to be drawn, so that boxes
@@ -121,14 +124,18 @@
 // cost is the expected time of the call at the replica, and what it takes from others.
 func (t *Targets) cost(now time.Time, ask Ask, s *state) choice {
 	c := choice{state: s}
-	if s.Zone != t.zone {
-		c.score += farCost
-	}
 	c.score += time.Duration(s.failing(now) * float64(failCost))
 	if ask.Prompt == nil {
-		c.score += time.Duration(s.slow * float64(s.busy+1) * float64(t.usually(ask.Work)))
+		calls := float64(s.busy + 1)
+		if s.Zone != t.zone {
+			calls += farCalls
+		}
+		c.score += time.Duration(s.slow * calls * float64(t.usually(ask.Work)))
 		return c
 	}
+	if s.Zone != t.zone {
+		c.score += farCost
+	}
 	c.cached = t.cached(now, ask, s)
 	missing := max(0, ask.Prompt.Tokens-c.cached)
 	c.score += time.Duration(float64(missWeight*missing) / prefillRate * float64(time.Millisecond))
--- a/gate/target/target_test.go
+++ b/gate/target/target_test.go
@@ -69,6 +69,27 @@
 	}
 }
 
+// TestToolsStayNear checks that calls of plain services stay in the box's availability zone
+// until its replicas are busier than those of others.
+func TestToolsStayNear(t *testing.T) {
+	targets, _ := newTargets(2, false)
+	targets.Put(replica(2, "b"))
+	targets.Put(replica(3, "b"))
+	got := map[string]int{}
+	for range 2 {
+		got[take(t, targets, Ask{}).Replica.Zone]++
+	}
+	if diff := cmp.Diff(map[string]int{"a": 2}, got); diff != "" {
+		t.Errorf("first calls (-want +got):\n%s", diff)
+	}
+	for range 4 {
+		got[take(t, targets, Ask{}).Replica.Zone]++
+	}
+	if diff := cmp.Diff(map[string]int{"a": 4, "b": 2}, got); diff != "" {
+		t.Errorf("calls once the near ones are busy (-want +got):\n%s", diff)
+	}
+}
+
 func TestSlowReplicaGetsLess(t *testing.T) {
 	targets, _ := newTargets(2, false)
 	got := map[string]int{}
