dial: find silent peers after two seconds; view: listen 0.6 s after a start

Change: one probe; Begin 0.6 s. A box that sees too few others claims slots that it hands over later.

--- a/gate/dial/pool.go
+++ b/gate/dial/pool.go
@@ -19,10 +19,11 @@
 	// counts as dead.
 	deadAfter = 1500 * time.Millisecond
 	// keepAliveIdle, keepAliveEvery and keepAliveCount find a dead peer while an answer is
-	// awaited: about 3 s, the least that whole seconds allow with one probe lost.
+	// awaited: about 2 s, the least that whole seconds allow. Callers give a silent answer up
+	// after 2.4 s or more, and a call that is found broken earlier is sent again earlier.
 	keepAliveIdle  = time.Second
 	keepAliveEvery = time.Second
-	keepAliveCount = 2
+	keepAliveCount = 1
 	// maxIdle is how long a connection may rest unless the peer names a shorter time.
 	maxIdle = 8 * time.Second
 	// idleMargin is taken off the time that a peer names, so that both don't meet there.
--- a/gate/view/timing.go
+++ b/gate/view/timing.go
@@ -15,7 +15,8 @@
 	// Settle is how long a box listens without a break before it trusts that it hears all.
 	// After a break others may be waiting for a call to the log to fail, so it covers Call.
 	Settle time.Duration
-	// Begin is the same for a box that has just started and reached the log at once.
+	// Begin is the same for a box that has just started and reached the log at once: two
+	// heartbeats, in which boxes that start together have all joined.
 	Begin time.Duration
 	// Remember is how long a box that left can still be asked for its slots.
 	Remember time.Duration
@@ -30,7 +31,7 @@
 func Usual() Timing {
 	return Timing{
 		Beat: 300 * time.Millisecond, Hold: 1100 * time.Millisecond, HoldMost: 4 * time.Second, Grace: 2 * time.Second,
-		Settle: 1500 * time.Millisecond, Begin: time.Second, Remember: 10 * time.Second, Reread: 5 * time.Second, Call: time.Second,
+		Settle: 1500 * time.Millisecond, Begin: 600 * time.Millisecond, Remember: 10 * time.Second, Reread: 5 * time.Second, Call: time.Second,
 	}
 }
 
