detour: send calls anew when a silent store answers again

Cause: what is sent into a store that is silent is lost, but the call waits for its time-out. Ruled out: shorter time-outs for appends; a store sixty times slower would meet more of them. Change: a heartbeat that is not answered is sent again every 250 ms, and any answer has the calls that wait longer than usual sent once more (all of them may be). Tests: TestCallsGoOutAnewWhenTheLogIsBack fails without it (2.5 s), TestSilentLogIsNotFlooded bounds it.

--- a/gate/detour/detour.go
+++ b/gate/detour/detour.go
@@ -23,6 +23,11 @@
 	hopeless = 3
 	// tries bounds the boxes that one call is made by way of.
 	tries = 2
+	// joinAgain is the time between two heartbeats sent while the first is not answered: what
+	// was sent into a silent log is lost, and the first answer shows that the log is back.
+	joinAgain = 250 * time.Millisecond
+	// maxAnew bounds how often one call is sent again directly.
+	maxAnew = 4
 )
 
 // Log is the platform's log.
@@ -56,6 +61,8 @@
 	avoid map[string]time.Time
 	// used is the box that served the last detour.
 	used work.Box
+	// heard is closed at the next answer of a direct call; nil while nobody waits for one.
+	heard chan struct{}
 }
 
 // New makes a detour that has not been needed yet.
@@ -85,7 +92,7 @@
 
 // Join implements the log.
 func (d *Detour) Join(ctx context.Context, member string, generation int64, ttl time.Duration) (int64, error) {
-	got := d.do(ctx, patience, func(ctx context.Context, log Log) result {
+	got := d.insist(ctx, patience, joinAgain, func(ctx context.Context, log Log) result {
 		generation, err := log.Join(ctx, member, generation, ttl)
 		return result{generation: generation, err: err}
 	})
@@ -136,6 +143,12 @@
 
 // do makes the call directly, and by way of another box if that fails or takes too long.
 func (d *Detour) do(ctx context.Context, patience time.Duration, make call) result {
+	return d.insist(ctx, patience, 0, make)
+}
+
+// insist is do for a call that is sent again every so often while it is not answered; zero
+// sends it again only once another call was answered.
+func (d *Detour) insist(ctx context.Context, patience, again time.Duration, make call) result {
 	if d.bad() {
 		if got, ok := d.around(ctx, make); ok {
 			return got
@@ -143,7 +156,8 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	results := d.start(ctx, make)
+	results := newResults()
+	d.start(ctx, make, results)
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
@@ -155,21 +169,44 @@
 		d.failed(got.err)
 		return d.second(ctx, make, got)
 	case <-timer.C:
-		return d.beside(ctx, make, results)
+		return d.beside(ctx, again, make, results)
 	}
 }
 
 // start makes the direct call in the background.
-func (d *Detour) start(ctx context.Context, make call) chan result {
-	results := newResults()
+func (d *Detour) start(ctx context.Context, make call, results chan result) {
 	go func() {
-		results <- make(ctx, d.direct)
+		got := make(ctx, d.direct)
+		if !away(got.err) {
+			d.answered()
+		}
+		results <- got
 	}()
-	return results
 }
 
+// newResults has room for all that one call may be sent.
 func newResults() chan result {
-	return make(chan result, 2)
+	return make(chan result, 2+maxAnew)
+}
+
+// answered wakes the calls that are not answered: the log answers others.
+func (d *Detour) answered() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.heard != nil {
+		close(d.heard)
+		d.heard = nil
+	}
+}
+
+// next is closed at the next answer of a direct call.
+func (d *Detour) next() chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.heard == nil {
+		d.heard = make(chan struct{})
+	}
+	return d.heard
 }
 
 // second tries the detour after a direct call failed.
@@ -194,21 +231,52 @@
 	return result{}, false
 }
 
-// beside tries the detour beside a direct call that takes long.
-func (d *Detour) beside(ctx context.Context, make call, results chan result) result {
-	box, ok := d.choose()
-	if !ok {
-		return <-results
+// beside waits for a direct call that takes long. It tries the detour beside it, and sends
+// the call directly once more when another call is answered. All calls of the log may be sent
+// again.
+func (d *Detour) beside(ctx context.Context, again time.Duration, make call, results chan result) result {
+	pending, anew := 1, 0
+	if box, ok := d.choose(); ok {
+		pending++
+		go func() { results <- d.via(ctx, box, make) }()
+	}
+	var tick <-chan time.Time
+	if again > 0 {
+		ticker := time.NewTicker(again)
+		defer ticker.Stop()
+		tick = ticker.C
 	}
-	go func() { results <- d.via(ctx, box, make) }()
-	first := <-results
-	if !away(first.err) {
-		if first.way.Name != "" {
-			d.failed(fault.Fail(fault.LogUnavailable, "the log does not answer"))
+	heard := d.next()
+	var got result
+	for pending > 0 {
+		select {
+		case got = <-results:
+			pending--
+			if !away(got.err) {
+				return d.late(got)
+			}
+			continue
+		case <-heard:
+		case <-tick:
 		}
-		return first
+		anew++
+		if anew >= maxAnew {
+			heard, tick = nil, nil
+		} else {
+			heard = d.next()
+		}
+		pending++
+		d.start(ctx, make, results)
+	}
+	return got
+}
+
+// late notes by which way the log answered a call that took long.
+func (d *Detour) late(got result) result {
+	if got.way.Name != "" {
+		d.failed(fault.Fail(fault.LogUnavailable, "the log does not answer"))
 	}
-	return <-results
+	return got
 }
 
 // via makes the call by way of the box.
--- a/gate/detour/detour_test.go
+++ b/gate/detour/detour_test.go
@@ -169,3 +169,44 @@
 		}
 	})
 }
+
+// TestCallsGoOutAnewWhenTheLogIsBack checks that what was sent into a silent log is sent again
+// as soon as a heartbeat shows that the log answers, and not only when its time is over.
+func TestCallsGoOutAnewWhenTheLogIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct := &fake{after: time.Hour}
+		d := New(direct, peers{"b": {after: time.Hour}}, quiet)
+		ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+		defer stop()
+		start := time.Now()
+		go func() {
+			time.Sleep(800 * time.Millisecond)
+			direct.mu.Lock()
+			direct.after = 0
+			direct.mu.Unlock()
+		}()
+		go func() { _, _ = d.Join(ctx, "m", 0, time.Second) }()
+		if err := d.Append(ctx, work.Shard{}, work.Writer{}, nil); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(start); took > 800*time.Millisecond+joinAgain {
+			t.Errorf("took %v", took)
+		}
+	})
+}
+
+// TestSilentLogIsNotFlooded checks how often one call goes out while nothing answers.
+func TestSilentLogIsNotFlooded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct := &fake{after: time.Hour}
+		d := New(direct, peers{}, quiet)
+		ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+		defer stop()
+		if _, err := d.Join(ctx, "m", 0, time.Second); !fault.Is(err, fault.LogUnavailable) {
+			t.Errorf("fault %v", err)
+		}
+		if direct.calls != 1+maxAnew {
+			t.Errorf("sent %d times", direct.calls)
+		}
+	})
+}
