feed: keep lapsed replicas until two seconds after the log's return, no longer

A replica's entry that lapsed meanwhile was kept for 2.3 s from when it was seen to be missing, up to 3.5 s after the return, and then still got calls that count as sent to a replica that is gone. And an outage under 3.2 s was not noticed at all, so that entries which lapsed in it were dropped at once. Change: kept until 2.2 s after the return, looked at every 0.3 s; a read that fails for 0.5 s or takes 0.5 s longer than asked for counts as an outage; after a failure reads do not wait for news. The list is read every 0.8 s instead of 0.4, half of the calls, well within the 2 s of a drain. Tests: TestLapsedEntriesAreGoneInTime and TestEntriesThatLapseInAShortOutage fail on the code before.

--- a/gate/feed/feed.go
+++ b/gate/feed/feed.go
@@ -19,14 +19,15 @@
 	// configPause and replicaPause are the least time between two reads, so that many small
 	// changes cost few calls; both are well below the time in which a change must be in force.
 	configPause  = 150 * time.Millisecond
-	replicaPause = 400 * time.Millisecond
+	replicaPause = 800 * time.Millisecond
 	// failPause is the time until a read that failed is tried again.
 	failPause = 250 * time.Millisecond
-	// awayAfter is how long reads must fail for the log to count as away.
-	awayAfter = 1200 * time.Millisecond
-	// lapseFor is how long a replica that went off the list while the log was away may stay
-	// missing: a living one is back within two seconds.
-	lapseFor = 2300 * time.Millisecond
+	// awayAfter is how much longer than asked for a read may take, or how long reads may fail,
+	// before the log counts as having been away: a store sixty times slower takes half of it.
+	awayAfter = 500 * time.Millisecond
+	// lapseFor is how long after the log's return a replica that went off the list while the
+	// log was away may stay missing: a living one is back within two seconds.
+	lapseFor = 2200 * time.Millisecond
 	// lapseLook is how long a read waits while replicas are missed, so that their time is kept.
 	lapseLook = 300 * time.Millisecond
 )
@@ -84,7 +85,7 @@
 func (f *Feed) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	configs := &tail{feed: f, topic: work.Settings, pause: configPause, take: f.takeConfig, whole: func([]work.Record, bool) {}, wait: waitFor}
+	configs := &tail{feed: f, topic: work.Settings, pause: configPause, take: f.takeConfig, whole: func([]work.Record, time.Time) {}, wait: waitFor}
 	lapses := &lapses{feed: f, missing: map[string]time.Time{}}
 	list := &tail{feed: f, topic: work.Replicas, pause: replicaPause, take: lapses.take, whole: lapses.whole, wait: waitFor, each: lapses.expire}
 	f.done.Go(func() { configs.follow(ctx) })
@@ -99,7 +100,7 @@
 	return nil
 }
 
-func (f *Feed) takeConfig(rec work.Record, _ bool) {
+func (f *Feed) takeConfig(rec work.Record, _ time.Time) {
 	if len(rec.Value) == 0 {
 		return
 	}
@@ -122,18 +123,19 @@
 	feed  *Feed
 	topic work.Topic
 	pause time.Duration
-	// take gets each record; after tells that the log has just been away.
-	take func(rec work.Record, after bool)
+	// take gets each record. Entries that are missing may come back until the time given; it
+	// is past unless the log has just been away.
+	take func(rec work.Record, until time.Time)
 	// whole gets all newest records at once, after take got each of them.
-	whole func(recs []work.Record, after bool)
+	whole func(recs []work.Record, until time.Time)
 	// each is called after every read; it returns how long the next one may wait for news.
 	each func() time.Duration
 	wait time.Duration
 
 	next int64
-	// goodAt is when the log last answered.
-	goodAt time.Time
-	// backAt is when it answered again after it was away.
+	// failing is when reads began to fail; zero while they succeed.
+	failing time.Time
+	// backAt is when the log answered again after it was away.
 	backAt time.Time
 }
 
@@ -142,12 +144,14 @@
 	for ctx.Err() == nil {
 		start := time.Now()
 		pause := t.pause
-		if err := t.step(ctx); err != nil && ctx.Err() == nil {
+		if err := t.step(ctx, start); err != nil && ctx.Err() == nil {
 			pause = failPause
+			t.failed(start)
 			t.feed.logger.Debug("feed: log not read", "topic", t.topic, "cause", err)
 		}
 		if t.each != nil {
 			t.wait = t.each()
+			pause = min(pause, t.wait)
 		}
 		select {
 		case <-time.After(max(0, pause-time.Since(start))):
@@ -156,25 +160,41 @@
 	}
 }
 
-// good notes an answer of the log.
-func (t *tail) good() bool {
+// failed notes that a read which began at start was not answered.
+func (t *tail) failed(start time.Time) {
+	if t.failing.IsZero() {
+		t.failing = start
+	}
+}
+
+// good notes an answer to a read that began at start and was to wait for news for wait. It
+// returns until when missing entries may come back.
+func (t *tail) good(start time.Time, wait time.Duration) time.Time {
 	now := time.Now()
-	if !t.goodAt.IsZero() && now.Sub(t.goodAt) > awayAfter+waitFor {
+	silent := now.Sub(start) > wait+awayAfter
+	if silent {
+		t.failed(start)
+	}
+	if silent || (!t.failing.IsZero() && now.Sub(t.failing) > awayAfter) {
 		t.backAt = now
-		t.feed.logger.Info("feed: log is back", "topic", t.topic, "away", now.Sub(t.goodAt))
+		t.feed.logger.Info("feed: log is back", "topic", t.topic, "away", now.Sub(t.failing))
 	}
-	t.goodAt = now
-	return now.Sub(t.backAt) < lapseFor
+	t.failing = time.Time{}
+	return t.backAt.Add(lapseFor)
 }
 
-func (t *tail) step(ctx context.Context) error {
+func (t *tail) step(ctx context.Context, start time.Time) error {
 	ctx, stop := context.WithTimeout(ctx, waitFor+readSlack)
 	defer stop()
 	shard := work.Shard{Topic: t.topic}
 	if t.next < 0 {
-		return t.reload(ctx, shard)
+		return t.reload(ctx, shard, start)
+	}
+	wait := t.wait
+	if !t.failing.IsZero() {
+		wait = 0 // the return of the log is to be noticed at once
 	}
-	page, err := t.feed.log.Read(ctx, shard, t.next, t.wait)
+	page, err := t.feed.log.Read(ctx, shard, t.next, wait)
 	if fault.Is(err, fault.HistoryGone) {
 		t.feed.logger.Info("feed: history gone, reading the newest records", "topic", t.topic)
 		t.next = -1
@@ -183,26 +203,26 @@
 	if err != nil {
 		return err
 	}
-	after := t.good()
+	until := t.good(start, wait)
 	t.next = page.Next
 	for _, rec := range page.Records {
-		t.take(rec, after)
+		t.take(rec, until)
 	}
 	return nil
 }
 
-func (t *tail) reload(ctx context.Context, shard work.Shard) error {
+func (t *tail) reload(ctx context.Context, shard work.Shard, start time.Time) error {
 	var recs []work.Record
 	next, err := t.feed.log.Newest(ctx, shard, func(rec work.Record) { recs = append(recs, rec) })
 	if err != nil {
 		return err
 	}
-	after := t.good()
+	until := t.good(start, 0)
 	t.next = next
 	for _, rec := range recs {
-		t.take(rec, after)
+		t.take(rec, until)
 	}
-	t.whole(recs, after)
+	t.whole(recs, until)
 	return nil
 }
 
@@ -215,9 +235,9 @@
 	missing map[string]time.Time
 }
 
-func (l *lapses) take(rec work.Record, after bool) {
+func (l *lapses) take(rec work.Record, until time.Time) {
 	if len(rec.Value) == 0 {
-		l.drop(rec.Key, after)
+		l.drop(rec.Key, until)
 		return
 	}
 	rep, err := l.feed.decoder.Replica(rec)
@@ -231,27 +251,27 @@
 	l.feed.targets.Put(rep)
 }
 
-func (l *lapses) drop(id string, after bool) {
-	if !after {
+func (l *lapses) drop(id string, until time.Time) {
+	if !time.Now().Before(until) {
 		l.feed.targets.Drop(id)
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, ok := l.missing[id]; !ok {
-		l.missing[id] = time.Now().Add(lapseFor)
+		l.missing[id] = until
 		l.feed.logger.Info("feed: replica's entry lapsed while the log was away", "replica", id)
 	}
 }
 
-func (l *lapses) whole(recs []work.Record, after bool) {
+func (l *lapses) whole(recs []work.Record, until time.Time) {
 	listed := map[string]bool{}
 	for _, rec := range recs {
 		listed[rec.Key] = len(rec.Value) > 0
 	}
 	for _, id := range l.feed.targets.Listed() {
 		if !listed[id] {
-			l.drop(id, after)
+			l.drop(id, until)
 		}
 	}
 	l.feed.lists.Store(true)
--- a/gate/feed/feed_test.go
+++ b/gate/feed/feed_test.go
@@ -205,6 +205,41 @@
 	})
 }
 
+// TestLapsedEntriesAreGoneInTime checks that an entry which is noticed missing late is not kept
+// for longer after the log's return: by then the box counts as knowing the list.
+func TestLapsedEntriesAreGoneInTime(t *testing.T) {
+	play(t, func(t *testing.T, s *source, _ *Feed, l *list) {
+		s.set(true)
+		time.Sleep(6 * time.Second)
+		s.set(false)
+		time.Sleep(1200 * time.Millisecond)
+		s.put(work.Replicas, "a", "")
+		time.Sleep(800 * time.Millisecond)
+		expect(t, l, "a", "b")
+		time.Sleep(900 * time.Millisecond)
+		expect(t, l, "b")
+	})
+}
+
+// TestEntriesThatLapseInAShortOutage checks that an outage of a second is noticed too.
+func TestEntriesThatLapseInAShortOutage(t *testing.T) {
+	play(t, func(t *testing.T, s *source, _ *Feed, l *list) {
+		time.Sleep(2 * time.Second)
+		s.set(true)
+		time.Sleep(3500 * time.Millisecond)
+		s.put(work.Replicas, "a", "")
+		s.set(false)
+		time.Sleep(500 * time.Millisecond)
+		expect(t, l, "a", "b")
+		s.put(work.Replicas, "a", "x")
+		time.Sleep(3 * time.Second)
+		expect(t, l, "a", "b")
+		s.put(work.Replicas, "b", "")
+		time.Sleep(3 * time.Second)
+		expect(t, l, "a")
+	})
+}
+
 // TestBeginsWithoutTheLog checks that a box which has never reached the log knows that it
 // knows nothing.
 func TestBeginsWithoutTheLog(t *testing.T) {
