target: leave model replicas that fail turns, and tell the other boxes

Change: a 5xx other than 504 counts as a failure, in full for replicas that run turns; a share of 0.2 outweighs a long prefix; two failures in a row are told to all boxes in a datagram, whose word counts 0.8 and fades like one's own experience (half in 4 s). Ruled out: sharing broken connections as well, since a box behind a bad link would accuse all replicas.

--- a/gate/load/load.go
+++ b/gate/load/load.go
@@ -39,6 +39,8 @@
 	Models() []work.Replica
 	// Loaded takes the load of a replica.
 	Loaded(id string, load work.Load)
+	// Failing takes another box's word that a replica fails a share of its calls.
+	Failing(id string, share float64)
 }
 
 // Boxes tells who lives.
@@ -46,10 +48,13 @@
 	Live() []work.Box
 }
 
-// message is what boxes tell each other.
+// message is what boxes tell each other of a replica.
 type message struct {
-	Replica string    `json:"replica"`
-	Load    work.Load `json:"load"`
+	Replica string `json:"replica"`
+	// Load is nil in a word on failures.
+	Load *work.Load `json:"load,omitempty"`
+	// Failing is the share of calls that the replica failed lately at the box that tells.
+	Failing float64 `json:"failing,omitempty"`
 }
 
 // Watch is the service.
@@ -163,12 +168,21 @@
 	w.calm[rep.ID] = float64(got.Running+got.Waiting) < busyShare*float64(rep.Slots)
 	w.mu.Unlock()
 	w.targets.Loaded(rep.ID, got)
-	raw, err := json.Marshal(message{Replica: rep.ID, Load: got})
+	w.tellAll(mates, message{Replica: rep.ID, Load: &got})
+}
+
+// Tell has all boxes know that a replica fails a share of its calls. It does not wait.
+func (w *Watch) Tell(id string, share float64) {
+	go w.tellAll(w.boxes.Live(), message{Replica: id, Failing: share})
+}
+
+func (w *Watch) tellAll(boxes []work.Box, msg message) {
+	raw, err := json.Marshal(msg)
 	if err != nil {
 		w.log.Error("load: report does not encode", "cause", err)
 		return
 	}
-	for _, box := range mates {
+	for _, box := range boxes {
 		if box.Name != w.self.Name {
 			w.tell(box.Peer, raw)
 		}
@@ -193,6 +207,10 @@
 			w.log.Warn("load: malformed report", "from", from.String())
 			continue
 		}
-		w.targets.Loaded(msg.Replica, msg.Load)
+		if msg.Load != nil {
+			w.targets.Loaded(msg.Replica, *msg.Load)
+			continue
+		}
+		w.targets.Failing(msg.Replica, msg.Failing)
 	}
 }
--- /dev/null
+++ b/gate/load/load_test.go
@@ -0,0 +1,110 @@
+package load
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mulleingate.dev/gate/work"
+)
+
+// beliefs is what one box believes of replicas.
+type beliefs struct {
+	mu      sync.Mutex
+	models  []work.Replica
+	loads   map[string]work.Load
+	failing map[string]float64
+}
+
+func (b *beliefs) Models() []work.Replica { return b.models }
+func (b *beliefs) Loaded(id string, load work.Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.loads[id] = load
+}
+func (b *beliefs) Failing(id string, share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failing[id] = share
+}
+
+type fleet []work.Box
+
+func (f fleet) Live() []work.Box { return f }
+
+type reporter struct{}
+
+func (reporter) Report(context.Context, work.Replica) (work.Load, error) {
+	return work.Load{Running: 3, Waiting: 1}, nil
+}
+
+// freePort finds a port of loopback for datagrams.
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// TestBoxesTellEachOther checks that a report reaches the boxes of the zone, and a word on
+// failures all boxes; what is no message is passed over.
+func TestBoxesTellEachOther(t *testing.T) {
+	boxes := fleet{
+		{Name: "a", Zone: "z", Peer: freePort(t)}, {Name: "b", Zone: "z", Peer: freePort(t)}, {Name: "c", Zone: "y", Peer: freePort(t)},
+	}
+	all := map[string]*beliefs{}
+	watches := map[string]*Watch{}
+	for _, box := range boxes {
+		b := &beliefs{loads: map[string]work.Load{}, failing: map[string]float64{}}
+		if box.Zone == "z" {
+			b.models = []work.Replica{{ID: "r", Slots: 8}}
+		}
+		w := New(box, reporter{}, b, boxes, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if err := w.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = w.Stop(context.Background()) }() // it only closes a socket
+		all[box.Name], watches[box.Name] = b, w
+	}
+	watches["a"].tell(boxes[2].Peer, []byte("{"))
+	watches["a"].Tell("r", 0.5)
+	wants := map[string]string{"a": "load", "b": "load failing", "c": "failing"}
+	var got map[string]string
+	for range 40 {
+		time.Sleep(50 * time.Millisecond)
+		got = map[string]string{}
+		for name, b := range all {
+			got[name] = b.heard()
+		}
+		if cmp.Equal(wants, got) {
+			return
+		}
+	}
+	t.Errorf("heard (-want +got):\n%s", cmp.Diff(wants, got))
+}
+
+func (b *beliefs) heard() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	text := ""
+	if b.loads["r"] == (work.Load{Running: 3, Waiting: 1}) {
+		text = "load"
+	}
+	if b.failing["r"] == 0.5 && text != "" {
+		text += " "
+	}
+	if b.failing["r"] == 0.5 {
+		text += "failing"
+	}
+	return text
+}
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -98,6 +98,7 @@
 	n.entry = entry.New(deps.Self, layout, n.feed, n.view, n.reach, n.shards, runner, n.peers, carrier, deps.Meter, log)
 	n.server = remote.NewServer(deps.Self.Peer, n.entry, n.shards, n.view, deps.Log, log)
 	n.view.OnChange(n.boxesChanged)
+	n.targets.OnFailing(n.watch.Tell)
 	return n
 }
 
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -33,7 +33,10 @@
 	// between zones breaks off is lost for good where a call may not be repeated.
 	farCalls = 0.7
 	// failCost is what a call that goes wrong costs: about the time that its program loses.
-	failCost = 1500 * time.Millisecond
+	// turnFailCost is that of a turn: the third failure in a row ends the program, so a share of
+	// failures of 0.2 outweighs a long prefix, whose cost missWeight makes 0.3 to 0.9 s.
+	failCost     = 1500 * time.Millisecond
+	turnFailCost = 4 * time.Second
 	// nearTime is how much worse than the best a candidate may be to be drawn, so that boxes
 	// with the same beliefs don't all choose the same replica.
 	nearTime = 2 * time.Millisecond
@@ -124,8 +127,8 @@
 // cost is the expected time of the call at the replica, and what it takes from others.
 func (t *Targets) cost(now time.Time, ask Ask, s *state) choice {
 	c := choice{state: s}
-	c.score += time.Duration(s.failing(now) * float64(failCost))
 	if ask.Prompt == nil {
+		c.score += time.Duration(s.failing(now) * float64(failCost))
 		calls := float64(s.busy + 1)
 		if s.Zone != t.zone {
 			calls += farCalls
@@ -133,6 +136,7 @@
 		c.score += time.Duration(s.slow * calls * float64(t.usually(ask.Work)))
 		return c
 	}
+	c.score += time.Duration(s.failing(now) * float64(turnFailCost))
 	if s.Zone != t.zone {
 		c.score += farCost
 	}
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -38,6 +38,8 @@
 	// fades with time, so that a replica which is left gets another try.
 	fails    float64
 	failedAt time.Time
+	// toldAt is when the other boxes were last told of it.
+	toldAt time.Time
 	// gone says that the replica is no longer listed.
 	gone bool
 	// suspect is until when the replica is avoided after a failed connection.
@@ -76,6 +78,8 @@
 	conf  *work.Config
 	boxes int
 	rng   *rand.Rand
+	// failing is told of replicas that fail calls; it must not block.
+	failing func(id string, share float64)
 }
 
 // New makes targets without replicas for a box of the zone.
@@ -83,8 +87,29 @@
 	return &Targets{
 		zone: zone, opener: opener, log: log, boxes: 1,
 		byID: map[string]*state{}, services: map[string][]*state{}, ejector: map[string]*limit.Ejector{},
-		usual: map[string]time.Duration{},
-		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		usual:   map[string]time.Duration{},
+		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		failing: func(string, float64) {},
+	}
+}
+
+// OnFailing calls do with a replica that says that it fails calls, and the share of those that
+// this box saw, 0 to 1. It must be called before the first lease.
+func (t *Targets) OnFailing(do func(id string, share float64)) {
+	t.failing = do
+}
+
+// Failing takes another box's word that a replica fails a share of its calls.
+func (t *Targets) Failing(id string, share float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.byID[id]
+	if !ok {
+		return
+	}
+	now := time.Now()
+	if told := toldShare * min(max(share, 0), 1); told > s.failing(now) {
+		s.fails, s.failedAt = told, now
 	}
 }
 
@@ -139,7 +164,7 @@
 	defer t.mu.Unlock()
 	var models []work.Replica
 	for _, s := range t.byID {
-		if s.Zone == t.zone && !s.Draining && t.conf != nil && t.conf.Services[s.Service].Engine != nil {
+		if s.Zone == t.zone && !s.Draining && t.model(s) {
 			models = append(models, s.Replica)
 		}
 	}
@@ -242,9 +267,16 @@
 
 const (
 	// blameShare is the weight of a new outcome in the share of failures, and blameFailed
-	// what a failure of the replica's own counts: calls may fail for reasons of theirs.
+	// what a failure that a plain service answers counts: such calls may fail for reasons of
+	// theirs, turns may not.
 	blameShare  = 0.2
 	blameFailed = 0.3
+	// toldShare is what another box's word counts against this box's own experience.
+	toldShare = 0.8
+	// tellShare is the share of failures from which the other boxes are told, two in a row, and
+	// tellEvery the least time between two words on one replica.
+	tellShare = 0.3
+	tellEvery = 500 * time.Millisecond
 	// failsFade is the time in which a share of failures halves by itself.
 	failsFade = 4 * time.Second
 )
@@ -279,8 +311,9 @@
 		s.blame(now, 0)
 		t.eject(s.Service).Good(s.ID)
 	case Failed:
-		s.blame(now, blameFailed)
+		s.blame(now, t.fault(s))
 		t.eject(s.Service).Good(s.ID)
+		t.tell(now, s)
 	case Unreached:
 		s.suspect = now.Add(suspectFor)
 		t.log.Warn("target: replica not reached", "replica", s.ID, "service", s.Service)
@@ -293,6 +326,31 @@
 	}
 }
 
+// fault is what a failure that the replica answers counts, 0 to 1.
+func (t *Targets) fault(s *state) float64 {
+	if t.model(s) {
+		return 1
+	}
+	return blameFailed
+}
+
+// model reports whether the replica runs turns.
+func (t *Targets) model(s *state) bool {
+	return t.conf != nil && t.conf.Services[s.Service].Engine != nil
+}
+
+// tell has the other boxes know of a replica that fails its calls, so that not each of them
+// has to lose some first.
+func (t *Targets) tell(now time.Time, s *state) {
+	share := s.failing(now)
+	if share < tellShare || now.Sub(s.toldAt) < tellEvery {
+		return
+	}
+	s.toldAt = now
+	t.log.Info("target: replica fails calls", "replica", s.ID, "service", s.Service, "share", share)
+	t.failing(s.ID, share)
+}
+
 func (t *Targets) eject(service string) *limit.Ejector {
 	e, ok := t.ejector[service]
 	if !ok {
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -270,7 +270,7 @@
 		lease.Done(target.Broken, 0)
 		return fault.Fail(fault.TargetFailed, "the answer broke off").Because(err)
 	}
-	lease.Done(target.Answered, 0)
+	lease.Done(verdict(reply.Head.Status), 0)
 	t.log.Info("turns: replica failed the turn", "id", t.call.ID, "replica", t.replica, "status", reply.Head.Status)
 	t.slot.Change(func(state *chain.State) { state.Break(t.open) })
 	reply.Head.Length = int64(len(body))
@@ -281,6 +281,18 @@
 	return nil
 }
 
+// verdict tells a replica's own failure from the caller's, and from a time that ran out.
+func verdict(status int) target.Outcome {
+	switch {
+	case status == http.StatusGatewayTimeout:
+		return target.Dropped
+	case status >= http.StatusInternalServerError:
+		return target.Failed
+	default:
+		return target.Answered
+	}
+}
+
 // stream copies the answer until its end.
 func (t *turn) stream(ctx context.Context, reply work.Reply, out work.Answer, collected *events) error {
 	buf := make([]byte, 4<<10)
--- a/gate/turns/turns_test.go
+++ b/gate/turns/turns_test.go
@@ -6,6 +6,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"mulleingate.dev/gate/chain"
+	"mulleingate.dev/gate/target"
 	"mulleingate.dev/gate/work"
 )
 
@@ -21,3 +22,14 @@
 		t.Errorf("tokens by stride (-want +got):\n%s", diff)
 	}
 }
+
+// TestVerdict checks that a replica is blamed for its own failures only.
+func TestVerdict(t *testing.T) {
+	for status, want := range map[int]target.Outcome{
+		400: target.Answered, 404: target.Answered, 500: target.Failed, 502: target.Failed, 503: target.Failed, 504: target.Dropped,
+	} {
+		if got := verdict(status); got != want {
+			t.Errorf("status %d: outcome %d, want %d", status, got, want)
+		}
+	}
+}
