turns: blame silent replicas, and not those whose caller has left

Cause: two faults in what turns say of a replica. A caller that left while its answer was written marked the replica as not reached, so that for a second all its programs went elsewhere and read their prompts anew. And a replica that hangs was never blamed: the caller leaves first, and that counted as the caller's doing. Change: the outcome is told by what failed; 1.5 s without a word count against the replica unless its own report says that calls wait there. Tests: TestOutcome, TestSilentReplicaIsLeft.

--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -241,6 +241,8 @@
 	Broken
 	// Failed means a whole answer that says that the replica failed the call.
 	Failed
+	// Silent means that nothing came for so long that the caller left.
+	Silent
 	// Dropped means that the caller left or its time ran out; it says nothing of the replica.
 	Dropped
 )
@@ -296,6 +298,12 @@
 	return s.fails * math.Exp2(-now.Sub(s.failedAt).Seconds()/failsFade.Seconds())
 }
 
+// queues reports that calls wait at the replica by its own report, so that its silence is
+// for want of a place.
+func (s *state) queues(now time.Time) bool {
+	return now.Sub(s.loadAt) <= loadFor && s.load.Waiting > 0
+}
+
 // usually is the time of a unit of a kind of work.
 func (t *Targets) usually(kind string) time.Duration {
 	if usual, ok := t.usual[kind]; ok {
@@ -317,6 +325,10 @@
 	case Unreached:
 		s.suspect = now.Add(suspectFor)
 		t.log.Warn("target: replica not reached", "replica", s.ID, "service", s.Service)
+	case Silent:
+		if !s.queues(now) {
+			s.blame(now, 1)
+		}
 	case Broken:
 		s.blame(now, 1)
 		if t.eject(s.Service).Bad(now, s.ID, len(t.services[s.Service])) {
--- a/gate/target/target_test.go
+++ b/gate/target/target_test.go
@@ -176,6 +176,27 @@
 	}
 }
 
+// TestSilentReplicaIsLeft checks that a replica which says nothing is left, unless calls wait
+// there by its own report.
+func TestSilentReplicaIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, waiting := range []int{0, 2} {
+			targets, _ := newTargets(3, true)
+			targets.Loaded("r1", work.Load{Running: 1, Waiting: waiting})
+			ask := Ask{Prompt: &work.Prompt{Tokens: 6000, Most: 100}, Seen: map[string]int{"r1": 5500}}
+			for range 3 {
+				if lease := take(t, targets, ask); lease.Replica.ID == "r1" {
+					lease.Done(Silent, 0)
+				}
+			}
+			lease := take(t, targets, ask)
+			if stays := lease.Replica.ID == "r1"; stays != (waiting > 0) {
+				t.Errorf("with %d calls waiting there: the next turn goes to %s", waiting, lease.Replica.ID)
+			}
+		}
+	})
+}
+
 func TestSplits(t *testing.T) {
 	targets, _ := newTargets(0, false)
 	for i, svc := range []string{"x", "y"} {
@@ -215,7 +236,7 @@
 				targets.Drop(fmt.Sprintf("r%d", i))
 			case 2:
 				if len(held) > 0 {
-					held[0].Done(Outcome(rapid.IntRange(0, 4).Draw(rt, "outcome")), time.Duration(i)*time.Millisecond)
+					held[0].Done(Outcome(rapid.IntRange(0, 6).Draw(rt, "outcome")), time.Duration(i)*time.Millisecond)
 					held = held[1:]
 				}
 			default:
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -21,6 +21,9 @@
 	maxSends = 4
 	// retryAfter is the advice given when no replica takes a turn.
 	retryAfter = 200 * time.Millisecond
+	// silentAfter is the time without a word from which a replica is blamed even though the
+	// caller has left: pauses of a busy replica are a tenth of it.
+	silentAfter = 1500 * time.Millisecond
 	// maxChain bounds the text of a chain, in bytes.
 	maxChain = 16 << 20
 )
@@ -78,6 +81,8 @@
 	// sent counts the replicas that the turn was offered to.
 	sent  int
 	first time.Duration
+	// heard is when the replica last said something, or when the turn was sent to it.
+	heard time.Time
 }
 
 // Run runs the turn on the slot. It returns nil after a whole answer that the log holds; a
@@ -196,10 +201,11 @@
 	t.sent++
 	call := *t.call
 	call.Body = t.prompt
+	t.heard = time.Now()
 	reply, err := t.sender.Send(ctx, lease, &call, time.Until(call.Deadline))
 	if err != nil {
 		t.ran = !fault.From(err).NotRun
-		lease.Done(outcome(ctx, t.ran), 0)
+		lease.Done(t.outcome(ctx, err), 0)
 		return reply, err
 	}
 	if reply.NotRun {
@@ -212,14 +218,19 @@
 	return reply, nil
 }
 
-func outcome(ctx context.Context, ran bool) target.Outcome {
+// outcome is what an answer that did not come, or not whole, says of the replica.
+func (t *turn) outcome(ctx context.Context, err error) target.Outcome {
 	switch {
-	case !ran:
+	case !t.ran:
 		return target.Unreached
-	case ctx.Err() != nil:
+	case fault.Is(err, fault.CallerGone):
 		return target.Dropped
-	default:
+	case ctx.Err() == nil:
 		return target.Broken
+	case time.Since(t.heard) >= silentAfter:
+		return target.Silent
+	default:
+		return target.Dropped
 	}
 }
 
@@ -236,7 +247,7 @@
 	collected := events{text: append([]byte(nil), t.input...)}
 	begun := time.Now()
 	if err := t.stream(ctx, reply, out, &collected); err != nil {
-		lease.Done(outcome(ctx, !fault.Is(err, fault.CallerGone)), 0)
+		lease.Done(t.outcome(ctx, err), 0)
 		return err
 	}
 	gap := time.Duration(0)
@@ -300,6 +311,7 @@
 	for {
 		n, err := reply.Body.Read(buf)
 		if n > 0 {
+			t.heard = time.Now()
 			if !begun {
 				begun = true
 				t.first = time.Since(t.call.Arrived)
--- a/gate/turns/turns_test.go
+++ b/gate/turns/turns_test.go
@@ -1,10 +1,13 @@
 package turns
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/chain"
 	"mulleingate.dev/gate/target"
 	"mulleingate.dev/gate/work"
@@ -33,3 +36,29 @@
 		}
 	}
 }
+
+// TestOutcome checks that a replica is not blamed for a caller that left, and is for its silence.
+func TestOutcome(t *testing.T) {
+	left, stop := context.WithCancel(context.Background())
+	stop()
+	cases := []struct {
+		name   string
+		ran    bool
+		silent time.Duration
+		ctx    context.Context
+		err    error
+		want   target.Outcome
+	}{
+		{"no connection", false, 0, context.Background(), fault.Refuse(fault.NoTarget, ""), target.Unreached},
+		{"broke off", true, 0, context.Background(), fault.Fail(fault.TargetFailed, ""), target.Broken},
+		{"caller does not take the answer", true, time.Minute, left, fault.Fail(fault.CallerGone, ""), target.Dropped},
+		{"caller left early", true, silentAfter / 2, left, fault.Fail(fault.TimedOut, ""), target.Dropped},
+		{"caller left a silent replica", true, 2 * silentAfter, left, fault.Fail(fault.TimedOut, ""), target.Silent},
+	}
+	for _, c := range cases {
+		one := &turn{ran: c.ran, heard: time.Now().Add(-c.silent)}
+		if got := one.outcome(c.ctx, c.err); got != c.want {
+			t.Errorf("%s: outcome %d, want %d", c.name, got, c.want)
+		}
+	}
+}
