--- a/gate/detour/detour.go
+++ b/gate/detour/detour.go
@@ -15,8 +15,11 @@
 	// patience is how long a direct call may take before the detour is tried beside it; a
 	// store sixty times slower than usual answers within it.
 	patience = 450 * time.Millisecond
-	// badFor is how long calls take the detour first after a direct one failed.
-	badFor = time.Second
+	// badFor is how long calls take the detour first after a direct one failed, twice as long
+	// each time it fails again, badMost at most: each try of the direct way costs a call its
+	// patience.
+	badFor  = time.Second
+	badMost = 4 * time.Second
 	// avoidFor is how long a box is not asked again after the detour failed there.
 	avoidFor = 600 * time.Millisecond
 	// hopeless is the number of such boxes from which the log counts as away for all.
@@ -55,8 +58,10 @@
 	logger *slog.Logger
 
 	mu sync.Mutex
-	// badUntil is until when direct calls are believed to fail.
+	// badUntil is until when direct calls are believed to fail; zero while they don't. badNext
+	// is for how long that is believed after the next failure.
 	badUntil time.Time
+	badNext  time.Duration
 	// avoid holds the boxes that failed a detour, until when they are not asked.
 	avoid map[string]time.Time
 	// used is the box that served the last detour.
@@ -273,9 +278,11 @@
 
 // late notes by which way the log answered a call that took long.
 func (d *Detour) late(got result) result {
-	if got.way.Name != "" {
-		d.failed(fault.Fail(fault.LogUnavailable, "the log does not answer"))
+	if got.way.Name == "" {
+		d.good(got.err)
+		return got
 	}
+	d.failed(fault.Fail(fault.LogUnavailable, "the log does not answer"))
 	return got
 }
 
@@ -315,7 +322,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.badUntil.IsZero() {
-		d.badUntil = time.Time{}
+		d.badUntil, d.badNext = time.Time{}, 0
 		d.logger.Info("detour: log reached directly again")
 	}
 }
@@ -323,10 +330,15 @@
 func (d *Detour) failed(err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	if d.badUntil.IsZero() {
 		d.logger.Warn("detour: log not reached directly", "cause", err)
 	}
-	d.badUntil = time.Now().Add(badFor)
+	if now.Before(d.badUntil) {
+		return // calls that began before tell nothing new
+	}
+	d.badNext = min(max(2*d.badNext, badFor), badMost)
+	d.badUntil = now.Add(d.badNext)
 }
 
 // choose returns the box that served last, or any other that lives.
--- a/gate/detour/detour_test.go
+++ b/gate/detour/detour_test.go
@@ -210,3 +210,27 @@
 		}
 	})
 }
+
+// TestDirectWayIsTriedMoreSeldom checks that a box which the log turns away does not pay for
+// trying the direct way every second.
+func TestDirectWayIsTriedMoreSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct, via := &fake{err: gone}, &fake{}
+		d := New(direct, peers{"b": via}, quiet)
+		start := time.Now()
+		for time.Since(start) < 10*time.Second {
+			if err := d.Append(context.Background(), work.Shard{}, work.Writer{}, nil); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if direct.calls != 4 { // after 0, 1, 3 and 7 s
+			t.Errorf("the direct way was tried %d times", direct.calls)
+		}
+		direct.err = nil
+		time.Sleep(badMost)
+		if err := d.Append(context.Background(), work.Shard{}, work.Writer{}, nil); err != nil || d.bad() {
+			t.Errorf("after the return: %v, still taken for bad: %v", err, d.bad())
+		}
+	})
+}
--- a/gate/dial/dial_test.go
+++ b/gate/dial/dial_test.go
@@ -238,6 +238,39 @@
 	}
 }
 
+// TestLimitThatFalls checks that connections above a lower limit are ended once they are idle.
+func TestLimitThatFalls(t *testing.T) {
+	free := make(chan struct{})
+	p := New(serve(t, func(int, *http.Request) (string, bool) { <-free; return fine, true }), 4)
+	done := make(chan error)
+	for range 4 {
+		go func() {
+			_, err := get(t, p, Request{})
+			done <- err
+		}()
+	}
+	for p.Dials() < 4 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.Limit(2)
+	close(free)
+	for range 4 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	p.mu.Lock()
+	open := p.open
+	p.mu.Unlock()
+	if open != 2 {
+		t.Errorf("%d connections are open", open)
+	}
+	p.Limit(1)
+	if p.Full() || len(p.idle) != 1 {
+		t.Errorf("%d connections rest", len(p.idle))
+	}
+}
+
 func TestCallerLeaves(t *testing.T) {
 	p := New(serve(t, func(int, *http.Request) (string, bool) { time.Sleep(time.Minute); return fine, true }), 1)
 	ctx, stop := context.WithTimeout(context.Background(), 50*time.Millisecond)
--- a/gate/dial/pool.go
+++ b/gate/dial/pool.go
@@ -55,6 +55,19 @@
 	return &Pool{addr: addr, limit: max(limit, 1), rest: maxIdle}
 }
 
+// Limit bounds the connections open at once from now on. Idle ones above it are ended; those
+// in use are ended once they are idle.
+func (p *Pool) Limit(connections int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = max(connections, 1)
+	for p.open > p.limit && len(p.idle) > 0 {
+		p.idle[0].end()
+		p.idle = p.idle[1:]
+		p.open--
+	}
+}
+
 // Dials counts the connections opened so far.
 func (p *Pool) Dials() int64 {
 	p.mu.Lock()
@@ -153,7 +166,7 @@
 	if rest > 0 {
 		p.rest = min(maxIdle, max(rest-idleMargin, rest/2))
 	}
-	if p.closed {
+	if p.closed || p.open > p.limit {
 		p.open--
 		c.end()
 		return
--- a/gate/load/load.go
+++ b/gate/load/load.go
@@ -11,6 +11,7 @@
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/base/ident"
+	"mulleingate.dev/gate/kernel"
 	"mulleingate.dev/gate/work"
 )
 
@@ -69,16 +70,22 @@
 	done     sync.WaitGroup
 
 	mu sync.Mutex
-	// asked is when a replica was last asked, and calm whether it was not busy then.
-	asked map[string]time.Time
-	calm  map[string]bool
+	// asked tells of the last question to each replica of the zone.
+	asked map[string]question
+}
+
+// question is one to a replica.
+type question struct {
+	at time.Time
+	// calm says that the replica was not busy.
+	calm bool
 }
 
 // New makes a watch that does not run yet.
 func New(self work.Box, reporter Reporter, targets Targets, boxes Boxes, log *slog.Logger) *Watch {
 	return &Watch{
 		self: self, reporter: reporter, targets: targets, boxes: boxes, log: log,
-		asked: map[string]time.Time{}, calm: map[string]bool{},
+		asked: map[string]question{},
 	}
 }
 
@@ -91,7 +98,7 @@
 	w.conn = conn
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancel = cancel
-	w.done.Go(func() { w.run(ctx) })
+	w.done.Go(func() { kernel.Every(ctx, tickEvery, func() { w.look(ctx) }) })
 	w.done.Go(w.listen)
 	return nil
 }
@@ -104,19 +111,6 @@
 	return err
 }
 
-func (w *Watch) run(ctx context.Context) {
-	tick := time.NewTicker(tickEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			w.look(ctx)
-		}
-	}
-}
-
 // look asks the replicas that are this box's to ask and are due.
 func (w *Watch) look(ctx context.Context) {
 	mates := w.mates()
@@ -124,7 +118,9 @@
 	for _, box := range mates {
 		names = append(names, box.Name)
 	}
-	for _, rep := range w.targets.Models() {
+	models := w.targets.Models()
+	w.keep(models)
+	for _, rep := range models {
 		if ident.Winner(rep.ID, names) == w.self.Name && w.due(rep.ID) {
 			w.done.Go(func() { w.ask(ctx, rep, mates) })
 		}
@@ -145,17 +141,33 @@
 func (w *Watch) due(id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := time.Now()
-	if w.calm[id] && now.Sub(w.asked[id]) < calmEvery {
+	last := w.asked[id]
+	if last.calm && time.Since(last.at) < calmEvery {
 		return false
 	}
-	if len(w.asked) > 2*len(w.calm)+64 {
-		w.asked = map[string]time.Time{} // replicas that are gone
-	}
-	w.asked[id] = now
+	last.at = time.Now()
+	w.asked[id] = last
 	return true
 }
 
+// keep forgets replicas that are gone.
+func (w *Watch) keep(models []work.Replica) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.asked) <= 2*len(models) {
+		return
+	}
+	listed := map[string]bool{}
+	for _, rep := range models {
+		listed[rep.ID] = true
+	}
+	for id := range w.asked {
+		if !listed[id] {
+			delete(w.asked, id)
+		}
+	}
+}
+
 func (w *Watch) ask(ctx context.Context, rep work.Replica, mates []work.Box) {
 	ctx, stop := context.WithTimeout(ctx, askWait)
 	defer stop()
@@ -165,7 +177,7 @@
 		return
 	}
 	w.mu.Lock()
-	w.calm[rep.ID] = float64(got.Running+got.Waiting) < busyShare*float64(rep.Slots)
+	w.asked[rep.ID] = question{at: w.asked[rep.ID].at, calm: float64(got.Running+got.Waiting) < busyShare*float64(rep.Slots)}
 	w.mu.Unlock()
 	w.targets.Loaded(rep.ID, got)
 	w.tellAll(mates, message{Replica: rep.ID, Load: &got})
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -55,13 +55,15 @@
 type Deps struct {
 	Self work.Box
 	// Slots is the number of slots, alike on all boxes.
-	Slots    int
-	Log      Log
-	Decoder  feed.Decoder
-	Replicas Replicas
-	Logger   *slog.Logger
-	Meter    *meter.Meter
-	Timing   view.Timing
+	Slots int
+	// RecordBytes is the longest record that the log takes.
+	RecordBytes int
+	Log         Log
+	Decoder     feed.Decoder
+	Replicas    Replicas
+	Logger      *slog.Logger
+	Meter       *meter.Meter
+	Timing      view.Timing
 }
 
 // Node is a box.
@@ -93,7 +95,7 @@
 	n.shards = shard.New(deps.Self, layout, reached, n.view, n.peers, deps.Meter, log)
 	n.watch = load.New(deps.Self, deps.Replicas, n.targets, n.view, log)
 	n.reach = newReach(deps.Self.Name, n.view, n.peers, log)
-	runner := turns.New(n.targets, deps.Replicas, deps.Meter, log)
+	runner := turns.New(n.targets, deps.Replicas, deps.RecordBytes, deps.Meter, log)
 	carrier := relay.New(n.targets, deps.Replicas, deps.Meter, log)
 	n.entry = entry.New(deps.Self, layout, n.feed, n.view, n.reach, n.shards, runner, n.peers, carrier, deps.Meter, log)
 	n.server = remote.NewServer(deps.Self.Peer, n.entry, n.shards, n.view, deps.Log, log)
--- a/gate/node/reach.go
+++ b/gate/node/reach.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"mulleingate.dev/gate/kernel"
 	"mulleingate.dev/gate/work"
 )
 
@@ -73,18 +74,7 @@
 func (r *reach) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	r.done.Go(func() {
-		tick := time.NewTicker(reachEvery)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-				r.look(ctx)
-			}
-		}
-	})
+	r.done.Go(func() { kernel.Every(ctx, reachEvery, func() { r.look(ctx) }) })
 	return nil
 }
 
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/kernel"
 	"mulleingate.dev/gate/work"
 )
 
@@ -102,7 +103,7 @@
 
 // Start implements a service.
 func (s *Shards) Start(context.Context) error {
-	s.done.Go(s.sweep)
+	s.done.Go(func() { kernel.Every(s.ctx, sweepEvery, s.sweep) })
 	return nil
 }
 
@@ -312,18 +313,9 @@
 
 // sweep drops programs whose time is over.
 func (s *Shards) sweep() {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-tick.C:
-		}
-		for number := range s.slots {
-			if slot, _ := s.get(number); slot != nil {
-				slot.sweep(time.Now())
-			}
+	for number := range s.slots {
+		if slot, _ := s.get(number); slot != nil {
+			slot.sweep(time.Now())
 		}
 	}
 }
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -46,21 +46,23 @@
 	suspect time.Time
 	// parts names the shared parts of prompts that were sent there lately.
 	parts map[string]time.Time
-	pool  Closer
+	pool  Pool
 	// load is its own report, loadAt when it came, and busyThen what busy was.
 	load     work.Load
 	loadAt   time.Time
 	busyThen int
 }
 
-// Closer ends the connections to a replica.
-type Closer interface {
+// Pool is the connections to a replica.
+type Pool interface {
 	Close()
+	// Limit bounds the connections open at once.
+	Limit(connections int)
 }
 
 // Opener makes the connections to a replica.
 type Opener interface {
-	Open(rep work.Replica, connections int) Closer
+	Open(rep work.Replica, connections int) Pool
 }
 
 // Targets is what a box believes of all replicas.
@@ -118,6 +120,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conf = conf
+	t.limitPools()
 }
 
 // Boxes takes the number of boxes that share the replicas' connections.
@@ -125,6 +128,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.boxes = max(n, 1)
+	t.limitPools()
+}
+
+// limitPools gives all connections to replicas their share.
+func (t *Targets) limitPools() {
+	for _, s := range t.byID {
+		if s.pool != nil {
+			s.pool.Limit(t.share(s.Service))
+		}
+	}
 }
 
 // Put takes a replica as listed.
@@ -222,7 +235,7 @@
 }
 
 // Pool returns the connections to the replica.
-func (l *Lease) Pool() Closer {
+func (l *Lease) Pool() Pool {
 	return l.state.pool
 }
 
--- a/gate/target/target_test.go
+++ b/gate/target/target_test.go
@@ -16,16 +16,18 @@
 	"mulleingate.dev/gate/work"
 )
 
-type pools struct{ open, closed int }
+type pools struct{ open, closed, limit int }
 
-func (p *pools) Open(work.Replica, int) Closer {
+func (p *pools) Open(_ work.Replica, connections int) Pool {
 	p.open++
-	return closer{p}
+	p.limit = connections
+	return pool{p}
 }
 
-type closer struct{ pools *pools }
+type pool struct{ pools *pools }
 
-func (c closer) Close() { c.pools.closed++ }
+func (c pool) Close()                { c.pools.closed++ }
+func (c pool) Limit(connections int) { c.pools.limit = connections }
 
 func newTargets(n int, engine bool) (*Targets, *pools) {
 	p := &pools{}
@@ -197,6 +199,20 @@
 	})
 }
 
+// TestConnectionsAreSharedAnew checks that a box gives connections up when others join.
+func TestConnectionsAreSharedAnew(t *testing.T) {
+	targets, p := newTargets(1, false)
+	var got []int
+	for _, boxes := range []int{6, 21, 46, 1000} {
+		targets.Boxes(boxes)
+		take(t, targets, Ask{}).Done(Answered, 0)
+		got = append(got, p.limit)
+	}
+	if diff := cmp.Diff([]int{10, 4, 2, leastShare}, got); diff != "" || p.open != 1 {
+		t.Errorf("connections of 100 (-want +got):\n%s", diff)
+	}
+}
+
 func TestSplits(t *testing.T) {
 	targets, _ := newTargets(0, false)
 	for i, svc := range []string{"x", "y"} {
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -24,6 +24,10 @@
 	// silentAfter is the time without a word from which a replica is blamed even though the
 	// caller has left: pauses of a busy replica are a tenth of it.
 	silentAfter = 1500 * time.Millisecond
+	// recordSpare is left in a record for the names beside a turn's text, and answerShare is the
+	// part of it, one in so many, that a caller's input must leave to the answer.
+	recordSpare = 1 << 10
+	answerShare = 4
 	// maxChain bounds the text of a chain, in bytes.
 	maxChain = 16 << 20
 )
@@ -50,11 +54,13 @@
 	sender  Sender
 	counts  Counts
 	log     *slog.Logger
+	// mostText bounds the text of one turn, in bytes: it is one record of the log.
+	mostText int
 }
 
-// New makes a runner.
-func New(targets Targets, sender Sender, counts Counts, log *slog.Logger) *Runner {
-	return &Runner{targets: targets, sender: sender, counts: counts, log: log}
+// New makes a runner. The log takes records of so many bytes at most.
+func New(targets Targets, sender Sender, recordBytes int, counts Counts, log *slog.Logger) *Runner {
+	return &Runner{targets: targets, sender: sender, counts: counts, log: log, mostText: recordBytes - recordSpare}
 }
 
 // turn is the state of one turn under way.
@@ -94,6 +100,9 @@
 	t.open = chain.Open{
 		ID: call.ID, Program: call.Turn.Program, Previous: call.Turn.Previous, Most: most(call), Retention: route.Retention,
 	}
+	if len(t.input) > r.mostText-r.mostText/answerShare {
+		return fault.Refuse(fault.TooLarge, "the log can't keep a turn of this length")
+	}
 	if err := slot.Enter(t.enter); err != nil {
 		return err
 	}
@@ -116,6 +125,9 @@
 func (t *turn) enter(state *chain.State) error {
 	var recs []work.Record
 	line, err := state.Line(t.open.Program, t.open.Previous)
+	if len(t.call.Turn.Base) > t.mostText {
+		return fault.Refuse(fault.TooLarge, "the log can't keep a copy of a history of this length")
+	}
 	if fault.Is(err, fault.NoTurn) && t.call.Turn.Base != nil {
 		recs = append(recs, state.Import(time.Now(), t.open.Program, t.open.Previous, t.call.Turn.Base, t.open.Retention))
 		line, err = state.Line(t.open.Program, t.open.Previous)
@@ -348,6 +360,9 @@
 
 // finish writes the turn to the log; the answer's end waits for it.
 func (t *turn) finish(ctx context.Context, collected events) error {
+	if len(collected.text) > t.mostText {
+		return fault.Fail(fault.TooLarge, "the log can't keep an answer of this length")
+	}
 	tokens := t.spent(collected.count)
 	var pending *shard.Pending
 	t.slot.Change(func(state *chain.State) {
--- a/gate/work/call.go
+++ b/gate/work/call.go
@@ -38,8 +38,6 @@
 	Arrived time.Time `json:"-"`
 	// Priority is the route's, for replicas that serve urgent calls first.
 	Priority int
-	// Object names what the call is about, for routes with affinity; may be empty.
-	Object string
 	// Prompt describes the prompt of a model call; nil for others.
 	Prompt *Prompt
 	// Turn places a model call in its program; nil for calls outside programs.
@@ -63,14 +61,10 @@
 // Turn places a call in a program.
 type Turn struct {
 	Program string
-	// Line is one chain of turns of the program; sub-agents have lines of their own.
-	Line string
 	// Previous is the call whose answer this turn goes on from; empty at the start.
 	Previous string
 	// Budget bounds the tokens of all answers of the program; negative if there is no bound.
 	Budget int
-	// Left is the time until the program should be over; zero if untold.
-	Left time.Duration
 	// Base is the text of the chain up to Previous, where that is a turn of another program.
 	Base []byte `json:",omitempty"`
 }
--- a/gate/work/config.go
+++ b/gate/work/config.go
@@ -37,8 +37,6 @@
 	Timeout time.Duration
 	// Objective is the time to the first byte within which an answer has its full worth.
 	Objective time.Duration
-	// Gap is the longest pause between two events of a stream in time; zero if untold.
-	Gap time.Duration
 	// Priority is 0 for the most urgent calls.
 	Priority int
 	// Splits holds at least one service.
@@ -53,15 +51,11 @@
 	// for plain services. It travels with the route, since the box that owns a program may
 	// know no configuration yet.
 	Stride int
-	// Affinity says that replicas work faster on objects that they have lately seen.
-	Affinity bool
 }
 
 // Service is a group of replicas that run the same calls.
 type Service struct {
 	Name string
-	// HealthPath is empty where replicas answer no health checks.
-	HealthPath string
 	// Connections bounds the connections that one replica takes from all callers together.
 	Connections int
 	// Engine is nil for a plain service.
@@ -72,8 +66,6 @@
 type Engine struct {
 	// Slots is the largest batch.
 	Slots int
-	// CacheTokens is the memory for prompts and answers, in tokens.
-	CacheTokens int
 	// Stride is the number of tokens in one event of an answer.
 	Stride int
 }
