chain: keep a copy of a turn apart from the turn; shard: hold only what was claimed

Cause found by reading: a new program that goes on from another's turn takes a copy, and the copy was written under the key of the turn itself. Where both programs share a slot (1 of 24), the next owner that reads the log finds the turn in one of the two only: the other's line is broken, and the search for a turn gave up at the first program whose line is. Now a copy has a key of its own, and the search goes on. TestCopyLeavesTheTurnItWasMadeFrom fails without it. Cause found by reading: a claim that is fenced off or not confirmed at its last step left its slot behind, and if another box should own it by then, it was held as this box's: never served, never claimed again. TestClaimThatFailedHoldsNothing fails without the mend.

--- a/gate/chain/chain.go
+++ b/gate/chain/chain.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"mulleingate.dev/base/fault"
@@ -19,6 +20,8 @@
 	previous string
 	keep     time.Time
 	tokens   int
+	// copied says that another program took the turn.
+	copied bool
 	// Text is what later turns go on from: the input, then the data of each event with a
 	// line feed behind.
 	Text []byte
@@ -87,6 +90,8 @@
 	switch rec.Key[0] {
 	case turnKey:
 		return s.applyTurn(id, rec.Value)
+	case copyKey:
+		return s.applyCopy(id, rec.Value)
 	case startKey:
 		return s.applyStart(id, rec.Value)
 	}
@@ -106,6 +111,28 @@
 	return nil
 }
 
+// applyCopy folds the record of a copy. Other records that begin alike have no split.
+func (s *State) applyCopy(name string, raw []byte) error {
+	program, id, ok := strings.Cut(name, copySplit)
+	if !ok {
+		return nil
+	}
+	if len(raw) == 0 {
+		if prog, have := s.programs[program]; have {
+			delete(prog.turns, id)
+			s.forget(program, prog)
+		}
+		return nil
+	}
+	t, err := decodeTurn(id, raw)
+	if err != nil {
+		return err
+	}
+	t.copied = true
+	s.keepTurn(t)
+	return nil
+}
+
 func (s *State) applyStart(id string, raw []byte) error {
 	if len(raw) == 0 {
 		s.dropStart(id)
@@ -144,7 +171,7 @@
 // while a slot is read back.
 func (s *State) dropTurn(id string) {
 	for name, prog := range s.programs {
-		if t, ok := prog.turns[id]; ok {
+		if t, ok := prog.turns[id]; ok && !t.copied {
 			prog.spent -= t.tokens
 			delete(prog.turns, id)
 			s.forget(name, prog)
@@ -243,7 +270,7 @@
 		}
 		line, err := s.Line(name, id)
 		if err != nil {
-			return nil, false
+			continue
 		}
 		var text []byte
 		for _, t := range line {
@@ -257,7 +284,7 @@
 // Import keeps a copy of a turn of another program, with all before it, for a program that
 // goes on from there. Its tokens are the other program's.
 func (s *State) Import(now time.Time, name, id string, text []byte, retention time.Duration) work.Record {
-	t := &Turn{id: id, program: name, keep: now.Add(retention), Text: text}
+	t := &Turn{id: id, program: name, keep: now.Add(retention), copied: true, Text: text}
 	s.keepTurn(t)
 	return turnRecord(t)
 }
@@ -385,8 +412,8 @@
 		if len(drops)+len(prog.turns)+len(prog.open) > limit && len(drops) > 0 {
 			continue
 		}
-		for id := range prog.turns {
-			drops = append(drops, work.Record{Key: string(turnKey) + id})
+		for _, t := range prog.turns {
+			drops = append(drops, work.Record{Key: t.key()})
 		}
 		for id := range prog.open {
 			drops = append(drops, work.Record{Key: string(startKey) + id})
--- a/gate/chain/chain_test.go
+++ b/gate/chain/chain_test.go
@@ -93,6 +93,54 @@
 	}
 }
 
+// newest folds the records as the log keeps them: the newest of each key.
+func newest(t *testing.T, recs []work.Record) *State {
+	t.Helper()
+	last := map[string]int{}
+	for i, rec := range recs {
+		last[rec.Key] = i
+	}
+	s := New()
+	for i, rec := range recs {
+		if last[rec.Key] != i || len(rec.Value) == 0 {
+			continue
+		}
+		if err := s.Apply(rec); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+// TestCopyLeavesTheTurnItWasMadeFrom checks that a program of the same slot which goes on from
+// another's turn takes nothing away from it once a new owner has read the log. It did, and a
+// program was told that its history is not kept.
+func TestCopyLeavesTheTurnItWasMadeFrom(t *testing.T) {
+	s := New()
+	recs := answer(t, s, open("a", "", 9), "one ")
+	recs = append(recs, answer(t, s, open("b", "a", 9), "two ")...)
+	text1, _ := s.Find("a")
+	recs = append(recs, s.Import(start, "q", "a", text1, time.Minute))
+	after := newest(t, recs)
+	for _, c := range []struct{ program, id, want string }{{"p", "b", "one two "}, {"q", "a", "one "}} {
+		turns, err := after.Line(c.program, c.id)
+		if err != nil || text(turns) != c.want {
+			t.Errorf("line of %s to %s: %q, %v", c.program, c.id, text(turns), err)
+		}
+	}
+	if got, ok := after.Find("b"); !ok || string(got) != "one two " {
+		t.Errorf("b is found as %q, %v", got, ok)
+	}
+	for _, drop := range s.Expire(start.Add(time.Hour), 100) {
+		if err := after.Apply(drop); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if after.Programs() != 0 {
+		t.Errorf("%d programs are kept", after.Programs())
+	}
+}
+
 // TestSeveralLinesGoOnFromOneTurn checks that sub-agents share what came before them.
 func TestSeveralLinesGoOnFromOneTurn(t *testing.T) {
 	s := New()
--- a/gate/chain/codec.go
+++ b/gate/chain/codec.go
@@ -11,6 +11,7 @@
 // The first byte of a key says what the record holds.
 const (
 	turnKey  = 't'
+	copyKey  = 'c'
 	startKey = 's'
 )
 
@@ -22,7 +23,20 @@
 	raw = binary.AppendUvarint(raw, uint64(t.keep.UnixMilli()))
 	raw = binary.AppendUvarint(raw, uint64(t.tokens))
 	raw = append(raw, t.Text...)
-	return work.Record{Key: string(turnKey) + t.id, Value: raw}
+	return work.Record{Key: t.key(), Value: raw}
+}
+
+// copySplit stands between the names of a program and of a turn in the key of a copy; no name
+// that callers may send holds it.
+const copySplit = "\x00"
+
+// key is the turn's key in the log. A copy has one of its own: the slot may also hold the turn
+// that it was made from.
+func (t *Turn) key() string {
+	if t.copied {
+		return string(copyKey) + t.program + copySplit + t.id
+	}
+	return string(turnKey) + t.id
 }
 
 // startRecord encodes a turn that may have begun to run.
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -216,8 +216,9 @@
 	start := time.Now()
 	var slot *Slot
 	for s.ctx.Err() == nil && s.mine(number) {
-		var err error
-		if slot, err = s.acquire(number); err == nil {
+		got, err := s.acquire(number)
+		if err == nil {
+			slot = got
 			break
 		}
 		s.logger.Info("shard: claim failed", "slot", number, "cause", err)
--- a/gate/shard/shard_test.go
+++ b/gate/shard/shard_test.go
@@ -172,6 +172,30 @@
 	})
 }
 
+// TestClaimThatFailedHoldsNothing checks that a slot whose owner record was not confirmed is not
+// held once another box should own it: a slot that another has fenced off was, and was then
+// never claimed again.
+func TestClaimThatFailedHoldsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newLog()
+		f := newFleet(log, "a", "b")
+		defer f.stop()
+		b := f.shards["b"]
+		f.believe("b", "b")
+		b.claim(0)
+		time.Sleep(pages + 14*time.Millisecond) // fenced and read; the owner record is on its way
+		log.set(away)
+		time.Sleep(time.Second)
+		f.believe("b", "a")
+		time.Sleep(6 * time.Second)
+		if b.Holds(0) {
+			t.Error("b holds a slot that it could not claim")
+		}
+		log.set(up)
+		time.Sleep(3 * time.Second)
+	})
+}
+
 // TestEpochsOfBoxesDiffer checks that boxes which claim side by side never share an epoch.
 func TestEpochsOfBoxesDiffer(t *testing.T) {
 	f := newFleet(newLog(), "a", "b", "c")
