all: let one piece of code serve what stood twice

Found by reading the whole change once more; behaviour as before but for the last two lines. - serve (new, base): listening, serving in the background and stopping stood in base/server, remote, ingr and cmds; one copy now. - ident.Closest: the rendezvous choice of several stood in member, engine and view; the first two computed each weight for every comparison. - work.Log: detour, remote and node each declared the whole log. - turns.stream goes through work.Copy; a turn holds its lease instead of four copies of its fields. - work.Push: writing and flushing to whoever asked, in remote and ingr. - ingr has no flag for leaving: the box that leaves is not ready, which ingr asks already. - front waits by kernel.Every; view compares by slices.Equal. - log key: three lines named another box under the key of the box that logs, so that trace showed the wrong one; the key is other now. base/server tells of a listener that ended, which it swallowed.

--- a/base/ident/ident.go
+++ b/base/ident/ident.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -92,6 +93,28 @@
 	return best
 }
 
+// Closest is the rendezvous choice of n among several names for key, heaviest first. It
+// returns their indices; name tells the name of each.
+func Closest(key string, names int, name func(i int) string, n int) []int {
+	best := make([]int, 0, n+1)
+	weights := make([]uint64, 0, n+1)
+	for i := range names {
+		weight := Weight(key, name(i))
+		at := 0
+		for at < len(weights) && weights[at] >= weight {
+			at++
+		}
+		if at == n {
+			continue
+		}
+		best = slices.Insert(best, at, i)
+		best = best[:min(len(best), n)]
+		weights = slices.Insert(weights, at, weight)
+		weights = weights[:min(len(weights), n)]
+	}
+	return best
+}
+
 // Weight is the rendezvous weight of name for key.
 func Weight(key, name string) uint64 {
 	return xxhash.Sum64String(key + "\x00" + name)
--- a/base/server/server.go
+++ b/base/server/server.go
@@ -18,6 +18,7 @@
 
 	"mulleingate.dev/base/client"
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/serve"
 )
 
 const (
@@ -56,9 +57,9 @@
 
 // Listen binds addr and serves handler in the background; tlsConf may be nil.
 func Listen(addr netip.AddrPort, handler http.Handler, tlsConf *tls.Config) (*Server, error) {
-	ln, err := net.Listen("tcp", addr.String())
+	ln, err := serve.Listen(addr)
 	if err != nil {
-		return nil, fault.Refuse(fault.BadSettings, "cannot listen on "+addr.String()).Because(err)
+		return nil, err
 	}
 	if tlsConf != nil {
 		ln = tls.NewListener(ln, tlsConf)
@@ -68,9 +69,8 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
-		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}}
-	go func() { _ = srv.http.Serve(ln) }()
+	serve.Run(srv.http, ln, slog.Default(), func(cause error) { slog.Error("server: listener ended", "cause", cause) })
 	return srv, nil
 }
 
@@ -81,11 +81,7 @@
 
 // Stop waits for requests under way until ctx ends, then cuts them.
 func (s *Server) Stop(ctx context.Context) error {
-	err := s.http.Shutdown(ctx)
-	if err != nil {
-		return errors.CombineErrors(err, s.http.Close())
-	}
-	return nil
+	return serve.Stop(ctx, s.http)
 }
 
 // Read decodes a JSON body of at most limit bytes.
--- a/gate/detour/detour.go
+++ b/gate/detour/detour.go
@@ -33,27 +33,17 @@
 	maxAnew = 4
 )
 
-// Log is the platform's log.
-type Log interface {
-	Append(ctx context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error
-	Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (next int64, err error)
-	Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error)
-	Join(ctx context.Context, member string, generation int64, ttl time.Duration) (int64, error)
-	Leave(ctx context.Context, member string) error
-	Members(ctx context.Context) ([]string, error)
-}
-
 // Others are the boxes that may be asked.
 type Others interface {
 	// Others returns the living boxes without this one.
 	Others() []work.Box
 	// Via returns the log by way of a box.
-	Via(box work.Box) Log
+	Via(box work.Box) work.Log
 }
 
 // Detour is the log, reached in one way or the other.
 type Detour struct {
-	direct Log
+	direct work.Log
 	others Others
 	logger *slog.Logger
 
@@ -71,7 +61,7 @@
 }
 
 // New makes a detour that has not been needed yet.
-func New(direct Log, others Others, logger *slog.Logger) *Detour {
+func New(direct work.Log, others Others, logger *slog.Logger) *Detour {
 	return &Detour{direct: direct, others: others, logger: logger, avoid: map[string]time.Time{}}
 }
 
@@ -86,18 +76,18 @@
 }
 
 // call is one of the calls of the log.
-type call func(ctx context.Context, log Log) result
+type call func(ctx context.Context, log work.Log) result
 
 // Append implements the log. The same writer and number may go both ways: the log does it once.
 func (d *Detour) Append(ctx context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error {
-	return d.do(ctx, patience, func(ctx context.Context, log Log) result {
+	return d.do(ctx, patience, func(ctx context.Context, log work.Log) result {
 		return result{err: log.Append(ctx, shard, writer, recs)}
 	}).err
 }
 
 // Join implements the log.
 func (d *Detour) Join(ctx context.Context, member string, generation int64, ttl time.Duration) (int64, error) {
-	got := d.insist(ctx, patience, joinAgain, func(ctx context.Context, log Log) result {
+	got := d.insist(ctx, patience, joinAgain, func(ctx context.Context, log work.Log) result {
 		generation, err := log.Join(ctx, member, generation, ttl)
 		return result{generation: generation, err: err}
 	})
@@ -106,14 +96,14 @@
 
 // Leave implements the log.
 func (d *Detour) Leave(ctx context.Context, member string) error {
-	return d.do(ctx, patience, func(ctx context.Context, log Log) result {
+	return d.do(ctx, patience, func(ctx context.Context, log work.Log) result {
 		return result{err: log.Leave(ctx, member)}
 	}).err
 }
 
 // Members implements the log.
 func (d *Detour) Members(ctx context.Context) ([]string, error) {
-	got := d.do(ctx, patience, func(ctx context.Context, log Log) result {
+	got := d.do(ctx, patience, func(ctx context.Context, log work.Log) result {
 		members, err := log.Members(ctx)
 		return result{members: members, err: err}
 	})
@@ -122,7 +112,7 @@
 
 // Newest implements the log.
 func (d *Detour) Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (int64, error) {
-	got := d.do(ctx, 2*patience, func(ctx context.Context, log Log) result {
+	got := d.do(ctx, 2*patience, func(ctx context.Context, log work.Log) result {
 		var page work.Page
 		next, err := log.Newest(ctx, shard, func(rec work.Record) { page.Records = append(page.Records, rec) })
 		page.Next = next
@@ -139,7 +129,7 @@
 
 // Read implements the log.
 func (d *Detour) Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error) {
-	got := d.do(ctx, wait+patience, func(ctx context.Context, log Log) result {
+	got := d.do(ctx, wait+patience, func(ctx context.Context, log work.Log) result {
 		page, err := log.Read(ctx, shard, from, wait)
 		return result{page: page, err: err}
 	})
--- a/gate/detour/detour_test.go
+++ b/gate/detour/detour_test.go
@@ -75,7 +75,7 @@
 	return boxes
 }
 
-func (p peers) Via(box work.Box) Log {
+func (p peers) Via(box work.Box) work.Log {
 	return p[box.Name]
 }
 
--- a/gate/engine/engine.go
+++ b/gate/engine/engine.go
@@ -135,10 +135,11 @@
 	if len(targets) <= s.timing.Subset {
 		return targets
 	}
-	sort.Slice(targets, func(i, j int) bool {
-		return ident.Weight(s.self, targets[i].Name) > ident.Weight(s.self, targets[j].Name)
-	})
-	return targets[:s.timing.Subset]
+	var near []types.Target
+	for _, i := range ident.Closest(s.self, len(targets), func(i int) string { return targets[i].Name }, s.timing.Subset) {
+		near = append(near, targets[i])
+	}
+	return near
 }
 
 // Target finds an engine by name.
--- a/gate/entry/find.go
+++ b/gate/entry/find.go
@@ -31,11 +31,11 @@
 	for range boxes {
 		got := <-answers
 		if got.err != nil {
-			e.log.Info("entry: box not asked for a turn", "id", call.ID, "box", got.box, "cause", got.err)
+			e.log.Info("entry: box not asked for a turn", "id", call.ID, "other", got.box, "cause", got.err)
 			continue
 		}
 		if got.text != nil {
-			e.log.Info("entry: turn found elsewhere", "id", call.ID, "previous", call.Turn.Previous, "box", got.box)
+			e.log.Info("entry: turn found elsewhere", "id", call.ID, "previous", call.Turn.Previous, "other", got.box)
 			return got.text, nil
 		}
 		for _, slot := range got.slots {
--- a/gate/front/forward.go
+++ b/gate/front/forward.go
@@ -12,6 +12,7 @@
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/base/ident"
 	"mulleingate.dev/base/types"
+	"mulleingate.dev/gate/kernel"
 	"mulleingate.dev/gate/peer"
 )
 
@@ -129,21 +130,12 @@
 // no failure by itself, and the caller would wait for its own timeout.
 func (f *Front) whileLive(ctx context.Context, box string) (context.Context, context.CancelFunc) {
 	ctx, stop := context.WithCancel(ctx)
-	go func() {
-		tick := time.NewTicker(watchEvery)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-				if !f.owners.Live(box) {
-					f.counts.Count("front.forwards_abandoned", 1)
-					stop()
-				}
-			}
+	go kernel.Every(ctx, watchEvery, func() {
+		if !f.owners.Live(box) {
+			f.counts.Count("front.forwards_abandoned", 1)
+			stop()
 		}
-	}()
+	})
 	return ctx, stop
 }
 
--- a/gate/member/member.go
+++ b/gate/member/member.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"sort"
 	"sync"
 	"time"
 
@@ -231,10 +230,11 @@
 	if len(members) <= v.timing.Fanout {
 		return members
 	}
-	sort.Slice(members, func(i, j int) bool {
-		return ident.Weight(v.self.Name, members[i].Name) > ident.Weight(v.self.Name, members[j].Name)
-	})
-	return members[:v.timing.Fanout]
+	var near []types.Member
+	for _, i := range ident.Closest(v.self.Name, len(members), func(i int) string { return members[i].Name }, v.timing.Fanout) {
+		near = append(near, members[i])
+	}
+	return near
 }
 
 func (v *View) exchange(m types.Member, beat *wire.BeatRequest) {
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -32,11 +32,6 @@
 	finishFor = 4200 * time.Millisecond
 )
 
-// Log is the log as a box uses it.
-type Log interface {
-	detour.Log
-}
-
 // Replicas speaks to replicas.
 type Replicas interface {
 	target.Opener
@@ -44,13 +39,6 @@
 	load.Reporter
 }
 
-// Front takes callers' connections. Start begins to listen; Stop finishes calls under way.
-type Front interface {
-	kernel.Service
-	// Leave has callers told that their connections end.
-	Leave()
-}
-
 // Deps is what a box is made from.
 type Deps struct {
 	Self work.Box
@@ -58,7 +46,7 @@
 	Slots int
 	// RecordBytes is the longest record that the log takes.
 	RecordBytes int
-	Log         Log
+	Log         work.Log
 	Decoder     feed.Decoder
 	Replicas    Replicas
 	Logger      *slog.Logger
@@ -79,7 +67,6 @@
 	server  *remote.Server
 	reach   *reach
 	watch   *load.Watch
-	front   Front
 	leaving atomic.Bool
 }
 
@@ -119,7 +106,7 @@
 }
 
 // Via implements detour.Others.
-func (o others) Via(box work.Box) detour.Log {
+func (o others) Via(box work.Box) work.Log {
 	return o.node.peers.Via(box)
 }
 
@@ -130,9 +117,9 @@
 	n.shards.Rebalance()
 }
 
-// Start starts all services and takes callers by the front.
-func (n *Node) Start(ctx context.Context, front Front) error {
-	n.front = front
+// Start starts all services, last the front: it takes callers' connections from its start on,
+// tells callers to leave while the box is not ready, and finishes calls under way at its stop.
+func (n *Node) Start(ctx context.Context, front kernel.Service) error {
 	made := func(svc kernel.Service) kernel.Factory {
 		return func(*kernel.Kernel) (kernel.Service, error) { return svc, nil }
 	}
@@ -153,7 +140,6 @@
 func (n *Node) Stop(ctx context.Context) error {
 	n.leaving.Store(true)
 	n.deps.Logger.Info("node: leaving")
-	n.front.Leave()
 	n.leave(ctx)
 	select {
 	case <-time.After(leaveFor):
--- a/gate/remote/log.go
+++ b/gate/remote/log.go
@@ -10,16 +10,6 @@
 	"mulleingate.dev/gate/work"
 )
 
-// Log is the log of the platform.
-type Log interface {
-	Append(ctx context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error
-	Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (next int64, err error)
-	Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error)
-	Join(ctx context.Context, member string, generation int64, ttl time.Duration) (int64, error)
-	Leave(ctx context.Context, member string) error
-	Members(ctx context.Context) ([]string, error)
-}
-
 // The calls of the log that one box makes for another.
 const (
 	opAppend  = "append"
@@ -61,35 +51,35 @@
 }
 
 // Via returns the log by way of the box.
-func (c *Client) Via(box work.Box) Log {
+func (c *Client) Via(box work.Box) work.Log {
 	return Via{client: c, box: box}
 }
 
-// Append implements Log.
+// Append implements work.Log.
 func (v Via) Append(ctx context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error {
 	_, err := v.call(ctx, logAsk{Op: opAppend, Shard: shard, Writer: writer, Records: recs})
 	return err
 }
 
-// Join implements Log.
+// Join implements work.Log.
 func (v Via) Join(ctx context.Context, member string, generation int64, ttl time.Duration) (int64, error) {
 	out, err := v.call(ctx, logAsk{Op: opJoin, Member: member, Generation: generation, TTLMS: ttl.Milliseconds()})
 	return out.Generation, err
 }
 
-// Leave implements Log.
+// Leave implements work.Log.
 func (v Via) Leave(ctx context.Context, member string) error {
 	_, err := v.call(ctx, logAsk{Op: opLeave, Member: member})
 	return err
 }
 
-// Members implements Log.
+// Members implements work.Log.
 func (v Via) Members(ctx context.Context) ([]string, error) {
 	out, err := v.call(ctx, logAsk{Op: opMembers})
 	return out.Members, err
 }
 
-// Newest implements Log.
+// Newest implements work.Log.
 func (v Via) Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (int64, error) {
 	out, err := v.call(ctx, logAsk{Op: opNewest, Shard: shard})
 	if err != nil {
@@ -101,7 +91,7 @@
 	return out.Page.Next, nil
 }
 
-// Read implements Log.
+// Read implements work.Log.
 func (v Via) Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error) {
 	out, err := v.call(ctx, logAsk{Op: opRead, Shard: shard, From: from, WaitMS: wait.Milliseconds()})
 	return out.Page, err
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -5,15 +5,13 @@
 	"encoding/json"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/serve"
 	"mulleingate.dev/gate/work"
 )
 
@@ -50,14 +48,14 @@
 	turns  Turns
 	slots  Slots
 	boxes  Boxes
-	direct Log
+	direct work.Log
 	logger *slog.Logger
 	http   *http.Server
 }
 
 // NewServer makes a server that does not listen yet.
 // It calls the log directly for boxes that can't.
-func NewServer(addr netip.AddrPort, turns Turns, slots Slots, boxes Boxes, direct Log, logger *slog.Logger) *Server {
+func NewServer(addr netip.AddrPort, turns Turns, slots Slots, boxes Boxes, direct work.Log, logger *slog.Logger) *Server {
 	s := &Server{addr: addr, turns: turns, slots: slots, boxes: boxes, direct: direct, logger: logger}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+turnPath, s.turn)
@@ -67,30 +65,23 @@
 	mux.HandleFunc("POST "+deliverPath, s.deliver)
 	mux.HandleFunc("POST "+leftPath, s.left)
 	mux.HandleFunc("GET "+pingPath, func(http.ResponseWriter, *http.Request) {})
-	s.http = &http.Server{Handler: mux, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
+	s.http = &http.Server{Handler: mux, IdleTimeout: idleTimeout}
 	return s
 }
 
 // Start implements a service.
 func (s *Server) Start(context.Context) error {
-	ln, err := net.Listen("tcp", s.addr.String())
+	ln, err := serve.Listen(s.addr)
 	if err != nil {
-		return fault.Refuse(fault.BadSettings, "cannot listen on "+s.addr.String()).Because(err)
+		return err
 	}
-	go func() {
-		if err := s.http.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			s.logger.Error("remote: listener ended", "cause", err)
-		}
-	}()
+	serve.Run(s.http, ln, s.logger, func(cause error) { s.logger.Error("remote: listener ended", "cause", cause) })
 	return nil
 }
 
 // Stop implements a service.
 func (s *Server) Stop(ctx context.Context) error {
-	if err := s.http.Shutdown(ctx); err != nil {
-		return errors.CombineErrors(err, s.http.Close())
-	}
-	return nil
+	return serve.Stop(ctx, s.http)
 }
 
 func (s *Server) yield(w http.ResponseWriter, r *http.Request) {
@@ -178,6 +169,9 @@
 	return msg, nil
 }
 
+// callerGone tells whom an answer can't be passed to.
+const callerGone = "the box that forwarded the turn is gone"
+
 // reply passes an answer to the box that forwarded the turn.
 type reply struct {
 	w     http.ResponseWriter
@@ -190,10 +184,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := r.w.Write(raw); err != nil {
-		return fault.Fail(fault.CallerGone, "the box that forwarded the turn is gone").Because(err)
-	}
-	return nil
+	return work.Push(r.w, nil, raw, callerGone)
 }
 
 // Begin implements work.Answer. The head goes out with the first bytes of the body.
@@ -204,11 +195,5 @@
 
 // Write implements work.Answer.
 func (r *reply) Write(data []byte) error {
-	if _, err := r.w.Write(data); err != nil {
-		return fault.Fail(fault.CallerGone, "the box that forwarded the turn is gone").Because(err)
-	}
-	if err := r.flush.Flush(); err != nil {
-		return fault.Fail(fault.CallerGone, "the box that forwarded the turn is gone").Because(err)
-	}
-	return nil
+	return work.Push(r.w, r.flush, data, callerGone)
 }
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/chain"
 	"mulleingate.dev/gate/shard"
@@ -78,12 +76,8 @@
 	started *shard.Pending
 	// ran says that a replica may have run the turn; ended that the state counts it as over.
 	ran, ended bool
-	// cached and replica are of the lease that ran it.
-	replica string
-	cached  int
-	// score is what the call was expected to cost there, among that many candidates.
-	score time.Duration
-	among int
+	// lease is the newest place at a replica; empty before there was one.
+	lease *target.Lease
 	// sent counts the replicas that the turn was offered to.
 	sent  int
 	first time.Duration
@@ -96,7 +90,7 @@
 func (r *Runner) Run(ctx context.Context, slot *shard.Slot, call *work.Call, route *work.Route, out work.Answer) error {
 	ctx, stop := context.WithDeadline(ctx, call.Deadline)
 	defer stop()
-	t := &turn{Runner: r, slot: slot, call: call, route: route, input: call.Body}
+	t := &turn{Runner: r, slot: slot, call: call, route: route, input: call.Body, lease: &target.Lease{}}
 	t.open = chain.Open{
 		ID: call.ID, Program: call.Turn.Program, Previous: call.Turn.Previous, Most: most(call), Retention: route.Retention,
 	}
@@ -165,7 +159,7 @@
 // abandon ends a turn without a whole answer.
 func (t *turn) abandon(ctx context.Context, err error) {
 	t.log.Info("turns: turn failed", "id", t.call.ID, "program", t.open.Program, "slot", t.slot.Number(), "ran", t.ran,
-		"replica", t.replica, "sent", t.sent, "caller_gone", ctx.Err() == context.Canceled, "after", time.Since(t.call.Arrived), "cause", err)
+		"replica", t.lease.Replica.ID, "sent", t.sent, "caller_gone", ctx.Err() == context.Canceled, "after", time.Since(t.call.Arrived), "cause", err)
 	t.counts.Count("turns.failed", 1)
 	if t.ran {
 		t.slot.Change(func(state *chain.State) { state.Break(t.open) })
@@ -190,10 +184,11 @@
 			last = err
 			break
 		}
+		t.lease = lease
 		avoid = append(avoid, lease.Replica.ID)
-		reply, err := t.offer(ctx, lease)
+		reply, err := t.offer(ctx)
 		if err == nil {
-			return t.pass(ctx, lease, reply, out)
+			return t.pass(ctx, reply, out)
 		}
 		if t.ran {
 			return err
@@ -207,22 +202,21 @@
 	return fault.Refuse(fault.Overloaded, "no replica took the turn").After(retryAfter).Because(last)
 }
 
-// offer sends the turn to one replica.
-func (t *turn) offer(ctx context.Context, lease *target.Lease) (work.Reply, error) {
-	t.replica, t.cached, t.score, t.among = lease.Replica.ID, lease.Cached, lease.Score, lease.Among
+// offer sends the turn to the replica of the lease.
+func (t *turn) offer(ctx context.Context) (work.Reply, error) {
 	t.sent++
 	call := *t.call
 	call.Body = t.prompt
 	t.heard = time.Now()
-	reply, err := t.sender.Send(ctx, lease, &call, time.Until(call.Deadline))
+	reply, err := t.sender.Send(ctx, t.lease, &call, time.Until(call.Deadline))
 	if err != nil {
 		t.ran = !fault.From(err).NotRun
-		lease.Done(t.outcome(ctx, err), 0)
+		t.lease.Done(t.outcome(ctx, err), 0)
 		return reply, err
 	}
 	if reply.NotRun {
 		reply.Body.Close()
-		lease.Done(target.Refused, 0)
+		t.lease.Done(target.Refused, 0)
 		t.counts.Count("turns.replica_refused", 1)
 		return reply, fault.Refuse(fault.Overloaded, "the replica did not run the turn")
 	}
@@ -247,26 +241,26 @@
 }
 
 // pass hands the answer on as it comes, and ends it once the log holds it.
-func (t *turn) pass(ctx context.Context, lease *target.Lease, reply work.Reply, out work.Answer) error {
+func (t *turn) pass(ctx context.Context, reply work.Reply, out work.Answer) error {
 	defer reply.Body.Close()
 	if err := t.awaitStart(ctx); err != nil {
-		lease.Done(target.Dropped, 0)
+		t.lease.Done(target.Dropped, 0)
 		return err
 	}
 	if reply.Head.Status != http.StatusOK || !reply.Sound {
-		return t.passFailure(lease, reply, out)
+		return t.passFailure(reply, out)
 	}
 	collected := events{text: append([]byte(nil), t.input...)}
 	begun := time.Now()
 	if err := t.stream(ctx, reply, out, &collected); err != nil {
-		lease.Done(t.outcome(ctx, err), 0)
+		t.lease.Done(t.outcome(ctx, err), 0)
 		return err
 	}
 	gap := time.Duration(0)
 	if collected.count > 1 {
 		gap = time.Since(begun) / time.Duration(collected.count-1)
 	}
-	lease.Done(target.Answered, gap)
+	t.lease.Done(target.Answered, gap)
 	return t.finish(ctx, collected)
 }
 
@@ -283,18 +277,18 @@
 }
 
 // passFailure hands on an answer that is no series of events.
-func (t *turn) passFailure(lease *target.Lease, reply work.Reply, out work.Answer) error {
+func (t *turn) passFailure(reply work.Reply, out work.Answer) error {
 	if reply.Head.Status < http.StatusMultipleChoices {
-		lease.Done(target.Broken, 0)
+		t.lease.Done(target.Broken, 0)
 		return fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
 	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxLine))
 	if err != nil {
-		lease.Done(target.Broken, 0)
+		t.lease.Done(target.Broken, 0)
 		return fault.Fail(fault.TargetFailed, "the answer broke off").Because(err)
 	}
-	lease.Done(verdict(reply.Head.Status), 0)
-	t.log.Info("turns: replica failed the turn", "id", t.call.ID, "replica", t.replica, "status", reply.Head.Status)
+	t.lease.Done(verdict(reply.Head.Status), 0)
+	t.log.Info("turns: replica failed the turn", "id", t.call.ID, "replica", t.lease.Replica.ID, "status", reply.Head.Status)
 	t.slot.Change(func(state *chain.State) { state.Break(t.open) })
 	reply.Head.Length = int64(len(body))
 	if err := out.Begin(reply.Head); err != nil {
@@ -318,35 +312,35 @@
 
 // stream copies the answer until its end.
 func (t *turn) stream(ctx context.Context, reply work.Reply, out work.Answer, collected *events) error {
-	buf := make([]byte, 4<<10)
-	begun := false
-	for {
-		n, err := reply.Body.Read(buf)
-		if n > 0 {
-			t.heard = time.Now()
-			if !begun {
-				begun = true
-				t.first = time.Since(t.call.Arrived)
-				reply.Head.Length = -1
-				if err := out.Begin(reply.Head); err != nil {
-					return err
-				}
-			}
-			collected.write(buf[:n])
-			if err := out.Write(buf[:n]); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil && ctx.Err() != nil {
-			return fault.Fail(fault.TimedOut, "the turn's time ended before its answer").Because(err)
-		}
-		if err != nil {
-			return fault.Fail(fault.TargetFailed, "the answer broke off").Because(err)
+	reply.Head.Length = -1
+	err := work.Copy(reply.Body, &tap{turn: t, Answer: out, head: reply.Head, collected: collected}, fault.TargetFailed)
+	if fault.Is(err, fault.TargetFailed) && ctx.Err() != nil {
+		return fault.Fail(fault.TimedOut, "the turn's time ended before its answer").Because(err)
+	}
+	return err
+}
+
+// tap sees an answer on its way to the caller. The head goes out with the first bytes.
+type tap struct {
+	work.Answer
+	turn      *turn
+	head      work.Head
+	collected *events
+	begun     bool
+}
+
+// Write implements work.Answer.
+func (p *tap) Write(data []byte) error {
+	p.turn.heard = time.Now()
+	if !p.begun {
+		p.begun = true
+		p.turn.first = time.Since(p.turn.call.Arrived)
+		if err := p.Begin(p.head); err != nil {
+			return err
 		}
 	}
+	p.collected.write(data)
+	return p.Answer.Write(data)
 }
 
 // spent is the tokens of an answer with so many events. Where the size of an event is not
@@ -367,7 +361,7 @@
 	var pending *shard.Pending
 	t.slot.Change(func(state *chain.State) {
 		made, recs := state.Finish(time.Now(), t.open, tokens, collected.text)
-		made.Ran = t.replica
+		made.Ran = t.lease.Replica.ID
 		if t.call.Prompt != nil {
 			made.Cached = t.call.Prompt.Tokens + tokens
 		}
@@ -384,9 +378,9 @@
 	t.free(ctx, pending)
 	t.counts.Time("turns.confirm_time", time.Since(start))
 	t.counts.Time("turns.first_event{class="+t.route.Name+"}", t.first)
-	t.log.Info("turns: turn answered", "id", t.call.ID, "program", t.open.Program, "slot", t.slot.Number(), "replica", t.replica,
-		"prompt", promptTokens(t.call), "cached", t.cached,
-		"score", t.score, "among", t.among, "sent", t.sent, "events", collected.count, "first", t.first, "confirm", time.Since(start), "took", time.Since(t.call.Arrived))
+	t.log.Info("turns: turn answered", "id", t.call.ID, "program", t.open.Program, "slot", t.slot.Number(), "replica", t.lease.Replica.ID,
+		"prompt", promptTokens(t.call), "cached", t.lease.Cached,
+		"score", t.lease.Score, "among", t.lease.Among, "sent", t.sent, "events", collected.count, "first", t.first, "confirm", time.Since(start), "took", time.Since(t.call.Arrived))
 	return nil
 }
 
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -166,21 +166,12 @@
 // Owners returns the winner and the next n-1 boxes of the slot's rendezvous, best first: where
 // a box has just come, the one behind it held its slots until then.
 func (v *View) Owners(slot string, n int) []work.Box {
-	best := make([]work.Box, 0, n+1)
-	weights := make([]uint64, 0, n+1)
-	for _, box := range v.Live() {
-		weight := ident.Weight(slot, box.Name)
-		at := 0
-		for at < len(weights) && weights[at] >= weight {
-			at++
-		}
-		if at == n {
-			continue
-		}
-		best = slices.Insert(best, at, box)[:min(len(best)+1, n)]
-		weights = slices.Insert(weights, at, weight)[:min(len(weights)+1, n)]
+	live := v.Live()
+	var owners []work.Box
+	for _, i := range ident.Closest(slot, len(live), func(i int) string { return live[i].Name }, n) {
+		owners = append(owners, live[i])
 	}
-	return best
+	return owners
 }
 
 // Unreached notes that a call to the box failed to reach it.
@@ -388,7 +379,7 @@
 	v.forget(now)
 	live := v.list()
 	settled := !v.since.IsZero() && now.Sub(v.since) >= v.quarantine()
-	same := settled == v.settled && equal(live, v.live)
+	same := settled == v.settled && slices.Equal(live, v.live)
 	v.live, v.settled = live, settled
 	v.trusted = v.trusted || settled
 	v.mu.Unlock()
@@ -404,7 +395,7 @@
 func (v *View) forget(now time.Time) {
 	for name, e := range v.others {
 		if !e.member && now.Sub(v.since) >= v.timing.Grace {
-			v.logger.Info("view: box left or died", "box", name, "heard", now.Sub(e.heard))
+			v.logger.Info("view: box left or died", "other", name, "heard", now.Sub(e.heard))
 			delete(v.others, name)
 		}
 	}
@@ -439,15 +430,3 @@
 	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
 	return live
 }
-
-func equal(a, b []work.Box) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
--- a/gate/work/copy.go
+++ b/gate/work/copy.go
@@ -2,12 +2,26 @@
 
 import (
 	"io"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 
 	"mulleingate.dev/base/fault"
 )
 
+// Push writes bytes to whoever asked, and sends them at once if flush is not nil. What gone
+// says is the fault's detail if they have left.
+func Push(w io.Writer, flush *http.ResponseController, data []byte, gone string) error {
+	_, err := w.Write(data)
+	if err == nil && flush != nil {
+		err = flush.Flush()
+	}
+	if err != nil {
+		return fault.Fail(fault.CallerGone, gone).Because(err)
+	}
+	return nil
+}
+
 // copyBuffer is enough for some events, in bytes.
 const copyBuffer = 4 << 10
 
