--- a/gate/plain/pool.go
+++ b/gate/plain/pool.go
@@ -191,11 +191,11 @@
 	var failed []string
 	touched := false
 	for attempt := 1; ; attempt++ {
-		r, err := p.pick(svc.Name, in, failed)
+		at, err := p.pick(svc.Name, in, failed)
 		if err != nil {
 			return nil, ran(err, touched)
 		}
-		out, err := p.send(ctx, r, svc, body)
+		out, err := p.send(ctx, at, svc, body)
 		if err == nil {
 			return out, nil
 		}
@@ -204,7 +204,7 @@
 			return nil, ran(err, touched)
 		}
 		p.counts.Count("plain.retries", 1)
-		failed = append(failed, r.target.Name)
+		failed = append(failed, at.target.Name)
 		if err := sleep(ctx, pause.NextBackOff()); err != nil {
 			return nil, ran(err, touched)
 		}
@@ -239,7 +239,14 @@
 }
 
 // pick takes the better of two random replicas with room, by expected wait.
-func (p *Pools) pick(service string, in types.RuleInput, failed []string) (*replica, error) {
+// place is a chosen replica.
+type place struct {
+	replica *replica
+	// target is the replica's as it was chosen; the list may change it meanwhile.
+	target types.Target
+}
+
+func (p *Pools) pick(service string, in types.RuleInput, failed []string) (place, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var ready, busy []*replica
@@ -264,14 +271,14 @@
 		ready = append(ready, r)
 	}
 	if len(ready) == 0 {
-		return nil, none(known, allowed, len(busy))
+		return place{}, none(known, allowed, len(busy))
 	}
 	a, b := ready[rand.IntN(len(ready))], ready[rand.IntN(len(ready))]
 	if p.cost(b) < p.cost(a) {
 		a = b
 	}
 	a.mine++
-	return a, nil
+	return place{replica: a, target: a.target}, nil
 }
 
 func none(known, allowed, busy int) error {
@@ -307,7 +314,7 @@
 	return cost
 }
 
-func (p *Pools) send(ctx context.Context, r *replica, svc types.Service, body Body) (json.RawMessage, error) {
+func (p *Pools) send(ctx context.Context, at place, svc types.Service, body Body) (json.RawMessage, error) {
 	if svc.Timeout > 0 {
 		var stop context.CancelFunc
 		ctx, stop = context.WithTimeout(ctx, time.Duration(svc.Timeout))
@@ -315,8 +322,8 @@
 	}
 	start := time.Now()
 	var out result
-	err := p.http.Call(ctx, http.MethodPost, "http://"+r.target.Addr.String()+"/v1/run", body, &out)
-	p.done(r, time.Since(start), err)
+	err := p.http.Call(ctx, http.MethodPost, "http://"+at.target.Addr.String()+"/v1/run", body, &out)
+	p.done(at.replica, time.Since(start), err)
 	if err != nil {
 		return nil, err
 	}
@@ -363,20 +370,20 @@
 
 // Probe asks the service whether a key took effect.
 func (p *Pools) Probe(ctx context.Context, svc types.Service, in types.RuleInput, key string) (json.RawMessage, bool, error) {
-	r, err := p.pick(svc.Name, in, nil)
+	at, err := p.pick(svc.Name, in, nil)
 	if err != nil {
 		return nil, false, err
 	}
 	start := time.Now()
 	var out result
-	req, err := client.Request(ctx, http.MethodGet, "http://"+r.target.Addr.String()+svc.ProbePath, nil)
+	req, err := client.Request(ctx, http.MethodGet, "http://"+at.target.Addr.String()+svc.ProbePath, nil)
 	if err == nil {
 		query := req.URL.Query()
 		query.Set("key", key)
 		req.URL.RawQuery = query.Encode()
 		err = p.probe(req, &out)
 	}
-	p.done(r, time.Since(start), err)
+	p.done(at.replica, time.Since(start), err)
 	return out.Output, out.Done, err
 }
 
