feed, target, node: tell late news, replicas used again and memory

Cause: the logs of the incident could not tell whether a replica that said it leaves was taken as serving again, how old the list of replicas was when a call was placed, nor whether a process was near its limit of memory when it ended. Change: lines and gauges only; no decision is touched. 'feed: news came late' above 2.5 s between two answers (a read waits 2 s for news), 'target: replica that drained takes work again', node.list_age_ms, node.memory_bytes.

--- a/gate/feed/feed.go
+++ b/gate/feed/feed.go
@@ -28,6 +28,9 @@
 	// lapseFor is how long after the log's return a replica that went off the list while the
 	// log was away may stay missing: a living one is back within two seconds.
 	lapseFor = 2200 * time.Millisecond
+	// lateAfter is the time between two answers from which what is known counts as late: longer
+	// than a read that waits for news in vain, and the pause after it.
+	lateAfter = waitFor + awayAfter
 	// lapseLook is how long a read waits while replicas are missed, so that their time is kept.
 	lapseLook = 300 * time.Millisecond
 )
@@ -64,6 +67,9 @@
 	conf    atomic.Pointer[work.Config]
 	// lists is set once the list of replicas was read.
 	lists atomic.Bool
+	// listedAt is when the list of replicas was last read or found unchanged, in nanoseconds
+	// since 1970; zero before that.
+	listedAt atomic.Int64
 }
 
 // New makes a feed that knows nothing.
@@ -81,13 +87,29 @@
 	return f.conf.Load() != nil && f.lists.Load()
 }
 
+// ListAge is the time since the list of replicas was last read or found unchanged; zero
+// before that. A replica that leaves is unknown here for no longer than that.
+func (f *Feed) ListAge() time.Duration {
+	at := f.listedAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return time.Since(time.Unix(0, at))
+}
+
 // Start implements a service.
 func (f *Feed) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	configs := &tail{feed: f, topic: work.Settings, pause: configPause, take: f.takeConfig, whole: func([]work.Record, time.Time) {}, wait: waitFor}
+	configs := &tail{
+		feed: f, topic: work.Settings, pause: configPause, wait: waitFor,
+		take: f.takeConfig, whole: func([]work.Record, time.Time) {}, heard: func(time.Time) {},
+	}
 	lapses := &lapses{feed: f, missing: map[string]time.Time{}}
-	list := &tail{feed: f, topic: work.Replicas, pause: replicaPause, take: lapses.take, whole: lapses.whole, wait: waitFor, each: lapses.expire}
+	list := &tail{
+		feed: f, topic: work.Replicas, pause: replicaPause, wait: waitFor,
+		take: lapses.take, whole: lapses.whole, each: lapses.expire, heard: func(at time.Time) { f.listedAt.Store(at.UnixNano()) },
+	}
 	f.done.Go(func() { configs.follow(ctx) })
 	f.done.Go(func() { list.follow(ctx) })
 	return nil
@@ -137,6 +159,10 @@
 	failing time.Time
 	// backAt is when the log answered again after it was away.
 	backAt time.Time
+	// answeredAt is when the newest answer came.
+	answeredAt time.Time
+	// heard is told when an answer came.
+	heard func(at time.Time)
 }
 
 func (t *tail) follow(ctx context.Context) {
@@ -171,6 +197,7 @@
 // returns until when missing entries may come back.
 func (t *tail) good(start time.Time, wait time.Duration) time.Time {
 	now := time.Now()
+	t.answered(now)
 	silent := now.Sub(start) > wait+awayAfter
 	if silent {
 		t.failed(start)
@@ -183,6 +210,15 @@
 	return t.backAt.Add(lapseFor)
 }
 
+// answered notes when an answer came, and tells when what was known until then was late.
+func (t *tail) answered(now time.Time) {
+	if age := now.Sub(t.answeredAt); !t.answeredAt.IsZero() && age > lateAfter {
+		t.feed.logger.Info("feed: news came late", "topic", t.topic, "age", age)
+	}
+	t.answeredAt = now
+	t.heard(now)
+}
+
 func (t *tail) step(ctx context.Context, start time.Time) error {
 	ctx, stop := context.WithTimeout(ctx, waitFor+readSlack)
 	defer stop()
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"runtime/metrics"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -181,6 +182,8 @@
 	figures.Gauge("node.ready", flag(n.Ready()))
 	figures.Gauge("node.cut_off", flag(n.reach.CutOff()))
 	figures.Gauge("node.log_age_ms", n.view.ReadAge().Milliseconds())
+	figures.Gauge("node.memory_bytes", memory())
+	figures.Gauge("node.list_age_ms", n.feed.ListAge().Milliseconds())
 	figures.Gauge("node.replicas", int64(len(n.targets.Listed())))
 	if conf := n.feed.Config(); conf != nil {
 		figures.Gauge("node.config_version", conf.Version)
@@ -188,6 +191,16 @@
 	return figures.WriteText(out)
 }
 
+// memory is what the process has mapped, in bytes, without stopping it for the count.
+func memory() int64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/total:bytes"}}
+	metrics.Read(sample)
+	if sample[0].Value.Kind() != metrics.KindUint64 {
+		return 0
+	}
+	return int64(sample[0].Value.Uint64())
+}
+
 func flag(on bool) int64 {
 	if on {
 		return 1
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -149,6 +149,9 @@
 		if rep.Draining && !have.Draining {
 			t.log.Info("target: replica drains", "replica", rep.ID, "service", rep.Service)
 		}
+		if have.Draining && !rep.Draining {
+			t.log.Warn("target: replica that drained takes work again", "replica", rep.ID, "service", rep.Service)
+		}
 		have.Replica = rep
 		return
 	}
