shell: take the signals of a process for good

Cause: the command of a box asked for SIGHUP once the box had started, and gave it back when the stop began, before the stop itself. The default action of a signal that nobody takes ends the process: with every answer it still finished, its own callers' and those of other boxes. The class: a signal's default action in a process that serves. Change: shell takes SIGINT, SIGTERM and SIGHUP in the first line of a program and never gives them back; a command that serves others is told of SIGHUP from before it runs until the process ends, and does not end by SIGPIPE. Other commands end on SIGHUP as on SIGTERM. Considered and not taken: to give the signals back after the command has returned, since a signal in that moment would still turn a planned end into an end by signal.

--- a/base/shell/shell.go
+++ b/base/shell/shell.go
@@ -4,10 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
 	"sort"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -63,11 +60,13 @@
 	ExitConflict = 3
 )
 
-// Run runs the command line of a program and returns the exit code.
+// Run runs the command line of a program and returns the exit code. It takes the signals of
+// the process for good.
 func (s *Set) Run(name, help, version string, args []string, out, errOut io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	taken := takeSignals()
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	root := s.Root(name, help, version, out)
+	root := s.root(name, help, version, out, func(cmd Command) { taken.tell(cmd, stop) })
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
@@ -91,6 +90,11 @@
 
 // Root builds the command tree.
 func (s *Set) Root(name, help, version string, out io.Writer) *cobra.Command {
+	return s.root(name, help, version, out, func(Command) {})
+}
+
+// root builds the command tree; begin is called before a command is executed.
+func (s *Set) root(name, help, version string, out io.Writer, begin func(cmd Command)) *cobra.Command {
 	root := &cobra.Command{Use: name, Short: help, Version: version, SilenceUsage: true, SilenceErrors: true}
 	for _, group := range sortedKeys(s.groups) {
 		under := root
@@ -99,7 +103,7 @@
 			root.AddCommand(under)
 		}
 		for _, cmd := range s.sorted(group) {
-			under.AddCommand(build(cmd, out))
+			under.AddCommand(build(cmd, out, begin))
 		}
 	}
 	return root
@@ -123,10 +127,13 @@
 	return cmds
 }
 
-func build(cmd Command, out io.Writer) *cobra.Command {
+func build(cmd Command, out io.Writer, begin func(cmd Command)) *cobra.Command {
 	names := cmd.Aliases()
 	c := &cobra.Command{Use: names[0], Aliases: names[1:], Short: cmd.Help(), Args: cobra.ArbitraryArgs}
-	c.RunE = func(c *cobra.Command, args []string) error { return cmd.Execute(c.Context(), out, args) }
+	c.RunE = func(c *cobra.Command, args []string) error {
+		begin(cmd)
+		return cmd.Execute(c.Context(), out, args)
+	}
 	cmd.Flags(c)
 	return c
 }
