--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -84,16 +84,21 @@
 	return load.Plans(load.Ghent, 25, 8*time.Second, seed)
 }
 
-// TestPrograms runs some two hundred programs and stops one box as planned in the middle:
-// every program ends well, and every effect happens exactly once.
+// TestPrograms runs some two hundred programs and stops one box as planned in the middle. The
+// boxes are told that their settings have changed before and while it stops: every program
+// ends well, and every effect happens exactly once.
 func TestPrograms(t *testing.T) {
 	f, b := start(t)
 	ctx := context.Background()
 	go func() {
-		time.Sleep(3 * time.Second)
+		time.Sleep(2 * time.Second)
+		f.Signal(0, syscall.SIGHUP)
+		time.Sleep(time.Second)
 		b.Out(1, true)
 		f.Leave(f.Boxes()[1].Name)
 		f.Signal(1, syscall.SIGTERM)
+		time.Sleep(200 * time.Millisecond)
+		f.Signal(1, syscall.SIGHUP)
 	}()
 	stats := play(ctx, b, plans(1))
 	judge(t, f, stats)
