gate: outlive SIGHUP

Cause: a box of gate run had no use for SIGHUP and left it to its default action; operators that send it to all daemons after a change of settings would have ended boxes with calls under way. Change: run is a command that is told of changed settings; it checks the file and logs whether a restart could take it.

--- a/gate/cmds/run.go
+++ b/gate/cmds/run.go
@@ -8,16 +8,18 @@
 
 	"github.com/spf13/cobra"
 
+	"mulleingate.dev/base/shell"
 	"mulleingate.dev/gate/conf"
 	"mulleingate.dev/gate/parts"
 )
 
 func init() {
-	commands.Register(&run{})
+	commands.Register(&run{Changes: shell.NewChanges()})
 }
 
 // run runs a box until it is told to stop.
 type run struct {
+	shell.Changes
 	settings string
 }
 
@@ -39,6 +41,15 @@
 	if err := box.Start(ctx); err != nil {
 		return err
 	}
-	<-ctx.Done()
-	return box.Stop(context.Background())
+	return r.Serve(ctx, func() { r.reload(logger) }, box.Stop)
+}
+
+// reload tells whether a restart could take the settings as they are now; a running box keeps
+// those that it has.
+func (r *run) reload(logger *slog.Logger) {
+	if _, err := conf.Load(r.settings); err != nil {
+		logger.Error("run: settings not reloaded", "cause", err)
+		return
+	}
+	logger.Info("run: settings reloaded, a restart takes them")
 }
