--- a/gate/detour/detour_test.go
+++ b/gate/detour/detour_test.go
@@ -23,6 +23,12 @@
 	calls int
 }
 
+func (f *fake) set(err error, after time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.err, f.after = err, after
+}
+
 func (f *fake) call(ctx context.Context) error {
 	f.mu.Lock()
 	f.calls++
@@ -234,3 +240,38 @@
 		}
 	})
 }
+
+// TestOtherBoxThatHangs checks that calls which go by way of another box don't wait for one
+// that has stopped answering: a box whose own way works again must not hang on another's.
+func TestOtherBoxThatHangs(t *testing.T) {
+	ways := map[string]struct{ direct, spare *fake }{
+		"the direct way works again": {&fake{err: gone}, &fake{err: gone}},
+		"a third box answers":        {&fake{err: gone}, &fake{}},
+	}
+	for name, way := range ways {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				used := &fake{}
+				others := peers{"b": used}
+				d := New(way.direct, others, quiet)
+				ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+				defer stop()
+				if err := d.Append(ctx, work.Shard{}, work.Writer{}, nil); err != nil || !d.bad() {
+					t.Fatalf("%v, the detour is not needed: %v", err, !d.bad())
+				}
+				used.set(nil, time.Hour)
+				others["c"] = way.spare
+				if fault.Is(way.spare.err, fault.LogUnavailable) {
+					way.direct.set(nil, 0)
+				}
+				start := time.Now()
+				if _, err := d.Read(ctx, work.Shard{}, 0, 2*time.Second); err != nil {
+					t.Fatal(err)
+				}
+				if took := time.Since(start); took > time.Second {
+					t.Errorf("took %v", took)
+				}
+			})
+		})
+	}
+}
