detour, feed, target: stop sending to replicas that left unseen

The class: another party's silence, or one's own, taken for the state of a third. Change: a call by way of another box is given up after 0.65 s for the next way, the direct one among them, and waits for news there for 0.2 s instead of 2 s (the same for the configuration, heartbeats and appends). A replica whose entry went unseen is missing: it gets nothing unless more replicas of its service are missing than listed, which planned work never does and a lapse of the store does. A dropped history is read anew at once instead of 0.8 s later, and a missing replica goes at its time instead of up to 0.3 s after it. The ways of a call are one race now (race.go); before, three functions each waited for some of them.

--- a/gate/detour/detour.go
+++ b/gate/detour/detour.go
@@ -24,8 +24,12 @@
 	avoidFor = 600 * time.Millisecond
 	// hopeless is the number of such boxes from which the log counts as away for all.
 	hopeless = 3
-	// tries bounds the boxes that one call is made by way of.
+	// tries bounds the boxes that one call is made by way of, one after the other.
 	tries = 2
+	// aroundWait bounds the wait for news at another box. A box that hangs is found after
+	// aroundWait and patience: together with the pause between reads that is well below the
+	// time for which a replica that leaves serves on, and in which a change must be in force.
+	aroundWait = 200 * time.Millisecond
 	// joinAgain is the time between two heartbeats sent while the first is not answered: what
 	// was sent into a silent log is lost, and the first answer shows that the log is back.
 	joinAgain = 250 * time.Millisecond
@@ -75,49 +79,64 @@
 	way work.Box
 }
 
-// call is one of the calls of the log.
-type call func(ctx context.Context, log work.Log) result
+func (r result) direct() bool {
+	return r.way.Name == ""
+}
+
+// call is one of the calls of the log, made by one way. Direct says that it is this box's own.
+type call func(ctx context.Context, log work.Log, direct bool) result
+
+// ask is a call and how long its ways may take.
+type ask struct {
+	make call
+	// direct is how long the direct way may take before another is tried beside it, around the
+	// same for the way by another box.
+	direct, around time.Duration
+	// again is the time after which the call is sent directly once more while nothing answers;
+	// zero sends it again only once another call was answered.
+	again time.Duration
+}
 
 // Append implements the log. The same writer and number may go both ways: the log does it once.
 func (d *Detour) Append(ctx context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error {
-	return d.do(ctx, patience, func(ctx context.Context, log work.Log) result {
+	return d.do(ctx, ask{direct: patience, around: patience, make: func(ctx context.Context, log work.Log, _ bool) result {
 		return result{err: log.Append(ctx, shard, writer, recs)}
-	}).err
+	}}).err
 }
 
 // Join implements the log.
 func (d *Detour) Join(ctx context.Context, member string, generation int64, ttl time.Duration) (int64, error) {
-	got := d.insist(ctx, patience, joinAgain, func(ctx context.Context, log work.Log) result {
+	got := d.do(ctx, ask{direct: patience, around: patience, again: joinAgain, make: func(ctx context.Context, log work.Log, _ bool) result {
 		generation, err := log.Join(ctx, member, generation, ttl)
 		return result{generation: generation, err: err}
-	})
+	}})
 	return got.generation, got.err
 }
 
 // Leave implements the log.
 func (d *Detour) Leave(ctx context.Context, member string) error {
-	return d.do(ctx, patience, func(ctx context.Context, log work.Log) result {
+	return d.do(ctx, ask{direct: patience, around: patience, make: func(ctx context.Context, log work.Log, _ bool) result {
 		return result{err: log.Leave(ctx, member)}
-	}).err
+	}}).err
 }
 
 // Members implements the log.
 func (d *Detour) Members(ctx context.Context) ([]string, error) {
-	got := d.do(ctx, patience, func(ctx context.Context, log work.Log) result {
+	got := d.do(ctx, ask{direct: patience, around: patience, make: func(ctx context.Context, log work.Log, _ bool) result {
 		members, err := log.Members(ctx)
 		return result{members: members, err: err}
-	})
+	}})
 	return got.members, got.err
 }
 
 // Newest implements the log.
 func (d *Detour) Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (int64, error) {
-	got := d.do(ctx, 2*patience, func(ctx context.Context, log work.Log) result {
+	got := d.do(ctx, ask{direct: 2 * patience, around: 2 * patience, make: func(ctx context.Context, log work.Log, _ bool) result {
 		var page work.Page
 		next, err := log.Newest(ctx, shard, func(rec work.Record) { page.Records = append(page.Records, rec) })
 		page.Next = next
 		return result{page: page, err: err}
-	})
+	}})
 	if got.err != nil {
 		return 0, got.err
 	}
@@ -129,59 +148,43 @@
 
 // Read implements the log.
 func (d *Detour) Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error) {
-	got := d.do(ctx, wait+patience, func(ctx context.Context, log work.Log) result {
-		page, err := log.Read(ctx, shard, from, wait)
+	around := min(wait, aroundWait)
+	got := d.do(ctx, ask{direct: wait + patience, around: around + patience, make: func(ctx context.Context, log work.Log, direct bool) result {
+		news := wait
+		if !direct {
+			news = around
+		}
+		page, err := log.Read(ctx, shard, from, news)
 		return result{page: page, err: err}
-	})
+	}})
 	return got.page, got.err
 }
 
-// do makes the call directly, and by way of another box if that fails or takes too long.
-func (d *Detour) do(ctx context.Context, patience time.Duration, make call) result {
-	return d.insist(ctx, patience, 0, make)
-}
-
-// insist is do for a call that is sent again every so often while it is not answered; zero
-// sends it again only once another call was answered.
-func (d *Detour) insist(ctx context.Context, patience, again time.Duration, make call) result {
-	if d.bad() {
-		if got, ok := d.around(ctx, make); ok {
-			return got
-		}
-	}
+// do makes the call directly, and by way of another box if that fails or takes too long. While
+// the direct way is believed to fail, the other goes first.
+func (d *Detour) do(ctx context.Context, what ask) result {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	results := newResults()
-	d.start(ctx, make, results)
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case got := <-results:
-		if !away(got.err) || ctx.Err() != nil {
-			d.good(got.err)
+	r := newRace(ctx, d, what)
+	if d.bad() {
+		if got, ok := r.around(); ok {
 			return got
 		}
-		d.failed(got.err)
-		return d.second(ctx, make, got)
-	case <-timer.C:
-		return d.beside(ctx, again, make, results)
 	}
-}
-
-// start makes the direct call in the background.
-func (d *Detour) start(ctx context.Context, make call, results chan result) {
-	go func() {
-		got := make(ctx, d.direct)
-		if !away(got.err) {
-			d.answered()
-		}
-		results <- got
-	}()
-}
-
-// newResults has room for all that one call may be sent.
-func newResults() chan result {
-	return make(chan result, 2+maxAnew)
+	if !r.tried {
+		r.direct()
+	}
+	got, ok := r.word(what.direct)
+	switch {
+	case ok:
+		return got
+	case r.pending > 0:
+		return r.finish()
+	}
+	if other, ok := r.around(); ok {
+		return other
+	}
+	return r.last
 }
 
 // answered wakes the calls that are not answered: the log answers others.
@@ -204,91 +207,28 @@
 	return d.heard
 }
 
-// second tries the detour after a direct call failed.
-func (d *Detour) second(ctx context.Context, make call, first result) result {
-	if got, ok := d.around(ctx, make); ok {
-		return got
-	}
-	return first
-}
-
-// around makes the call by way of other boxes until one gets the log's word.
-func (d *Detour) around(ctx context.Context, make call) (result, bool) {
-	for range tries {
-		box, ok := d.choose()
-		if !ok || ctx.Err() != nil {
-			return result{}, false
-		}
-		if got := d.via(ctx, box, make); !away(got.err) {
-			return got, true
-		}
-	}
-	return result{}, false
-}
-
-// beside waits for a direct call that takes long. It tries the detour beside it, and sends
-// the call directly once more when another call is answered. All calls of the log may be sent
-// again.
-func (d *Detour) beside(ctx context.Context, again time.Duration, make call, results chan result) result {
-	pending, anew := 1, 0
-	if box, ok := d.choose(); ok {
-		pending++
-		go func() { results <- d.via(ctx, box, make) }()
-	}
-	var tick <-chan time.Time
-	if again > 0 {
-		ticker := time.NewTicker(again)
-		defer ticker.Stop()
-		tick = ticker.C
-	}
-	heard := d.next()
-	var got result
-	for pending > 0 {
-		select {
-		case got = <-results:
-			pending--
-			if !away(got.err) {
-				return d.late(got)
-			}
-			continue
-		case <-heard:
-		case <-tick:
-		}
-		anew++
-		if anew >= maxAnew {
-			heard, tick = nil, nil
-		} else {
-			heard = d.next()
-		}
-		pending++
-		d.start(ctx, make, results)
-	}
-	return got
-}
-
-// late notes by which way the log answered a call that took long.
-func (d *Detour) late(got result) result {
-	if got.way.Name == "" {
-		d.good(got.err)
+// via makes the call by way of the box.
+func (d *Detour) via(ctx context.Context, box work.Box, make call) result {
+	got := make(ctx, d.others.Via(box), false)
+	got.way = box
+	if away(got.err) {
+		d.shun(box)
 		return got
 	}
-	d.failed(fault.Fail(fault.LogUnavailable, "the log does not answer"))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.used = box
 	return got
 }
 
-// via makes the call by way of the box.
-func (d *Detour) via(ctx context.Context, box work.Box, make call) result {
-	got := make(ctx, d.others.Via(box))
-	got.way = box
+// shun has no call go by way of the box for a while.
+func (d *Detour) shun(box work.Box) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if away(got.err) {
+	if d.used == box {
 		d.used = work.Box{}
-		d.avoid[box.Name] = time.Now().Add(avoidFor)
-	} else {
-		d.used = box
 	}
-	return got
+	d.avoid[box.Name] = time.Now().Add(avoidFor)
 }
 
 // away reports that a call failed for want of the log, not by the log's own word.
--- a/gate/feed/feed.go
+++ b/gate/feed/feed.go
@@ -52,6 +52,8 @@
 type Targets interface {
 	Configure(conf *work.Config)
 	Put(rep work.Replica)
+	// Miss takes a replica whose entry went, but may come back.
+	Miss(id string)
 	Drop(id string)
 	Listed() []string
 }
@@ -234,7 +236,7 @@
 	if fault.Is(err, fault.HistoryGone) {
 		t.feed.logger.Info("feed: history gone, reading the newest records", "topic", t.topic)
 		t.next = -1
-		return nil
+		return t.reload(ctx, shard, start)
 	}
 	if err != nil {
 		return err
@@ -296,6 +298,7 @@
 	defer l.mu.Unlock()
 	if _, ok := l.missing[id]; !ok {
 		l.missing[id] = until
+		l.feed.targets.Miss(id)
 		l.feed.logger.Info("feed: replica's entry lapsed while the log was away", "replica", id)
 	}
 }
@@ -318,14 +321,14 @@
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	wait := waitFor
 	for id, until := range l.missing {
 		if !now.Before(until) {
 			delete(l.missing, id)
 			l.feed.targets.Drop(id)
+			continue
 		}
+		wait = min(wait, lapseLook, until.Sub(now))
 	}
-	if len(l.missing) > 0 {
-		return lapseLook
-	}
-	return waitFor
+	return wait
 }
--- a/gate/feed/feed_test.go
+++ b/gate/feed/feed_test.go
@@ -111,6 +111,8 @@
 	defer l.mu.Unlock()
 	l.ids[rep.ID] = true
 }
+func (l *list) Miss(string) {}
+
 func (l *list) Drop(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -94,7 +94,11 @@
 	var found []choice
 	least := time.Duration(math.MaxInt64)
 	ejector := t.eject(service)
+	lapsed := t.lapsed(service)
 	for _, s := range t.services[service] {
+		if s.missing && !lapsed {
+			continue
+		}
 		if s.Draining || slices.Contains(ask.Avoid, s.ID) || t.full(s) {
 			continue
 		}
@@ -119,6 +123,24 @@
 	return best, len(found)
 }
 
+// lapsed reports that more replicas of a service are missing than listed: so many entries went
+// with the log, not with their replicas, which are replaced a few at a time. Otherwise those
+// that are missing count as gone: a box that heard nothing for a while can't tell its own
+// trouble from the log's, and what left meanwhile must get nothing new.
+func (t *Targets) lapsed(service string) bool {
+	missing, listed := 0, 0
+	for _, s := range t.services[service] {
+		switch {
+		case s.Draining:
+		case s.missing:
+			missing++
+		default:
+			listed++
+		}
+	}
+	return missing > listed
+}
+
 // full reports whether this box's share of the replica's connections is in use.
 func (t *Targets) full(s *state) bool {
 	return s.busy >= t.share(s.Service)
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -40,8 +40,9 @@
 	failedAt time.Time
 	// toldAt is when the other boxes were last told of it.
 	toldAt time.Time
-	// gone says that the replica is no longer listed.
-	gone bool
+	// gone says that the replica is no longer listed, missing that its entry went while the box
+	// heard nothing of the log: it may have left, or its entry lapsed and comes back.
+	gone, missing bool
 	// suspect is until when the replica is avoided after a failed connection.
 	suspect time.Time
 	// parts names the shared parts of prompts that were sent there lately.
@@ -152,7 +153,7 @@
 		if have.Draining && !rep.Draining {
 			t.log.Warn("target: replica that drained takes work again", "replica", rep.ID, "service", rep.Service)
 		}
-		have.Replica = rep
+		have.Replica, have.missing = rep, false
 		return
 	}
 	if ok {
@@ -164,6 +165,15 @@
 	t.log.Info("target: replica listed", "replica", rep.ID, "service", rep.Service, "zone", rep.Zone)
 }
 
+// Miss takes a replica as missing: what is believed of it is kept, in case that it comes back.
+func (t *Targets) Miss(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.byID[id]; ok {
+		s.missing = true
+	}
+}
+
 // Drop takes a replica off the list. Calls under way there go on.
 func (t *Targets) Drop(id string) {
 	t.mu.Lock()
--- a/gate/target/target_test.go
+++ b/gate/target/target_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,6 +142,36 @@
 	}
 }
 
+// TestMissingReplicas checks that a replica whose entry went unseen gets nothing while most of
+// its service is listed, and that all are used where most entries went, until they are back.
+func TestMissingReplicas(t *testing.T) {
+	targets, _ := newTargets(4, false)
+	used := func() []string {
+		got := map[string]bool{}
+		for range 40 {
+			lease := take(t, targets, Ask{})
+			got[lease.Replica.ID] = true
+			defer lease.Done(Answered, 0)
+		}
+		return slices.Sorted(maps.Keys(got))
+	}
+	steps := []struct {
+		do   func()
+		want []string
+	}{
+		{func() { targets.Miss("r0"); targets.Miss("r1") }, []string{"r2", "r3"}},
+		{func() { targets.Miss("r2") }, []string{"r0", "r1", "r2", "r3"}},
+		{func() { targets.Put(replica(1, "a")); targets.Put(replica(2, "a")) }, []string{"r1", "r2", "r3"}},
+		{func() { targets.Drop("r0") }, []string{"r1", "r2", "r3"}},
+	}
+	for n, step := range steps {
+		step.do()
+		if diff := cmp.Diff(step.want, used()); diff != "" {
+			t.Errorf("step %d, replicas used (-want +got):\n%s", n, diff)
+		}
+	}
+}
+
 func TestLeavingAndFailingReplicas(t *testing.T) {
 	targets, p := newTargets(3, false)
 	draining := replica(0, "a")
