view, shard: show a turn that finds no owner for its end

From the logs: the turn's slot had moved to another box, which served turns there, but the records of its end went eight times to a third box: one that had joined and left again within a heartbeat of its start, which the others took for the owner for 1.25 s. It got SIGTERM 7 ms after its start; its heartbeat was under way and was done after it had left.

--- a/gate/shard/fakes_test.go
+++ b/gate/shard/fakes_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -143,8 +145,14 @@
 	// believes is which box each box takes for the owner of all slots.
 	believes map[string]string
 	shards   map[string]*Shards
-	// cut holds boxes that others don't reach.
-	cut map[string]bool
+	// cut holds boxes that others don't reach, hung those that never answer.
+	cut, hung map[string]bool
+}
+
+func (f *fleet) hang(box string, hung bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hung[box] = hung
 }
 
 func (f *fleet) owner(box string) string {
@@ -168,6 +176,18 @@
 func (e eyes) Owner(string) (work.Box, bool) {
 	return work.Box{Name: e.fleet.owner(e.self)}, true
 }
+
+// Owners names the others after the one that the box believes in.
+func (e eyes) Owners(_ string, n int) []work.Box {
+	first := e.fleet.owner(e.self)
+	boxes := []work.Box{{Name: first}}
+	for _, name := range slices.Sorted(maps.Keys(e.fleet.shards)) {
+		if name != first && len(boxes) < n {
+			boxes = append(boxes, work.Box{Name: name})
+		}
+	}
+	return boxes
+}
 func (e eyes) Find(name, _ string) (work.Box, bool) { return work.Box{Name: name}, true }
 func (e eyes) Settled() bool                        { return true }
 func (e eyes) Fresh() bool                          { return true }
@@ -185,6 +205,13 @@
 	if err != nil {
 		return err
 	}
+	e.fleet.mu.Lock()
+	hung := e.fleet.hung[box.Name]
+	e.fleet.mu.Unlock()
+	if hung {
+		<-ctx.Done()
+		return fault.Fail(fault.PeerLost, "no answer")
+	}
 	return to.Deliver(ctx, slot, recs)
 }
 
@@ -204,7 +231,7 @@
 func (noCounts) Time(string, time.Duration) {}
 
 func newFleet(log Log, names ...string) *fleet {
-	f := &fleet{believes: map[string]string{}, shards: map[string]*Shards{}, cut: map[string]bool{}}
+	f := &fleet{believes: map[string]string{}, shards: map[string]*Shards{}, cut: map[string]bool{}, hung: map[string]bool{}}
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
 	for _, name := range names {
 		f.believes[name] = names[0]
--- a/gate/shard/shard_test.go
+++ b/gate/shard/shard_test.go
@@ -108,6 +108,39 @@
 	})
 }
 
+// TestTurnEndsWhereItsSlotIs checks that a turn under way at a hand-over ends at the box that
+// holds the slot by then, also while this box takes another for its owner: one that has just
+// come and left again, or that has not claimed it yet.
+func TestTurnEndsWhereItsSlotIs(t *testing.T) {
+	for _, hangs := range []bool{false, true} {
+		t.Run(fmt.Sprintf("the other hangs: %v", hangs), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(newLog(), "a", "b", "c")
+				defer f.stop()
+				ctx, stop := context.WithTimeout(context.Background(), 6*time.Second)
+				defer stop()
+				ended := make(chan error)
+				go func() { ended <- play(ctx, f.shards["a"], open("one", ""), -1, 2*time.Second, nobody) }()
+				time.Sleep(100 * time.Millisecond)
+				for _, box := range []string{"a", "b", "c"} {
+					f.believe(box, "b")
+				}
+				if err := play(ctx, f.shards["b"], open("two", ""), -1, 0, nobody); err != nil {
+					t.Fatal(err)
+				}
+				f.believe("a", "c")
+				f.hang("c", hangs)
+				if err := <-ended; err != nil {
+					t.Fatal(err)
+				}
+				if err := play(ctx, f.shards["b"], open("three", "one"), -1, 0, nobody); err != nil {
+					t.Errorf("the turn that began at the owner before: %v", err)
+				}
+			})
+		})
+	}
+}
+
 // TestOwnerThatWasFencedOff checks that a box which does not know that it lost its slot
 // writes nothing, and that a box can tell.
 func TestOwnerThatWasFencedOff(t *testing.T) {
--- a/gate/view/view_test.go
+++ b/gate/view/view_test.go
@@ -26,6 +26,8 @@
 	deaf map[string]bool
 	// slow is added to every answer.
 	slow time.Duration
+	// late has heartbeats done so much later than they are given up; zero does them at once.
+	late time.Duration
 }
 
 func newBoard() *board {
@@ -66,13 +68,32 @@
 		return 0, err
 	}
 	e.board.mu.Lock()
-	defer e.board.mu.Unlock()
-	e.board.expire()
-	if _, ok := e.board.until[member]; !ok {
-		e.board.generation++
+	late := e.board.late
+	e.board.mu.Unlock()
+	if late > 0 {
+		time.AfterFunc(late, func() { e.board.join(member, ttl) })
+		return 0, fault.Fail(fault.LogUnavailable, "no answer")
 	}
-	e.board.until[member] = time.Now().Add(ttl)
-	return e.board.generation, nil
+	return e.board.join(member, ttl), nil
+}
+
+func (b *board) join(member string, ttl time.Duration) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expire()
+	if _, ok := b.until[member]; !ok {
+		b.generation++
+	}
+	b.until[member] = time.Now().Add(ttl)
+	return b.generation
+}
+
+// named reports whether the log names the box as one of the fleet.
+func (b *board) named(v *View) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, ok := b.until[v.self.Member()]
+	return ok
 }
 
 func (e ear) Leave(_ context.Context, member string) error {
@@ -317,3 +338,49 @@
 		}
 	})
 }
+
+// TestBoxThatLeavesWhileItJoins checks that a heartbeat under way does not bring a box back that
+// has left: others would take it for the owner of slots that it never claims.
+func TestBoxThatLeavesWhileItJoins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBoard()
+		b.slow = 100 * time.Millisecond
+		views := begin(t, b, "a", "b")
+		time.Sleep(50 * time.Millisecond)
+		views["b"].Leave(context.Background())
+		named := 0
+		for range 20 {
+			time.Sleep(50 * time.Millisecond)
+			if b.named(views["b"]) {
+				named++
+			}
+		}
+		if named > 0 {
+			t.Errorf("a box that left is named in %d of 20 looks", named)
+		}
+		end(views)
+	})
+}
+
+// TestHeartbeatThatIsDoneLate checks that a box which left takes itself out again if the log
+// does a heartbeat from before, whose answer was lost, only afterwards.
+func TestHeartbeatThatIsDoneLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBoard()
+		views := begin(t, b, "a", "b")
+		time.Sleep(2 * time.Second)
+		b.mu.Lock()
+		b.late = time.Second
+		b.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		b.mu.Lock()
+		b.late = 0
+		b.mu.Unlock()
+		views["b"].Leave(context.Background())
+		time.Sleep(1200 * time.Millisecond)
+		if b.named(views["b"]) {
+			t.Error("a box that left is named")
+		}
+		end(views)
+	})
+}
