view, shard, node: end turns at the box that holds their slot

(b) A heartbeat under way when a box leaves was done after the word that it leaves, so that the fleet named a box that would never claim its slots. Change: deliver asks the boxes that may hold the slot in order, as calls are, 0.7 s each. A box that leaves ends its heartbeat under way first, and takes itself out again while the log still names it. A first form with a mutex for the heartbeat hung the test clock (a goroutine that waits for a mutex keeps it from going on); it is a channel now.

--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -141,9 +141,10 @@
 func (n *Node) Stop(ctx context.Context) error {
 	n.leaving.Store(true)
 	n.deps.Logger.Info("node: leaving")
+	served := time.After(leaveFor) // a store that does not answer must not put the end off
 	n.leave(ctx)
 	select {
-	case <-time.After(leaveFor):
+	case <-served:
 	case <-ctx.Done():
 	}
 	ctx, stop := context.WithTimeout(ctx, finishFor)
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -22,6 +22,12 @@
 	drainWait = time.Second
 	// handoverWait bounds the question to the owner before; it covers drainWait.
 	handoverWait = 1500 * time.Millisecond
+	// deliverWait bounds one question to a box that may hold a slot: its claim under way and a
+	// call to the log. A box that hangs must not keep records from the one that holds the slot.
+	deliverWait = 700 * time.Millisecond
+	// ownerRanks is how many boxes are asked in one try: the one that should own the slot, and
+	// those that would without it, one of which holds the slot while another comes or goes.
+	ownerRanks = 4
 	// forwardPause is the time between two tries to give records to the next owner.
 	forwardPause = 100 * time.Millisecond
 	// yieldFor is how long a slot that was handed over is not claimed back: the time in which
@@ -50,6 +56,9 @@
 // Boxes tells who lives.
 type Boxes interface {
 	Owner(slot string) (work.Box, bool)
+	// Owners returns the box that should own a slot and, in order, those that should if the
+	// ones before were gone: n at most.
+	Owners(slot string, n int) []work.Box
 	Find(name, incarnation string) (work.Box, bool)
 	Settled() bool
 	// Fresh reports that no other box can count this one as dead.
@@ -268,11 +277,28 @@
 	}
 }
 
+// deliver asks the boxes that may hold the slot, the likeliest first. The fault of the first
+// one is returned if none does.
 func (s *Shards) deliver(ctx context.Context, number int, recs []work.Record) error {
-	box, ok := s.boxes.Owner(s.layout.Name(number))
-	if !ok {
+	var first error
+	for _, box := range s.boxes.Owners(s.layout.Name(number), ownerRanks) {
+		err := s.deliverTo(ctx, box, number, recs)
+		if err == nil {
+			return nil
+		}
+		if first == nil {
+			first = err
+		}
+	}
+	if first == nil {
 		return fault.Refuse(fault.OwnerUnknown, "no box owns the slot")
 	}
+	return first
+}
+
+func (s *Shards) deliverTo(ctx context.Context, box work.Box, number int, recs []work.Record) error {
+	ctx, stop := context.WithTimeout(ctx, deliverWait)
+	defer stop()
 	if box.Name == s.self.Name {
 		return s.Deliver(ctx, number, recs)
 	}
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -42,9 +42,14 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
-	mu      sync.Mutex
-	leaving bool
-	others  map[string]entry
+	// joining holds a token while a heartbeat is under way, so that none follows the word that
+	// the box leaves; stopJoin ends the one under way.
+	joining chan struct{}
+
+	mu       sync.Mutex
+	leaving  bool
+	stopJoin context.CancelFunc
+	others   map[string]entry
 	// left holds boxes that said that they leave, as they were heard last.
 	left map[string]entry
 	// before is a box's start before the one that is known.
@@ -77,7 +82,7 @@
 // New makes a view of a box that has not started.
 func New(self work.Box, log Log, timing Timing, logger *slog.Logger) *View {
 	return &View{
-		self: self, log: log, timing: timing, logger: logger, live: []work.Box{self}, known: -1,
+		self: self, log: log, timing: timing, logger: logger, live: []work.Box{self}, known: -1, joining: make(chan struct{}, 1), stopJoin: func() {},
 		others: map[string]entry{}, left: map[string]entry{}, before: map[string]string{}, unreached: map[string]failure{},
 	}
 }
@@ -214,7 +219,10 @@
 func (v *View) Leave(ctx context.Context) {
 	v.mu.Lock()
 	v.leaving = true
+	v.stopJoin()
 	v.mu.Unlock()
+	v.joining <- struct{}{}
+	defer func() { <-v.joining }()
 	ctx, stop := context.WithTimeout(ctx, v.timing.Call)
 	defer stop()
 	if err := v.log.Leave(ctx, v.self.Member()); err != nil {
@@ -277,15 +285,10 @@
 func (v *View) beat(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, v.timing.Call)
 	defer stop()
-	v.mu.Lock()
-	leaving, generation, hold := v.leaving, v.generation, v.hold()
-	v.mu.Unlock()
 	start := time.Now()
-	if !leaving {
-		var err error
-		if generation, err = v.join(ctx, generation, hold); err != nil {
-			return err
-		}
+	generation, leaving, err := v.join(ctx)
+	if err != nil {
+		return err
 	}
 	v.heard(start, generation)
 	if v.changedFleet() || leaving {
@@ -293,15 +296,43 @@
 		if err != nil {
 			return err
 		}
+		if leaving && slices.Contains(members, v.self.Member()) {
+			v.leaveAgain(ctx)
+		}
 		v.take(generation, members)
 	}
 	v.update(time.Now())
 	return nil
 }
 
-// join joins the fleet, and once more at once if it has changed: a new member is named only
-// after the others have joined with the new generation.
-func (v *View) join(ctx context.Context, generation int64, hold time.Duration) (int64, error) {
+// leaveAgain takes the box out once more: the log has done a heartbeat from before, whose
+// answer was lost, after the box had left. Others would take it for the owner of slots.
+func (v *View) leaveAgain(ctx context.Context) {
+	if err := v.log.Leave(ctx, v.self.Member()); err != nil {
+		v.logger.Warn("view: others not told that this box leaves", "cause", err)
+	}
+}
+
+// join joins the fleet unless the box leaves, and once more at once if it has changed: a new
+// member is named only after the others have joined with the new generation.
+func (v *View) join(ctx context.Context) (generation int64, leaving bool, err error) {
+	v.joining <- struct{}{}
+	defer func() { <-v.joining }()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	v.mu.Lock()
+	v.stopJoin = stop
+	leaving, generation = v.leaving, v.generation
+	hold := v.hold()
+	v.mu.Unlock()
+	if leaving {
+		return generation, true, nil
+	}
+	generation, err = v.joinTwice(ctx, generation, hold)
+	return generation, false, err
+}
+
+func (v *View) joinTwice(ctx context.Context, generation int64, hold time.Duration) (int64, error) {
 	member := v.self.Member()
 	got, err := v.log.Join(ctx, member, generation, hold)
 	if err != nil || got == generation {
