--- a/gate/detour/detour_test.go
+++ b/gate/detour/detour_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,7 +68,12 @@
 	return 1, err
 }
 
-func (f *fake) Read(ctx context.Context, _ work.Shard, _ int64, _ time.Duration) (work.Page, error) {
+// Read waits for news that do not come.
+func (f *fake) Read(ctx context.Context, _ work.Shard, _ int64, wait time.Duration) (work.Page, error) {
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
 	return work.Page{Next: 7}, f.call(ctx)
 }
 
@@ -275,3 +282,76 @@
 		})
 	}
 }
+
+// TestSlowBoxesAreSound checks that boxes which take long for a call, as the log is slow, are
+// not taken for boxes without the log: a box that the log turns away has no other way.
+func TestSlowBoxesAreSound(t *testing.T) {
+	for _, lag := range []time.Duration{300, 500, 800} {
+		for range 5 { // which boxes are asked is drawn
+			if n := failedCalls(t, lag*time.Millisecond); n > 0 {
+				t.Errorf("others that answer in %d ms: %d calls failed", lag, n)
+			}
+		}
+	}
+}
+
+// failedCalls counts the heartbeats and appends that fail in 20 s at a box that the log turns
+// away, beside others that get an answer after lag.
+func failedCalls(t *testing.T, lag time.Duration) int64 {
+	var failed atomic.Int64
+	synctest.Test(t, func(*testing.T) {
+		others := peers{}
+		for n := range 7 {
+			others[fmt.Sprint("b", n)] = &fake{after: lag}
+		}
+		d := New(&fake{err: gone}, others, quiet)
+		end := time.Now().Add(20 * time.Second)
+		calls := []func(ctx context.Context) error{func(ctx context.Context) error {
+			_, err := d.Join(ctx, "m", 0, time.Second)
+			return err
+		}}
+		for range 4 {
+			calls = append(calls, func(ctx context.Context) error { return d.Append(ctx, work.Shard{}, work.Writer{}, nil) })
+		}
+		var all sync.WaitGroup
+		for _, call := range calls {
+			all.Go(func() {
+				for time.Now().Before(end) {
+					ctx, stop := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+					if call(ctx) != nil {
+						failed.Add(1)
+					}
+					stop()
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
+		all.Wait()
+	})
+	return failed.Load()
+}
+
+// TestReadsStayFresh checks that a box which the log does not answer learns news in time by way
+// of the others, also whenever it tries its own way again and while most of the others hang.
+func TestReadsStayFresh(t *testing.T) {
+	const fresh = 1500 * time.Millisecond
+	for _, hanging := range []int{0, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			others := peers{"sound": {after: 5 * time.Millisecond}}
+			for n := range hanging {
+				others[fmt.Sprint("b", n)] = &fake{after: time.Hour}
+			}
+			d := New(&fake{after: time.Hour}, others, quiet)
+			_ = d.Leave(context.Background(), "m") // it learns that its own way fails
+			for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+				ctx, stop := context.WithTimeout(context.Background(), 3*time.Second)
+				start := time.Now()
+				_, err := d.Read(ctx, work.Shard{}, 0, 2*time.Second)
+				stop()
+				if took := time.Since(start); err != nil || took > fresh {
+					t.Errorf("%d others hang: a read took %v: %v", hanging, took, err)
+				}
+			}
+		})
+	}
+}
--- a/gate/target/target_test.go
+++ b/gate/target/target_test.go
@@ -142,10 +142,23 @@
 	}
 }
 
-// TestMissingReplicas checks that a replica whose entry went unseen gets nothing while most of
-// its service is listed, and that all are used where most entries went, until they are back.
+// TestMissingReplicasOfSmallService checks that a service whose replicas were all replaced unseen
+// is served by the one that has come.
+func TestMissingReplicasOfSmallService(t *testing.T) {
+	targets, _ := newTargets(3, false)
+	targets.Miss("r0")
+	targets.Miss("r1")
+	for range 10 {
+		if got := take(t, targets, Ask{}).Replica.ID; got != "r2" {
+			t.Fatalf("a call goes to %s", got)
+		}
+	}
+}
+
+// TestMissingReplicas checks that a replica whose entry went unseen gets nothing while a part of
+// its service is listed, and that all are used where almost all entries went, until they are back.
 func TestMissingReplicas(t *testing.T) {
-	targets, _ := newTargets(4, false)
+	targets, _ := newTargets(6, false)
 	used := func() []string {
 		got := map[string]bool{}
 		for range 40 {
@@ -159,10 +172,11 @@
 		do   func()
 		want []string
 	}{
-		{func() { targets.Miss("r0"); targets.Miss("r1") }, []string{"r2", "r3"}},
-		{func() { targets.Miss("r2") }, []string{"r0", "r1", "r2", "r3"}},
-		{func() { targets.Put(replica(1, "a")); targets.Put(replica(2, "a")) }, []string{"r1", "r2", "r3"}},
-		{func() { targets.Drop("r0") }, []string{"r1", "r2", "r3"}},
+		{func() { targets.Miss("r0"); targets.Miss("r1") }, []string{"r2", "r3", "r4", "r5"}},
+		{func() { targets.Miss("r2"); targets.Miss("r3") }, []string{"r4", "r5"}},
+		{func() { targets.Miss("r4") }, []string{"r0", "r1", "r2", "r3", "r4", "r5"}},
+		{func() { targets.Put(replica(1, "a")) }, []string{"r1", "r5"}},
+		{func() { targets.Drop("r0") }, []string{"r1", "r5"}},
 	}
 	for n, step := range steps {
 		step.do()
