serve: hold a stop up for unused connections only shortly

Cause: http.Server.Shutdown waits 5 to 6 s for a connection that was opened and has not brought a request, so that one such connection used up the whole stop: exit code 1 ("context deadline exceeded"), and what was stopped after the front had no time. And from Shutdown's start on the server drops what such a connection brings: a caller that had connected just before saw its call cut. Change: serve.Run returns a Running. Its Stop accepts no more, waits until no unused connection is younger than 500 ms (requests that come meanwhile run), then shuts down and ends those still unused; the server runs no request of theirs from then on, so that none runs whose answer can't be sent. net/http counts a connection as used once the head of its first request has come.

--- a/base/server/server.go
+++ b/base/server/server.go
@@ -30,8 +30,8 @@
 
 // Server is an HTTP server over a listener of its own.
 type Server struct {
-	http *http.Server
-	ln   net.Listener
+	running *serve.Running
+	ln      net.Listener
 }
 
 // Handler builds a handler from routes.
@@ -64,14 +64,14 @@
 	if tlsConf != nil {
 		ln = tls.NewListener(ln, tlsConf)
 	}
-	srv := &Server{ln: ln, http: &http.Server{
+	srv := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
-	}}
-	serve.Run(srv.http, ln, slog.Default(), func(cause error) { slog.Error("server: listener ended", "cause", cause) })
-	return srv, nil
+	}
+	ended := func(cause error) { slog.Error("server: listener ended", "cause", cause) }
+	return &Server{ln: ln, running: serve.Run(srv, ln, slog.Default(), ended)}, nil
 }
 
 // Addr is the address that was bound.
@@ -81,7 +81,7 @@
 
 // Stop waits for requests under way until ctx ends, then cuts them.
 func (s *Server) Stop(ctx context.Context) error {
-	return serve.Stop(ctx, s.http)
+	return s.running.Stop(ctx)
 }
 
 // Read decodes a JSON body of at most limit bytes.
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -51,6 +51,8 @@
 	direct work.Log
 	logger *slog.Logger
 	http   *http.Server
+	// running is nil until the start.
+	running *serve.Running
 }
 
 // NewServer makes a server that does not listen yet.
@@ -75,13 +77,13 @@
 	if err != nil {
 		return err
 	}
-	serve.Run(s.http, ln, s.logger, func(cause error) { s.logger.Error("remote: listener ended", "cause", cause) })
+	s.running = serve.Run(s.http, ln, s.logger, func(cause error) { s.logger.Error("remote: listener ended", "cause", cause) })
 	return nil
 }
 
 // Stop implements a service.
 func (s *Server) Stop(ctx context.Context) error {
-	return serve.Stop(ctx, s.http)
+	return s.running.Stop(ctx)
 }
 
 func (s *Server) yield(w http.ResponseWriter, r *http.Request) {
