kernel, node: leave the services behind the front a part of a stop

Cause: all services of a box shared one bound, 4.2 s. Calls under way that lasted longer used it up; the slots and the server for other boxes then got a context that had ended, so that turns for other boxes were cut and the slots' last records not awaited. Change: a part names the end of a bounded stop that its own stop may not use (Spare). The front keeps its 4.2 s of now 4.6 s; 0.4 s stay behind it, and 0.2 s of them behind the slots. A box ends within 7.2 s of its 8 s.

--- a/gate/kernel/kernel.go
+++ b/gate/kernel/kernel.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -25,6 +26,9 @@
 	Name  string
 	Needs []string
 	Make  Factory
+	// Spare is the end of a bounded stop that this service's stop may not use: those behind
+	// it have something to finish too, however long this one takes.
+	Spare time.Duration
 }
 
 // Kernel holds the services of one box.
@@ -32,7 +36,7 @@
 	log      *slog.Logger
 	services map[string]Service
 	// started is in the order of starting.
-	started []string
+	started []Part
 }
 
 // New makes an empty kernel.
@@ -68,7 +72,7 @@
 	if err := svc.Start(ctx); err != nil {
 		return errors.Wrapf(err, "service %s", part.Name)
 	}
-	k.started = append(k.started, part.Name)
+	k.started = append(k.started, part)
 	k.log.Debug("kernel: service started", "service", part.Name)
 	return nil
 }
@@ -77,9 +81,9 @@
 func (k *Kernel) Stop(ctx context.Context) error {
 	var all error
 	for i := len(k.started) - 1; i >= 0; i-- {
-		name := k.started[i]
-		if err := k.services[name].Stop(ctx); err != nil {
-			k.log.Warn("kernel: service stopped badly", "service", name, "error", err)
+		part := k.started[i]
+		if err := k.stop(ctx, part); err != nil {
+			k.log.Warn("kernel: service stopped badly", "service", part.Name, "error", err)
 			all = errors.CombineErrors(all, err)
 		}
 	}
@@ -87,6 +91,15 @@
 	return all
 }
 
+func (k *Kernel) stop(ctx context.Context, part Part) error {
+	if end, bounded := ctx.Deadline(); bounded {
+		early, stop := context.WithDeadline(ctx, end.Add(-part.Spare))
+		defer stop()
+		ctx = early
+	}
+	return k.services[part.Name].Stop(ctx)
+}
+
 // sorted orders parts so that each comes after what it needs.
 func sorted(parts []Part, have map[string]Service) ([]Part, error) {
 	done := map[string]bool{}
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -29,8 +29,14 @@
 	// leaveFor is how long a leaving box takes new connections: a balancer that asks every
 	// second and wants two answers has taken it out by then.
 	leaveFor = 2600 * time.Millisecond
-	// finishFor bounds the wait for calls under way after that.
-	finishFor = 4200 * time.Millisecond
+	// finishFor bounds the stop of all services after that. With leaveFor it stays 0.8 s below
+	// the 8 s after which the platform ends a box.
+	finishFor = 4600 * time.Millisecond
+	// behindFront is the part of finishFor that callers' calls under way leave to the services
+	// behind the front; behindShards is what of that the slots' last records leave to the
+	// turns that run for other boxes: these had the front's time too, and end in order.
+	behindFront  = 400 * time.Millisecond
+	behindShards = 200 * time.Millisecond
 )
 
 // Replicas speaks to replicas.
@@ -121,19 +127,24 @@
 // Start starts all services, last the front: it takes callers' connections from its start on,
 // tells callers to leave while the box is not ready, and finishes calls under way at its stop.
 func (n *Node) Start(ctx context.Context, front kernel.Service) error {
+	return n.kern.Start(ctx, n.parts(front))
+}
+
+// parts are the services of a box. A stop takes them from the last to the first.
+func (n *Node) parts(front kernel.Service) []kernel.Part {
 	made := func(svc kernel.Service) kernel.Factory {
 		return func(*kernel.Kernel) (kernel.Service, error) { return svc, nil }
 	}
-	return n.kern.Start(ctx, []kernel.Part{
+	return []kernel.Part{
 		{Name: "meter", Make: made(n.deps.Meter)},
 		{Name: "feed", Needs: []string{"meter"}, Make: made(n.feed)},
 		{Name: "view", Needs: []string{"meter"}, Make: made(n.view)},
 		{Name: "load", Needs: []string{"view", "feed"}, Make: made(n.watch)},
 		{Name: "reach", Needs: []string{"view"}, Make: made(n.reach)},
 		{Name: "peers", Needs: []string{"view", "feed"}, Make: made(n.server)},
-		{Name: "shards", Needs: []string{"peers"}, Make: made(n.shards)},
-		{Name: "front", Needs: []string{"shards"}, Make: made(front)},
-	})
+		{Name: "shards", Needs: []string{"peers"}, Make: made(n.shards), Spare: behindShards},
+		{Name: "front", Needs: []string{"shards"}, Make: made(front), Spare: behindFront},
+	}
 }
 
 // Stop is a planned stop: the box hands its slots over and is taken out of the balancer
