node: tell the others that a box leaves while the store is told

Cause: the word to the other boxes went out after the store's answer, up to 1 s later, and a box also told itself. Change: both go at once; the box skips itself by name.

--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -165,13 +165,26 @@
 	return err
 }
 
-// leave takes this box out of the fleet and tells the others, who then ask for its slots.
+// leave takes this box out of the fleet and tells the others, who then ask for its slots. They
+// are told while the store is: a store that answers late must not put their word off, and they
+// take the word before the store's list of members.
 func (n *Node) leave(ctx context.Context) {
-	n.view.Leave(ctx)
+	boxes := n.view.Live()
+	var all sync.WaitGroup
+	all.Go(func() { n.view.Leave(ctx) })
+	all.Go(func() { n.tell(ctx, boxes) })
+	all.Wait()
+}
+
+// tell tells the other boxes that this one leaves.
+func (n *Node) tell(ctx context.Context, boxes []work.Box) {
 	ctx, stop := context.WithTimeout(ctx, reachWait)
 	defer stop()
 	var all sync.WaitGroup
-	for _, box := range n.view.Live() {
+	for _, box := range boxes {
+		if box.Name == n.deps.Self.Name {
+			continue
+		}
 		all.Go(func() {
 			if err := n.peers.Leaving(ctx, box, n.deps.Self.Member()); err != nil {
 				n.deps.Logger.Info("node: box not told that this one leaves", "to", box.Name, "cause", err)
