shell: leave hangups ignored where a command was started so

Cause: a command that nohup starts ignores SIGHUP; asking for the signal undid that, so that a command other than a box ended with its terminal. Change: SIGHUP is taken only if it is not ignored at the start. Shown by TestHangup through a process: started with hangups ignored it stopped on SIGHUP before; now it goes on and stops on SIGTERM. Green also with the tests themselves run with hangups ignored.

--- a/base/shell/signals.go
+++ b/base/shell/signals.go
@@ -22,9 +22,14 @@
 // a signal that nobody takes ends the process, and cuts whatever it still serves or finishes.
 type signals chan os.Signal
 
+// takeSignals takes a hangup only where it would end the process: who starts a command so that
+// it outlives the terminal, as nohup does, has it ignore hangups, and taking them undoes that.
 func takeSignals() signals {
 	taken := make(signals, pending)
-	signal.Notify(taken, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	signal.Notify(taken, os.Interrupt, syscall.SIGTERM)
+	if !signal.Ignored(syscall.SIGHUP) {
+		signal.Notify(taken, syscall.SIGHUP)
+	}
 	return taken
 }
 
