remote: keep a full pool apart from a lost box

Cause: where this box had no connection to another left, the turn's fault became PeerLost, so that gate/entry marked a sound box as unreached and doubted it, for all callers. Change: such a turn is refused as overloaded, not run, with the advice to come again after 200 ms (503 at the front). Questions and calls to the log by way of another box fail as before: what calls them tries another box.

--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -29,6 +29,8 @@
 	leftPath = "/left"
 	// connections bounds those to one box: the turns that one box may forward to another.
 	connections = 256
+	// retryFull is the advice given when none of them is free: some turns end in that time.
+	retryFull = 200 * time.Millisecond
 
 	slotParam   = "slot"
 	turnParam   = "turn"
@@ -91,7 +93,7 @@
 		Method: http.MethodPost, Target: turnPath, Host: box.Peer.String(), Body: append(raw, call.Body...),
 	})
 	if err != nil {
-		return lost(err)
+		return notSent(err)
 	}
 	defer resp.Close()
 	var head answer
@@ -117,6 +119,15 @@
 	return &fault.Fault{Kind: fault.PeerLost, Detail: "the owner of the slot is not reached: " + f.Error(), NotRun: f.NotRun}
 }
 
+// notSent is the fault of a turn that got no answer. Where this box has no connection free, the
+// other one is sound and must not be taken for lost: the caller comes again.
+func notSent(err error) error {
+	if fault.Is(err, fault.Overloaded) {
+		return fault.Refuse(fault.Overloaded, "no connection to the owner of the slot is free").After(retryFull).Because(err)
+	}
+	return lost(err)
+}
+
 // ask sends a short message to a box and reads its whole answer.
 func (c *Client) ask(ctx context.Context, box work.Box, method, path string, query url.Values, body []byte) (status int, raw []byte, err error) {
 	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{
--- /dev/null
+++ b/gate/remote/client_test.go
@@ -0,0 +1,75 @@
+package remote
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/dial"
+	"mulleingate.dev/gate/work"
+)
+
+// nowhere takes an answer that must not come.
+type nowhere struct{ t *testing.T }
+
+func (n nowhere) Begin(work.Head) error {
+	n.t.Error("an answer begins")
+	return nil
+}
+func (n nowhere) Write([]byte) error { return nil }
+
+// turnTo sends a turn to a box and returns its fault.
+func turnTo(t *testing.T, c *Client, box work.Box) *fault.Fault {
+	t.Helper()
+	now := time.Now()
+	call := &work.Call{ID: "r", Arrived: now, Deadline: now.Add(5 * time.Second)}
+	err := c.Turn(context.Background(), box, 1, call, &work.Route{}, nowhere{t})
+	if err == nil {
+		t.Fatal("the turn is answered")
+	}
+	return fault.From(err)
+}
+
+// TestFullPoolIsNoLostPeer checks that a box which has no connection to another left refuses
+// the turn as its own overload, with advice: the other box is sound. A box that is not reached
+// is still lost.
+func TestFullPoolIsNoLostPeer(t *testing.T) {
+	release := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer srv.Close()
+	defer close(release)
+	box := work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())}
+	c := NewClient()
+	c.pools[box.Peer] = dial.New(box.Peer, 1)
+	go func() { _ = c.Ping(context.Background(), box) }() // it holds the only connection
+	for end := time.Now().Add(5 * time.Second); !c.pool(box.Peer).Full(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the connection is not taken")
+		}
+	}
+	if f := turnTo(t, c, box); f.Kind != fault.Overloaded || !f.NotRun || f.RetryAfter <= 0 {
+		t.Errorf("no connection is free: %v, not run %v, again after %v", f, f.NotRun, f.RetryAfter)
+	}
+	gone := work.Box{Name: "c", Peer: netip.MustParseAddrPort(closedAddr(t))}
+	if f := turnTo(t, c, gone); f.Kind != fault.PeerLost || !f.NotRun {
+		t.Errorf("nobody listens: %v, not run %v", f, f.NotRun)
+	}
+}
+
+// closedAddr is an address at which nobody listens.
+func closedAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := ln.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return ln.Addr().String()
+}
