feed: tell news as late only after a pause and a read in vain

Replicas there write their entries only when these change. Change: 3.3 s; the alert on the list's age follows. Tests of feed and of the operators' page are green.

--- a/gate/feed/feed.go
+++ b/gate/feed/feed.go
@@ -29,8 +29,8 @@
 	// log was away may stay missing: a living one is back within two seconds.
 	lapseFor = 2200 * time.Millisecond
 	// lateAfter is the time between two answers from which what is known counts as late: longer
-	// than a read that waits for news in vain, and the pause after it.
-	lateAfter = waitFor + awayAfter
+	// than a pause and a read that waits for news in vain.
+	lateAfter = replicaPause + waitFor + awayAfter
 	// lapseLook is how long a read waits while replicas are missed, so that their time is kept.
 	lapseLook = 300 * time.Millisecond
 )
