--- a/gate/feed/feed_test.go
+++ b/gate/feed/feed_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -23,6 +25,8 @@
 	topics map[work.Topic][]work.Record
 	first  map[work.Topic]int64
 	away   bool
+	// asleep has reads that wait for news learn of it only when their time is over.
+	asleep bool
 }
 
 func (s *source) put(topic work.Topic, key, value string) {
@@ -68,9 +72,11 @@
 func (s *source) Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error) {
 	for end := time.Now().Add(wait); ; time.Sleep(50 * time.Millisecond) {
 		s.mu.Lock()
-		recs, first, away := s.topics[shard.Topic], s.first[shard.Topic], s.away
+		recs, first, away, asleep := s.topics[shard.Topic], s.first[shard.Topic], s.away, s.asleep
 		s.mu.Unlock()
 		switch {
+		case asleep && time.Now().Before(end):
+			continue
 		case away:
 			return work.Page{}, fault.Refuse(fault.LogUnavailable, "away")
 		case from < first:
@@ -174,6 +180,31 @@
 	})
 }
 
+// TestNewsThatWakeNobody checks that a change is known in time also where the log does not wake a
+// read that waits for it: calls reached replicas at the very end of the time for which these serve
+// on after they left, sent by boxes that nothing ailed and that had heard of it 2.00 s late, while
+// others had heard at once. Each had begun its read in the millisecond of the change.
+func TestNewsThatWakeNobody(t *testing.T) {
+	const known = 1500 * time.Millisecond // of the 2 s in which a change must be in force
+	play(t, func(t *testing.T, s *source, f *Feed, l *list) {
+		s.mu.Lock()
+		s.asleep = true
+		s.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		for step := range 20 {
+			time.Sleep(time.Duration(step) * 137 * time.Millisecond)
+			id, version := fmt.Sprintf("r%d", step), int64(10+step)
+			s.put(work.Replicas, id, "x")
+			s.put(work.Settings, "config", strconv.FormatInt(version, 10))
+			time.Sleep(known)
+			if !slices.Contains(l.Listed(), id) || f.Config().Version != version {
+				t.Errorf("step %d: not known %v after the change", step, known)
+				return
+			}
+		}
+	})
+}
+
 // TestHistoryGone checks that changes whose records were dropped unseen are found.
 func TestHistoryGone(t *testing.T) {
 	play(t, func(t *testing.T, s *source, f *Feed, l *list) {
