feed: wait for news for half of the time in which they must be known

Cause: a read that the store does not wake, as when it begins in the millisecond of a change, ends with the change when its wait is over. With a wait of 2 s, as long as a replica that leaves serves on and as a configuration may take, a sound box knew both too late. Ruled out for this finding: a read by way of another box (the boxes read directly), a slow box, a pause (0.8 s at most), calls placed early.

--- a/gate/feed/feed.go
+++ b/gate/feed/feed.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	// waitFor is how long one read waits for news. A read that hangs is found soon after.
-	waitFor = 2 * time.Second
-	// readSlack is how much longer than asked for a read may take.
-	readSlack = time.Second
+	// waitFor is how long one read waits for news. The log may fail to wake a read that begins
+	// in the moment of a change, so it is half of the least time in which a change must be in
+	// force and for which replicas that leave serve on, which is 2 s.
+	waitFor = time.Second
+	// readSlack is how much longer than asked for a read may take: two ways that hang.
+	readSlack = 2 * time.Second
 	// configPause and replicaPause are the least time between two reads, so that many small
 	// changes cost few calls; both are well below the time in which a change must be in force.
 	configPause  = 150 * time.Millisecond
