--- a/gate/detour/detour_test.go
+++ b/gate/detour/detour_test.go
@@ -367,3 +367,56 @@
 		})
 	}
 }
+
+// TestHeartbeatsGoOn checks that a box whose own way is silent goes on to be heard when the box
+// by whose way it goes hangs: others take it for dead after little more than a second.
+func TestHeartbeatsGoOn(t *testing.T) {
+	const (
+		beat = 300 * time.Millisecond
+		lag  = 60 * time.Millisecond
+		// longest is a heartbeat that finds its own way and another silent, and one more.
+		longest = 2*patience + 2*lag + beat
+	)
+	for at := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			others := peers{}
+			for n := range 6 {
+				others[fmt.Sprint("b", n)] = &fake{after: lag}
+			}
+			d := New(&fake{after: time.Hour}, others, quiet)
+			begun, last, worst := time.Now(), time.Now(), time.Duration(0)
+			frozen := false
+			var reads sync.WaitGroup
+			for range 2 {
+				reads.Go(func() {
+					for time.Since(begun) < 20*time.Second {
+						ctx, stop := context.WithTimeout(context.Background(), 3*time.Second)
+						_, _ = d.Read(ctx, work.Shard{}, 0, time.Second) // only beside the heartbeats
+						stop()
+						time.Sleep(150 * time.Millisecond)
+					}
+				})
+			}
+			for time.Since(begun) < 20*time.Second {
+				start := time.Now()
+				ctx, stop := context.WithTimeout(context.Background(), time.Second)
+				_, err := d.Join(ctx, "m", 0, time.Second)
+				stop()
+				if err == nil {
+					worst = max(worst, time.Since(last))
+					last = time.Now()
+				}
+				time.Sleep(max(0, beat-time.Since(start)))
+				if !frozen && time.Since(begun) > 3*time.Second+time.Duration(at)*100*time.Millisecond {
+					frozen = true
+					others[d.used.Name].set(nil, time.Hour)
+				}
+			}
+			worst = max(worst, time.Since(last))
+			reads.Wait()
+			if worst > longest {
+				t.Errorf("frozen after %v: not heard for %v", 3*time.Second+time.Duration(at)*100*time.Millisecond, worst)
+			}
+		})
+	}
+}
--- a/gate/feed/feed_test.go
+++ b/gate/feed/feed_test.go
@@ -27,6 +27,8 @@
 	away   bool
 	// asleep has reads that wait for news learn of it only when their time is over.
 	asleep bool
+	// hold is how much longer than asked for a read takes.
+	hold time.Duration
 }
 
 func (s *source) put(topic work.Topic, key, value string) {
@@ -70,6 +72,12 @@
 }
 
 func (s *source) Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error) {
+	s.mu.Lock()
+	hold := s.hold
+	s.mu.Unlock()
+	if hold > 0 {
+		time.Sleep(wait + hold)
+	}
 	for end := time.Now().Add(wait); ; time.Sleep(50 * time.Millisecond) {
 		s.mu.Lock()
 		recs, first, away, asleep := s.topics[shard.Topic], s.first[shard.Topic], s.away, s.asleep
@@ -220,6 +228,27 @@
 	})
 }
 
+// TestHistoryGoneInAnOutage checks that a log which was away and comes back without its history
+// counts as having been away: replicas that are missing then may come back.
+func TestHistoryGoneInAnOutage(t *testing.T) {
+	play(t, func(t *testing.T, s *source, _ *Feed, l *list) {
+		s.mu.Lock()
+		s.hold = 1900 * time.Millisecond
+		s.mu.Unlock()
+		time.Sleep(1200 * time.Millisecond) // the next read has begun
+		s.put(work.Replicas, "a", "")
+		s.forget()
+		s.mu.Lock()
+		s.hold = 0
+		s.mu.Unlock()
+		time.Sleep(2800 * time.Millisecond)
+		expect(t, l, "a", "b")
+		s.put(work.Replicas, "a", "x")
+		time.Sleep(3 * time.Second)
+		expect(t, l, "a", "b")
+	})
+}
+
 // TestLapsedEntries checks that entries which went while the log was away are kept until
 // about two seconds after its return, and no longer.
 func TestLapsedEntries(t *testing.T) {
--- a/gate/remote/client_test.go
+++ b/gate/remote/client_test.go
@@ -35,9 +35,9 @@
 	return fault.From(err)
 }
 
-// TestFullPoolIsNoLostPeer checks that a box which has no connection to another left refuses
-// the turn as its own overload, with advice: the other box is sound. A box that is not reached
-// is still lost.
+// TestFullPoolIsNoLostPeer checks that a box which has no connection to another left does not
+// take that for lost, but may ask the next that can hold the slot, and has advice for the caller.
+// A box that is not reached is still lost.
 func TestFullPoolIsNoLostPeer(t *testing.T) {
 	release := make(chan struct{})
 	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
@@ -52,7 +52,7 @@
 			t.Fatal("the connection is not taken")
 		}
 	}
-	if f := turnTo(t, c, box); f.Kind != fault.Overloaded || !f.NotRun || f.RetryAfter <= 0 {
+	if f := turnTo(t, c, box); f.Kind != fault.OwnerUnknown || !f.NotRun || f.RetryAfter <= 0 {
 		t.Errorf("no connection is free: %v, not run %v, again after %v", f, f.NotRun, f.RetryAfter)
 	}
 	gone := work.Box{Name: "c", Peer: netip.MustParseAddrPort(closedAddr(t))}
--- a/gate/shard/fakes_test.go
+++ b/gate/shard/fakes_test.go
@@ -42,6 +42,15 @@
 	shards map[int]*shardLog
 	// fences can be switched off, to see that the tests need them.
 	open bool
+	// lag is added to each append; appends counts those done.
+	lag     time.Duration
+	appends int
+}
+
+func (l *memLog) slow(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
 }
 
 func newLog() *memLog {
@@ -64,9 +73,13 @@
 }
 
 func (l *memLog) Append(_ context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error {
-	time.Sleep(4 * time.Millisecond)
+	l.mu.Lock()
+	lag := l.lag
+	l.mu.Unlock()
+	time.Sleep(4*time.Millisecond + lag)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.appends++
 	switch l.mode {
 	case away:
 		return fault.Refuse(fault.LogUnavailable, "away")
--- a/gate/shard/shard_test.go
+++ b/gate/shard/shard_test.go
@@ -141,6 +141,40 @@
 	}
 }
 
+// TestTurnEndsAtASlowOwner checks that a turn under way at a hand-over ends where the next owner
+// takes long to write its records, and that these are not written again and again.
+func TestTurnEndsAtASlowOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newLog()
+		f := newFleet(log, "a", "b")
+		defer f.stop()
+		ctx, stop := context.WithTimeout(context.Background(), 8*time.Second)
+		defer stop()
+		ended := make(chan error)
+		go func() { ended <- play(ctx, f.shards["a"], open("one", ""), -1, 2*time.Second, nobody) }()
+		time.Sleep(100 * time.Millisecond)
+		f.believe("a", "b")
+		f.believe("b", "b")
+		if err := play(ctx, f.shards["b"], open("two", ""), -1, 0, nobody); err != nil {
+			t.Fatal(err)
+		}
+		log.slow(1200 * time.Millisecond)
+		log.mu.Lock()
+		before := log.appends
+		log.mu.Unlock()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		log.mu.Lock()
+		n := log.appends - before
+		log.mu.Unlock()
+		time.Sleep(5 * time.Second) // whatever is under way ends
+		if n > 2 {
+			t.Errorf("%d appends for the end of one turn", n)
+		}
+	})
+}
+
 // TestOwnerThatWasFencedOff checks that a box which does not know that it lost its slot
 // writes nothing, and that a box can tell.
 func TestOwnerThatWasFencedOff(t *testing.T) {
