--- a/gate/detour/detour.go
+++ b/gate/detour/detour.go
@@ -119,9 +119,10 @@
 	}}).err
 }
 
-// Join implements the log.
+// Join implements the log. A heartbeat has little time: the box by whose way it goes is left
+// for the next as soon as the direct way.
 func (d *Detour) Join(ctx context.Context, member string, generation int64, ttl time.Duration) (int64, error) {
-	got := d.do(ctx, ask{ownIn: patience, otherIn: otherPatience, again: joinAgain, make: func(ctx context.Context, log work.Log, _ bool) result {
+	got := d.do(ctx, ask{ownIn: patience, otherIn: patience, again: joinAgain, make: func(ctx context.Context, log work.Log, _ bool) result {
 		generation, err := log.Join(ctx, member, generation, ttl)
 		return result{generation: generation, err: err}
 	}})
--- a/gate/detour/race.go
+++ b/gate/detour/race.go
@@ -86,7 +86,10 @@
 		return true
 	}
 	r.last = got
-	if got.direct() && r.ctx.Err() == nil {
+	switch {
+	case r.ctx.Err() != nil && !got.direct():
+		r.detour.shun(got.way, false) // it took all the time that the call had
+	case r.ctx.Err() == nil && got.direct():
 		r.detour.failed(got.err)
 	}
 	return false
--- a/gate/feed/feed.go
+++ b/gate/feed/feed.go
@@ -238,6 +238,7 @@
 	if fault.Is(err, fault.HistoryGone) {
 		t.feed.logger.Info("feed: history gone, reading the newest records", "topic", t.topic)
 		t.next = -1
+		t.good(start, wait) // an answer, before which the log may have been away
 		return t.reload(ctx, shard, time.Now())
 	}
 	if err != nil {
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -120,10 +120,10 @@
 }
 
 // notSent is the fault of a turn that got no answer. Where this box has no connection free, the
-// other one is sound and must not be taken for lost: the caller comes again.
+// other one is sound and must not be taken for lost; another may hold the slot.
 func notSent(err error) error {
 	if fault.Is(err, fault.Overloaded) {
-		return fault.Refuse(fault.Overloaded, "no connection to the owner of the slot is free").After(retryFull).Because(err)
+		return fault.Refuse(fault.OwnerUnknown, "no connection to the owner of the slot is free").After(retryFull).Because(err)
 	}
 	return lost(err)
 }
