chain, turns, entry: count turns that bring their history against the budget

Cause: a turn on a route that keeps no history went through relay, which no ledger sees; a program of 576 tokens got 4,104. Such turns now run at the owner of their program's slot, which writes ahead what they may hand out: one record of four turns' most, for which the first event waits. Another owner counts all of it; a planned hand-over counts what was handed out; an answer that broke off counts by its events. Turns of both kinds take one path and one bound.

On routes whose answers may be taken up again, one that breaks off goes on at another replica behind the last whole event, with the first head; callers there get whole events only.

Weighed and not taken: records for each turn, grants a box, leases by the clock (decision 0013).

--- a/bench/mutant/list.go
+++ b/bench/mutant/list.go
@@ -45,6 +45,26 @@
 			Name: "reservation_freed_early", Promise: "never beyond the budget", File: "gate/chain/chain.go", Fuzz: fuzz,
 			Old: "res.phase = ended", New: "res.phase = free",
 		},
+		{
+			Name: "grant_budget_not_asked", Promise: "never beyond the budget", File: "gate/chain/grant.go", Fuzz: fuzz,
+			Old: "budget >= 0 && used+o.Most > budget", New: "budget >= 0 && used > budget",
+		},
+		{
+			Name: "grant_spent_unconfirmed", Promise: "never beyond the budget", File: "gate/chain/grant.go", Fuzz: "./chain",
+			Old: "need <= g.confirmed", New: "need <= g.logged",
+		},
+		{
+			Name: "grant_lost_with_owner", Promise: "never beyond the budget", File: "gate/chain/grant.go", Fuzz: fuzz,
+			Old: "confirmed: tokens, spent: tokens", New: "confirmed: tokens, spent: 0",
+		},
+		{
+			Name: "broken_turn_not_counted", Promise: "never beyond the budget", File: "gate/chain/grant.go", Fuzz: fuzz,
+			Old: "prog.grant.spent += tokens", New: "prog.grant.spent += tokens / o.Most * o.Most",
+		},
+		{
+			Name: "grant_settled_under_turns", Promise: "never beyond the budget", File: "gate/chain/grant.go", Fuzz: fuzz,
+			Old: "for id, most := range g.drawn {\n\t\trecs", New: "for id, most := range map[string]int{} {\n\t\trecs",
+		},
 		{
 			Name: "sequence_skips", Promise: "one writer per slot", File: "gate/shard/slot.go", Fuzz: fuzz,
 			Old: "writer := work.Writer{Epoch: s.epoch, Number: s.sent}", New: "writer := work.Writer{Epoch: s.epoch, Number: 2 * s.sent}",
--- a/gate/chain/chain.go
+++ b/gate/chain/chain.go
@@ -61,6 +61,8 @@
 	open map[string]*reservation
 	// uses names the reservation of each turn that has begun and is not counted by itself.
 	uses map[string]string
+	// grant is what turns spend whose answers are not kept.
+	grant grant
 	// running counts the open turns that this owner has under way.
 	running int
 	keep    time.Time
@@ -94,6 +96,8 @@
 		return s.applyCopy(id, rec.Value)
 	case startKey:
 		return s.applyStart(id, rec.Value)
+	case grantKey:
+		return s.applyGrant(id, rec.Value)
 	}
 	return nil
 }
@@ -151,7 +155,7 @@
 func (s *State) program(name string) *program {
 	prog, ok := s.programs[name]
 	if !ok {
-		prog = &program{turns: map[string]*Turn{}, open: map[string]*reservation{}, uses: map[string]string{}}
+		prog = &program{turns: map[string]*Turn{}, open: map[string]*reservation{}, uses: map[string]string{}, grant: grant{drawn: map[string]int{}}}
 		s.programs[name] = prog
 	}
 	return prog
@@ -210,7 +214,7 @@
 
 // bound is what the program has spent and what its turns without an end may have.
 func (p *program) bound() int {
-	sum := p.spent
+	sum := p.spent + p.grant.used()
 	for _, res := range p.open {
 		if res.phase == taken {
 			sum += res.most
@@ -221,7 +225,7 @@
 
 // forget removes a program of which nothing is left.
 func (s *State) forget(name string, prog *program) {
-	if len(prog.turns) == 0 && len(prog.open) == 0 {
+	if len(prog.turns) == 0 && len(prog.open) == 0 && prog.grant.empty() {
 		delete(s.programs, name)
 	}
 }
@@ -239,6 +243,16 @@
 	return ok && prog.turns[id] != nil
 }
 
+// Spent is what the program has spent, and what its turns under way and turns that were lost with
+// another owner may have.
+func (s *State) Spent(name string) int {
+	prog, ok := s.programs[name]
+	if !ok {
+		return 0
+	}
+	return prog.bound()
+}
+
 // Line returns the turns from the oldest to the one named. An empty id is the start of a
 // line and has none.
 func (s *State) Line(name, id string) ([]*Turn, error) {
@@ -296,6 +310,9 @@
 	Most int
 	// Retention is how long it is kept after its end.
 	Retention time.Duration
+	// Granted is what the log is to hold of the program's grant once the turn's record is
+	// written; zero for turns without such a record.
+	Granted int
 }
 
 // Start reserves what the turn may spend. It returns the record that says so, which the log
@@ -386,7 +403,7 @@
 	}
 }
 
-// Settle takes back all reservations that no turn uses and returns the records that say so,
+// Settle takes back all reservations and grants that no turn uses and returns the records that say so,
 // for an owner that gives the slot up: the next one would count them as spent.
 func (s *State) Settle() []work.Record {
 	var drops []work.Record
@@ -396,6 +413,7 @@
 				drops = append(drops, prog.drop(id))
 			}
 		}
+		drops = append(drops, prog.settleGrant(name)...)
 		s.forget(name, prog)
 	}
 	return drops
@@ -418,6 +436,9 @@
 		for id := range prog.open {
 			drops = append(drops, work.Record{Key: string(startKey) + id})
 		}
+		if prog.grant.logged > 0 {
+			drops = append(drops, work.Record{Key: string(grantKey) + name})
+		}
 		delete(s.programs, name)
 	}
 	return drops
--- a/gate/chain/codec.go
+++ b/gate/chain/codec.go
@@ -13,6 +13,7 @@
 	turnKey  = 't'
 	copyKey  = 'c'
 	startKey = 's'
+	grantKey = 'g'
 )
 
 // turnRecord encodes an answered turn.
@@ -103,3 +104,19 @@
 	}
 	return program, keep, most, nil
 }
+
+// grantRecord encodes all that a program may have handed out by turns that are not kept.
+func grantRecord(program string, tokens int, keep time.Time) work.Record {
+	raw := binary.AppendUvarint(nil, uint64(keep.UnixMilli()))
+	raw = binary.AppendUvarint(raw, uint64(tokens))
+	return work.Record{Key: string(grantKey) + program, Value: raw}
+}
+
+func decodeGrant(raw []byte) (keep time.Time, tokens int, err error) {
+	r := &reader{raw: raw}
+	keep, tokens = r.moment(), int(r.number())
+	if r.bad {
+		return time.Time{}, 0, fault.Fail(fault.Protocol, "malformed grant in the log")
+	}
+	return keep, tokens, nil
+}
--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -131,12 +131,18 @@
 	}
 	call.Deadline = call.Arrived.Add(left)
 	call.Priority = urgency(call, route)
-	if route.Stateful && call.Turn != nil {
+	if owned(call, route) {
 		return e.turn(ctx, call, route, out)
 	}
 	return e.relay.Carry(ctx, call, route, out)
 }
 
+// owned reports whether the call is a turn that its program's owner must run: the one that keeps
+// the program's history, or counts it against the program's budget.
+func owned(call *work.Call, route *work.Route) bool {
+	return call.Turn != nil && (route.Stateful || call.Turn.Budget >= 0)
+}
+
 const (
 	// routeStep separates the routes' priorities, so that a program's progress fits between.
 	routeStep = 2
--- a/gate/shard/shard_test.go
+++ b/gate/shard/shard_test.go
@@ -69,6 +69,48 @@
 	return nil
 }
 
+// draw takes one turn on the slot whose answer is not kept; its caller gets so many tokens.
+func draw(ctx context.Context, s *Shards, o chain.Open, budget int, takes time.Duration, tokens int, handed func(int)) error {
+	slot, err := s.Get(ctx, 0)
+	if err != nil {
+		return err
+	}
+	var started *Pending
+	err = slot.Enter(func(state *chain.State) error {
+		recs, err := state.Draw(time.Now(), o, budget)
+		if len(recs) > 0 {
+			started = slot.QueueLocked(recs)
+			o.Granted = state.Granted(o.Program)
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	back := func(tokens int) {
+		var late *Pending
+		slot.Change(func(state *chain.State) {
+			if recs := state.Return(o, tokens); len(recs) > 0 {
+				late = slot.QueueLocked(recs)
+			}
+		})
+		if late != nil {
+			_ = slot.Await(ctx, late) // otherwise it counts at its most
+		}
+	}
+	time.Sleep(takes)
+	if started != nil {
+		if err := started.Wait(ctx); err != nil {
+			back(0)
+			return fault.Fail(fault.LogUnavailable, "no grant").Because(err)
+		}
+		slot.Change(func(state *chain.State) { state.Confirm(o.Program, o.Granted) })
+	}
+	handed(tokens)
+	back(tokens)
+	return nil
+}
+
 // nobody is for turns whose tokens need not be counted.
 func nobody(int) {}
 
@@ -239,6 +281,68 @@
 	})
 }
 
+// TestStaleOwnerSpendsNoMoreThanItsGrant checks that an owner which was fenced off and can't find
+// out hands out at most what the log holds as granted, which the next owner counts as spent.
+func TestStaleOwnerSpendsNoMoreThanItsGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newLog()
+		f := newFleet(log, "a", "b")
+		defer f.stop()
+		ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+		defer stop()
+		const budget = 60
+		var sum atomic.Int64
+		handed := func(n int) { sum.Add(int64(n)) }
+		if err := draw(ctx, f.shards["a"], open("one", ""), budget, 0, 5, handed); err != nil {
+			t.Fatal(err)
+		}
+		f.cut["a"] = true
+		f.believe("b", "b")
+		for n := range 9 {
+			_ = draw(ctx, f.shards["b"], open(fmt.Sprintf("b-%d", n), ""), budget, 0, 10, handed)
+			_ = draw(ctx, f.shards["a"], open(fmt.Sprintf("a-%d", n), ""), budget, 0, 10, handed)
+		}
+		if got := sum.Load(); got > budget || got < budget/2 {
+			t.Errorf("%d of %d tokens handed out", got, budget)
+		}
+	})
+}
+
+// TestHandOverCountsWhatWasHandedOut checks that a planned hand-over costs a program nothing of
+// its budget, neither by what was granted ahead nor by a turn under way.
+func TestHandOverCountsWhatWasHandedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(newLog(), "a", "b")
+		defer f.stop()
+		ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
+		defer stop()
+		const budget = 30
+		if err := draw(ctx, f.shards["a"], open("one", ""), budget, 0, 5, nobody); err != nil {
+			t.Fatal(err)
+		}
+		var under sync.WaitGroup
+		under.Go(func() { _ = draw(ctx, f.shards["a"], open("two", ""), budget, 4*time.Second, 5, nobody) })
+		time.Sleep(100 * time.Millisecond)
+		for name := range f.shards {
+			f.believe(name, "b")
+		}
+		time.Sleep(3 * time.Second)
+		if err := draw(ctx, f.shards["b"], open("three", ""), budget, 0, 5, nobody); err != nil {
+			t.Errorf("with a turn under way at the owner before: %v", err)
+		}
+		under.Wait()
+		time.Sleep(time.Second)
+		for _, id := range []string{"four", "five"} {
+			if err := draw(ctx, f.shards["b"], open(id, ""), budget, 0, 5, nobody); err != nil {
+				t.Errorf("turn %s: %v", id, err)
+			}
+		}
+		if err := draw(ctx, f.shards["b"], open("six", ""), budget, 0, 5, nobody); !fault.Is(err, fault.BudgetSpent) {
+			t.Errorf("a turn that the budget does not hold: %v", err)
+		}
+	})
+}
+
 // TestClaimThatFailedHoldsNothing checks that a slot whose owner record was not confirmed is not
 // held once another box should own it: a slot that another has fenced off was, and was then
 // never claimed again.
@@ -310,12 +414,14 @@
 	takes, wait time.Duration
 }
 
-// The kinds of steps; all others take a turn.
+// The kinds of steps; all others take a turn that is kept.
 const (
 	stepBelieve = iota
 	stepMode
 	stepCut
-	stepKinds = 6
+	stepDraw
+	stepDrawPart
+	stepKinds = 8
 )
 
 var planBoxes = []string{"a", "b", "c"}
@@ -344,8 +450,20 @@
 	confirmed := []string{""}
 	var broken []string
 	var handed atomic.Int64
+	count := func(n int) { handed.Add(int64(n)) }
 	for n, s := range plan {
 		switch s.kind {
+		case stepDraw, stepDrawPart:
+			all.Go(func() {
+				ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+				defer stop()
+				o := open(fmt.Sprintf("turn-%d", n), "")
+				tokens := o.Most
+				if s.kind == stepDrawPart {
+					tokens /= 5
+				}
+				_ = draw(ctx, f.shards[s.box], o, planBudget, s.takes, tokens, count) // what counts is handed
+			})
 		case stepBelieve:
 			f.believe(s.box, s.other)
 		case stepMode:
@@ -362,7 +480,7 @@
 				ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 				defer stop()
 				id := fmt.Sprintf("turn-%d", n)
-				err := play(ctx, f.shards[s.box], open(id, previous), planBudget, s.takes, func(n int) { handed.Add(int64(n)) })
+				err := play(ctx, f.shards[s.box], open(id, previous), planBudget, s.takes, count)
 				mu.Lock()
 				defer mu.Unlock()
 				switch {
@@ -381,11 +499,12 @@
 	if got := handed.Load(); got > planBudget {
 		broken = append(broken, fmt.Sprintf("%d of %d tokens handed out", got, planBudget))
 	}
-	return append(broken, judge(f, confirmed[1:])...)
+	return append(broken, judge(f, confirmed[1:], int(handed.Load()))...)
 }
 
-// judge has a box read the slot back from the log and holds it against what was confirmed.
-func judge(f *fleet, confirmed []string) []string {
+// judge has a box read the slot back from the log and holds it against what was confirmed and
+// what was handed out.
+func judge(f *fleet, confirmed []string, handed int) []string {
 	for name := range f.shards {
 		f.believe(name, "c")
 		f.mu.Lock()
@@ -409,6 +528,9 @@
 				broken = append(broken, id+" was confirmed and is lost")
 			}
 		}
+		if got := state.Spent("p"); got < handed {
+			broken = append(broken, fmt.Sprintf("%d tokens were handed out and %d are counted", handed, got))
+		}
 	})
 	return broken
 }
--- a/gate/turns/events.go
+++ b/gate/turns/events.go
@@ -16,6 +16,16 @@
 	// data is that of the event under way; some tells that it has a data line.
 	data []byte
 	some bool
+	// id is that of the event under way, last that of the newest event with data.
+	id, last string
+}
+
+// begun is the number of events of which something has passed by.
+func (e *events) begun() int {
+	if e.some || len(e.line) > 0 {
+		return e.count + 1
+	}
+	return e.count
 }
 
 func (e *events) write(raw []byte) {
@@ -42,6 +52,10 @@
 		e.dispatch()
 		return
 	}
+	if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		e.id = string(bytes.TrimSpace(id))
+		return
+	}
 	data, ok := bytes.CutPrefix(line, []byte("data:"))
 	if !ok {
 		return
@@ -60,6 +74,7 @@
 	e.text = append(e.text, e.data...)
 	e.text = append(e.text, '\n')
 	e.count++
+	e.last = e.id
 	e.data = e.data[:0]
 	e.some = false
 }
--- a/gate/work/config.go
+++ b/gate/work/config.go
@@ -45,7 +45,11 @@
 	Attempts int
 	// Stateful says that the system keeps the turns of programs on this route.
 	Stateful bool
-	// Retention is how long an answered turn is kept after its end.
+	// Resumable says that a replica can go on with an answer that another has begun, behind the
+	// event whose id it is given.
+	Resumable bool
+	// Retention is how long an answered turn is kept after its end, and what a program has spent
+	// after its last turn.
 	Retention time.Duration
 	// Stride is the tokens in one event of an answer, the most of the route's services; zero
 	// for plain services. It travels with the route, since the box that owns a program may
