sched, target, turns: begin programs only where they and those under way end in time

Cause: boxes handed each turn on at once; engines let calls in as they come, so that under a load which they can't serve all programs waited alike and all ended late.

gate/route becomes gate/sched, which now also holds the cost of a replica (from gate/target) and decides which programs begin, by how long turns take against what their programs can bear and by the part of the places that is taken, in the moment and over five seconds. What engines can do is learned from turns at calm replicas; prefillRate and the costs of 64 places are gone. Replicas are remembered for all parts of the prompts that they read, not the first alone.

Placing a call among 300 replicas 30 to 23 us.

Shown by gate/replay (red where every turn is handed on) and gate/sched's tests.

--- a/bench/cmds/experiment.go
+++ b/bench/cmds/experiment.go
@@ -17,7 +17,7 @@
 	"mulleingate.dev/bench/load"
 	"mulleingate.dev/bench/report"
 	"mulleingate.dev/gate/conf"
-	"mulleingate.dev/gate/route"
+	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/stand/applog"
 	"mulleingate.dev/stand/model"
 	"mulleingate.dev/stand/plat"
@@ -223,18 +223,18 @@
 	for i, part := range splitPlus(text) {
 		switch {
 		case i == 0:
-			set.Strategy = route.Strategy(part)
+			set.Strategy = sched.Strategy(part)
 		case part == "noholds":
 			set.Holds = false
-		case part == string(route.Age), part == string(route.Attained), part == string(route.Fifo):
-			set.Order = route.Order(part)
+		case part == string(sched.Age), part == string(sched.Attained), part == string(sched.Fifo):
+			set.Order = sched.Order(part)
 		default:
 			return set, fault.Refuse(fault.BadRequest, "variant: "+text+" is not known")
 		}
 	}
-	if set.Strategy != route.Scored {
+	if set.Strategy != sched.Scored {
 		// The baselines hold nothing and serve in order of arrival.
-		set.Holds, set.Order = false, route.Fifo
+		set.Holds, set.Order = false, sched.Fifo
 	}
 	return set, nil
 }
--- a/gate/admit/admit.go
+++ b/gate/admit/admit.go
@@ -10,7 +10,7 @@
 	"mulleingate.dev/base/types"
 	"mulleingate.dev/gate/lease"
 	"mulleingate.dev/gate/limit"
-	"mulleingate.dev/gate/route"
+	"mulleingate.dev/gate/sched"
 )
 
 // Places says where a use of a program's data is allowed.
@@ -28,8 +28,8 @@
 
 // Options are the ways to decide that can be compared with one another.
 type Options struct {
-	Strategy route.Strategy
-	Order    route.Order
+	Strategy sched.Strategy
+	Order    sched.Order
 	// MaxWait is the longest expected wait at which a new program is still taken.
 	MaxWait time.Duration
 	// Starve is the wait after which a call goes before all others.
--- a/gate/admit/admit_test.go
+++ b/gate/admit/admit_test.go
@@ -14,7 +14,7 @@
 	"mulleingate.dev/base/types"
 	"mulleingate.dev/gate/lease"
 	"mulleingate.dev/gate/meter"
-	"mulleingate.dev/gate/route"
+	"mulleingate.dev/gate/sched"
 )
 
 // everywhere allows all places but one zone.
@@ -25,7 +25,7 @@
 
 func newLoop(t *testing.T, places Places) *Loop {
 	t.Helper()
-	opts := Options{Strategy: route.Scored, Order: route.Age, MaxWait: time.Second, Starve: 2 * time.Second, Seed: 1}
+	opts := Options{Strategy: sched.Scored, Order: sched.Age, MaxWait: time.Second, Starve: 2 * time.Second, Seed: 1}
 	l := New("a", opts, places, meter.New(), slog.New(slog.DiscardHandler))
 	if err := l.Start(t.Context()); err != nil {
 		t.Fatal(err)
@@ -46,7 +46,7 @@
 func ask(program string) lease.Ask {
 	return lease.Ask{
 		Input: types.RuleInput{Model: "m", Workspace: "one"}, Program: program, Prompt: 10, Expected: 10,
-		Work: route.Work{Started: time.Now(), Arrived: time.Now()}, Deadline: time.Now().Add(time.Minute),
+		Work: sched.Work{Started: time.Now(), Arrived: time.Now()}, Deadline: time.Now().Add(time.Minute),
 	}
 }
 
--- a/gate/admit/engine.go
+++ b/gate/admit/engine.go
@@ -7,7 +7,7 @@
 	"mulleingate.dev/base/types"
 	"mulleingate.dev/gate/lease"
 	"mulleingate.dev/gate/limit"
-	"mulleingate.dev/gate/route"
+	"mulleingate.dev/gate/sched"
 )
 
 // engine is what is believed of one engine.
@@ -155,8 +155,8 @@
 	return time.Duration(float64(over) / float64(c.MaxBatch) * perSlot * float64(c.Step) * c.Slow)
 }
 
-func (e *engine) candidate(others int, far bool) route.Candidate {
-	c := route.Candidate{
+func (e *engine) candidate(others int, far bool) sched.Candidate {
+	c := sched.Candidate{
 		Name: e.target.Name, MaxBatch: max(1, e.load.MaxBatch), PrefillRate: max(1, e.load.PrefillRate),
 		Step: time.Duration(e.load.StepTime), CacheUsed: e.load.CacheUsed, CacheSize: e.load.CacheSize,
 		Mine: e.mine, Others: others, Slow: e.slow, Far: far, Room: e.mine < max(1, e.limit.Limit()),
@@ -170,7 +170,7 @@
 
 // place tries to give the call a target now.
 func (l *Loop) place(now time.Time, req *request) *lease.Lease {
-	var cands []route.Candidate
+	var cands []sched.Candidate
 	var engines []*engine
 	for _, e := range l.sorted() {
 		if !l.usable(e, req.ask) || l.eject.Ejected(now, e.target.Name) {
@@ -182,8 +182,8 @@
 		engines = append(engines, e)
 	}
 	expected := l.pauses.length(req.ask.Input.Kind, req.ask.Expected)
-	ask := route.Ask{Program: req.ask.Program, Prompt: req.ask.Prompt, Expected: expected}
-	i, weighed := route.Pick(l.opts.Strategy, ask, cands, l.rng)
+	ask := sched.Ask{Program: req.ask.Program, Prompt: req.ask.Prompt, Expected: expected}
+	i, weighed := sched.Pick(l.opts.Strategy, ask, cands, l.rng)
 	if i < 0 {
 		return nil
 	}
@@ -202,9 +202,9 @@
 	return place
 }
 
-func (l *Loop) hold(ask lease.Ask, c route.Candidate, next nextTurn) bool {
+func (l *Loop) hold(ask lease.Ask, c sched.Candidate, next nextTurn) bool {
 	weight := 1 + float64(ask.Input.Turn)/10
-	return route.Hold(route.HoldAsk{Tokens: ask.Prompt + ask.Expected, Pause: next.pause, Again: next.chance, Weight: weight}, c)
+	return sched.Hold(sched.HoldAsk{Tokens: ask.Prompt + ask.Expected, Pause: next.pause, Again: next.chance, Weight: weight}, c)
 }
 
 // sorted lists the engines by name, so that a seed gives the same choices again.
--- a/gate/admit/queue.go
+++ b/gate/admit/queue.go
@@ -8,7 +8,7 @@
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/lease"
-	"mulleingate.dev/gate/route"
+	"mulleingate.dev/gate/sched"
 )
 
 // request is a call in the queue.
@@ -37,7 +37,7 @@
 		m.reply <- answer{err: err}
 		return
 	}
-	req := &request{ask: m.ask, rank: route.Rank(l.opts.Order, m.ask.Work), arrived: now, reply: m.reply}
+	req := &request{ask: m.ask, rank: sched.Rank(l.opts.Order, m.ask.Work), arrived: now, reply: m.reply}
 	req.stop = context.AfterFunc(m.ctx, func() { l.send(goneMsg{req: req}) })
 	l.queue = append(l.queue, req)
 }
@@ -82,7 +82,7 @@
 	if places == 0 {
 		return 0
 	}
-	rank := route.Rank(l.opts.Order, ask.Work)
+	rank := sched.Rank(l.opts.Order, ask.Work)
 	before := 0
 	for _, req := range l.queue {
 		if req.rank >= rank {
--- a/gate/chain/chain.go
+++ b/gate/chain/chain.go
@@ -243,6 +243,12 @@
 	return ok && prog.turns[id] != nil
 }
 
+// Begun reports whether a turn of the program has run or is under way.
+func (s *State) Begun(name string) bool {
+	prog, ok := s.programs[name]
+	return ok && (prog.running > 0 || prog.bound() > 0 || len(prog.turns) > 0)
+}
+
 // Spent is what the program has spent, and what its turns under way and turns that were lost with
 // another owner may have.
 func (s *State) Spent(name string) int {
--- a/gate/conf/timing.go
+++ b/gate/conf/timing.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"mulleingate.dev/base/types"
-	"mulleingate.dev/gate/route"
+	"mulleingate.dev/gate/sched"
 )
 
 // Member holds the intervals of membership.
@@ -75,8 +75,8 @@
 
 // Admit holds the choices of the queue.
 type Admit struct {
-	Strategy route.Strategy `json:"strategy"`
-	Order    route.Order    `json:"order"`
+	Strategy sched.Strategy `json:"strategy"`
+	Order    sched.Order    `json:"order"`
 	MaxWait  types.Duration `json:"max_wait"`
 	Starve   types.Duration `json:"starve"`
 	Holds    bool           `json:"holds"`
@@ -84,18 +84,18 @@
 
 func admitDefaults() Admit {
 	return Admit{
-		Strategy: route.Scored, Order: route.Age, MaxWait: types.Duration(2 * time.Second),
+		Strategy: sched.Scored, Order: sched.Age, MaxWait: types.Duration(2 * time.Second),
 		Starve: types.Duration(5 * time.Second), Holds: true,
 	}
 }
 
 func (a Admit) check(rep *report) {
 	known := false
-	for _, s := range route.Strategies() {
+	for _, s := range sched.Strategies() {
 		known = known || s == a.Strategy
 	}
 	rep.need(known, "admit.strategy", "not one of scored, random, least, sticky")
-	order := a.Order == route.Age || a.Order == route.Attained || a.Order == route.Fifo
+	order := a.Order == sched.Age || a.Order == sched.Attained || a.Order == sched.Fifo
 	rep.need(order, "admit.order", "not one of age, attained, fifo")
 	rep.need(a.MaxWait > 0, "admit.max_wait", "not positive")
 	rep.need(a.Starve > 0, "admit.starve", "not positive")
--- a/gate/lease/lease.go
+++ b/gate/lease/lease.go
@@ -4,14 +4,14 @@
 	"time"
 
 	"mulleingate.dev/base/types"
-	"mulleingate.dev/gate/route"
+	"mulleingate.dev/gate/sched"
 )
 
 // Ask is a call that wants a target.
 type Ask struct {
 	Input    types.RuleInput
 	Program  string
-	Work     route.Work
+	Work     sched.Work
 	Prompt   int
 	Expected int
 	// Fresh says that the program has done no work yet, so that refusing it wastes none.
--- a/gate/proof/world_test.go
+++ b/gate/proof/world_test.go
@@ -26,7 +26,7 @@
 	"mulleingate.dev/gate/plain"
 	"mulleingate.dev/gate/policy"
 	"mulleingate.dev/gate/prog"
-	"mulleingate.dev/gate/route"
+	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/gate/slots"
 	"mulleingate.dev/gate/trail"
 	"mulleingate.dev/stand/applog"
@@ -128,7 +128,7 @@
 		Retention: keep, AppendShare: 100, MaxQueued: 1000,
 	}, counts, logger)
 	b.queue = admit.New(b.self.Zone, admit.Options{
-		Strategy: route.Scored, Order: route.Age, MaxWait: 2 * time.Second, Starve: time.Second, Holds: true, Seed: uint64(i),
+		Strategy: sched.Scored, Order: sched.Age, MaxWait: 2 * time.Second, Starve: time.Second, Holds: true, Seed: uint64(i),
 	}, b.store, counts, logger)
 	b.progs = prog.New(b.self.Zone, b.owners, b.queue, &engines{b: b}, b.store, counts, trail.New(64), logger)
 	b.owners.Watch(b.progs)
--- /dev/null
+++ b/gate/replay/fleet_test.go
@@ -0,0 +1,119 @@
+package replay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"mulleingate.dev/gate/target"
+	"mulleingate.dev/gate/work"
+)
+
+const (
+	service = "engines"
+	// reportEvery and reportLag are how often an engine's load is asked for, and how old the answer is.
+	reportEvery = 300 * time.Millisecond
+	reportLag   = 100 * time.Millisecond
+)
+
+var zones = []string{"a", "b", "c"}
+
+type noPool struct{}
+
+func (noPool) Close()                             {}
+func (noPool) Limit(int)                          {}
+func (noPool) Open(work.Replica, int) target.Pool { return noPool{} }
+
+// placing is a way to give a turn its place.
+type placing func(home *target.Targets, ask target.Ask) (*target.Lease, error)
+
+// fleet is boxes before engines.
+type fleet struct {
+	model   model
+	boxes   []*target.Targets
+	engines map[string]*engine
+	order   []*engine
+	place   placing
+	rng     *rand.Rand
+	loops   sync.WaitGroup
+
+	mu sync.Mutex
+	// ran tells which engine keeps what of a line.
+	ran map[string]map[string]int
+}
+
+func newFleet(boxes, engines int, m model, place placing, seed uint64) *fleet {
+	f := &fleet{model: m, engines: map[string]*engine{}, place: place, rng: rand.New(rand.NewPCG(seed, seed)), ran: map[string]map[string]int{}}
+	for i := range engines {
+		rep := work.Replica{
+			ID: fmt.Sprintf("e%d", i), Service: service, Zone: zones[i%len(zones)], Slots: m.slots,
+			Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+i)),
+		}
+		e := newEngine(rep, m)
+		f.engines[rep.ID] = e
+		f.order = append(f.order, e)
+	}
+	conf := work.NewConfig(1, nil, []work.Service{{Name: service, Connections: 10_000, Engine: &work.Engine{Slots: m.slots, Stride: m.stride}}}, work.Limits{})
+	for i := range boxes {
+		t := target.New(zones[i%len(zones)], noPool{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		t.Configure(conf)
+		t.Boxes(boxes)
+		for _, e := range f.order {
+			t.Put(e.rep)
+		}
+		f.boxes = append(f.boxes, t)
+	}
+	return f
+}
+
+// start runs the engines and their reports until ctx ends.
+func (f *fleet) start(ctx context.Context) {
+	for _, e := range f.order {
+		f.loops.Go(func() { e.loop(ctx) })
+		f.loops.Go(func() { f.report(ctx, e) })
+	}
+}
+
+// report tells the boxes of the engine's zone its load of a moment ago.
+func (f *fleet) report(ctx context.Context, e *engine) {
+	for ctx.Err() == nil {
+		load := e.load()
+		time.Sleep(reportLag)
+		for i, box := range f.boxes {
+			if zones[i%len(zones)] == e.rep.Zone {
+				box.Loaded(e.rep.ID, load)
+			}
+		}
+		time.Sleep(reportEvery - reportLag)
+	}
+}
+
+func (f *fleet) random(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.IntN(n)
+}
+
+func (f *fleet) seen(line string) map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := map[string]int{}
+	for id, tokens := range f.ran[line] {
+		seen[id] = tokens
+	}
+	return seen
+}
+
+func (f *fleet) note(line, id string, tokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ran[line] == nil {
+		f.ran[line] = map[string]int{}
+	}
+	f.ran[line][id] = tokens
+}
--- /dev/null
+++ b/gate/sched/cost.go
@@ -0,0 +1,130 @@
+package sched
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Belief is what a box believes of a replica that has told no figures of its engine.
+type Belief struct {
+	// Busy is this box's calls under way there, BusyThen those at the replica's newest report.
+	Busy, BusyThen int
+	// Slots is the number of calls that it works on at once; 0 if it is not known.
+	Slots int
+	// Reported says that a report is new enough; Running and Waiting are by that report, of Age ago.
+	Reported         bool
+	Running, Waiting int
+	Age              time.Duration
+	// Slow is the time of a unit of work there against what it usually takes.
+	Slow float64
+	// Failing is the share of calls that it failed lately.
+	Failing float64
+	// Cached is how much of the prompt it is believed to hold, in tokens.
+	Cached int
+	// Far says that it is in another availability zone.
+	Far bool
+}
+
+// Call is what has to be placed.
+type Call struct {
+	// Model says that the call runs a model on a prompt of so many tokens.
+	Model  bool
+	Prompt int
+	// Usual is the time that a unit of this kind of work takes: a call of a plain service, or the
+	// time between two events of a model.
+	Usual time.Duration
+}
+
+const (
+	// missWeight is how much more than its own time a prefill costs: it delays all that run
+	// there, and it pushes other programs' prompts out of memory. With 1, programs moved about
+	// under load until prefill filled the replicas (docs/decisions/0011).
+	missWeight = 4
+	// streamShare is what one more stream of this box costs a model call, in parts of a turn; it
+	// stands for those of the other boxes too. Measured together with missWeight.
+	streamShare = 0.05
+	// runningShare is what one more stream, of whatever box, costs a model call, in parts of a
+	// turn: its share of each step and its prefill. A turn that finds no place waits for a whole one.
+	runningShare = 0.02
+	// modelSteps weighs a replica's time between events into the cost of a call. More makes
+	// programs follow its noise.
+	modelSteps = 3
+	// farTime prices another availability zone: its round trips and the bytes of a chain.
+	farTime = 12 * time.Millisecond
+	// farCalls prices it for calls of plain services, in calls of this box under way: what a cut
+	// between zones breaks off is lost for good where a call may not be repeated.
+	farCalls = 0.7
+	// failCost is what a call that goes wrong costs: about the time that its program loses.
+	// turnFailCost is that of a turn: the third failure in a row ends the program, so a share of
+	// failures of 0.2 outweighs a long prefix, whose cost missWeight makes 0.3 to 0.9 s.
+	failCost     = 1500 * time.Millisecond
+	turnFailCost = 4 * time.Second
+	// drawTime is how much worse than the best a candidate may be to be drawn, so that boxes
+	// with the same beliefs don't all choose the same replica.
+	drawTime = 2 * time.Millisecond
+)
+
+// Cost is the expected time of the call at the replica, and what it takes from others.
+func (f *Figures) Cost(call Call, b Belief) time.Duration {
+	if !call.Model {
+		calls := float64(b.Busy + 1)
+		if b.Far {
+			calls += farCalls
+		}
+		return time.Duration(b.Failing*float64(failCost)) + time.Duration(b.Slow*calls*float64(call.Usual))
+	}
+	cost := time.Duration(b.Failing * float64(turnFailCost))
+	if b.Far {
+		cost += farTime
+	}
+	cost += missWeight * f.reading(max(0, call.Prompt-b.Cached))
+	cost += f.crowd(b)
+	return cost + time.Duration(b.Slow*modelSteps*float64(call.Usual))
+}
+
+// crowd is what the calls that a replica has cost one more. Without a report only those of
+// this box are known.
+func (f *Figures) crowd(b Belief) time.Duration {
+	turn := float64(f.turn())
+	if !b.Reported || b.Slots == 0 {
+		return time.Duration(streamShare * turn * float64(b.Busy))
+	}
+	all := b.Running + b.Waiting + max(0, b.Busy-b.BusyThen)
+	over := max(0, all+1-b.Slots)
+	return time.Duration(turn * (runningShare*float64(all) + float64(over)/float64(b.Slots)))
+}
+
+// Calm reports whether the replica had so little to do by a report of a moment ago that a turn there
+// shows what its engine can do.
+func (b Belief) Calm() bool {
+	return b.Reported && b.Age <= calmAge && b.Waiting == 0 && (b.Running+max(0, b.Busy-b.BusyThen))*calmShare < b.Slots
+}
+
+const (
+	// calmAge is how old the report may be, a few turns, and calmShare the part of the replica's
+	// places, one in so many, below which it is calm.
+	calmAge   = 500 * time.Millisecond
+	calmShare = 4
+)
+
+// Draw chooses among costs: one of those near to the least, or -1 if there is none.
+func Draw(costs []time.Duration, rng *rand.Rand) int {
+	if len(costs) == 0 {
+		return -1
+	}
+	least := costs[0]
+	for _, cost := range costs {
+		least = min(least, cost)
+	}
+	chosen, seen := -1, 0
+	for i, cost := range costs {
+		if cost > least+drawTime {
+			continue
+		}
+		seen++
+		if rng.IntN(seen) == 0 {
+			chosen = i
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/gate/sched/intake.go
@@ -0,0 +1,180 @@
+package sched
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Turn is what is known of a call of a program that wants a place.
+type Turn struct {
+	Program string
+	// Kind names its kind of work.
+	Kind string
+	// Fresh says that its program has not begun: refusing it wastes nothing.
+	Fresh bool
+	// Priority is the operators' rank, 0 first.
+	Priority int
+	// Left is the time until the program should be over, at Arrived; negative if that has passed,
+	// zero if it is not known.
+	Left    time.Duration
+	Arrived time.Time
+}
+
+// late reports whether the program can't end in time any more.
+func (t Turn) late(now time.Time) bool {
+	return t.Left != 0 && now.Sub(t.Arrived) >= t.Left
+}
+
+// Verdict is a decision on a turn.
+type Verdict struct {
+	// Refuse turns it away; it has not run.
+	Refuse bool
+	// After is when its caller should come again.
+	After time.Duration
+	// Stretch and Taken are what decided; see Pressure.
+	Stretch, Taken float64
+}
+
+// Intake decides which programs begin. It answers bursts that last, and engines that are too slow
+// for all that comes: each program that begins then makes those under way later, until all end
+// late. Turns of programs under way are never refused: what they have had would be lost. Nor do they
+// wait here for places to come free, in an order of their own: that was worth nothing in any pattern.
+type Intake struct {
+	Figures  Figures
+	Pressure Pressure
+	shapes   shapes
+	active   map[string]*progress
+	// away tells of programs that were turned away before they began.
+	away map[string]away
+}
+
+// progress is a program under way.
+type progress struct {
+	kind string
+	// under counts its turns under way, turns those that it took one after another.
+	under, turns int
+	// rested is when its last turn ended.
+	rested time.Time
+}
+
+// away is a program that was turned away before it began.
+type away struct {
+	at   time.Time
+	left time.Duration
+}
+
+const (
+	// leastAfter bounds the advice from below: sooner no turn has ended.
+	leastAfter = 150 * time.Millisecond
+	// tightAfter is the part of its time after which a program that was turned away is not likely to
+	// end in time any more.
+	tightAfter = 0.1
+	// maxAway bounds the programs that are remembered for having been turned away.
+	maxAway = 10_000
+	// restsFor is how long a program may rest before it counts as over: longer than tools and
+	// most callers take. forgetAtOnce is how many programs one look for those takes.
+	restsFor     = 2 * time.Second
+	forgetAtOnce = 8
+)
+
+// NewIntake makes an intake without a history.
+func NewIntake() *Intake {
+	return &Intake{shapes: shapes{}, active: map[string]*progress{}, away: map[string]away{}}
+}
+
+// Admit decides on a turn that has just come.
+func (in *Intake) Admit(now time.Time, turn Turn) Verdict {
+	verdict := Verdict{Stretch: in.Pressure.Stretch(now), Taken: in.Pressure.Taken()}
+	if !turn.Fresh {
+		return verdict
+	}
+	part := in.Pressure.begin(now, turn.Priority, in.tight(now, turn))
+	if part >= 1 || rand.Float64() < part {
+		return verdict
+	}
+	in.turnAway(now, turn)
+	verdict.Refuse, verdict.After = true, spread(in.Figures.turn())
+	return verdict
+}
+
+// spread is when to come again after a wait: at random within a time as long again, so that those
+// who were refused together don't come back together.
+func spread(wait time.Duration) time.Duration {
+	wait = max(wait, leastAfter)
+	return wait + rand.N(wait)
+}
+
+func (in *Intake) turnAway(now time.Time, turn Turn) {
+	if _, ok := in.away[turn.Program]; ok || turn.Left <= 0 {
+		return
+	}
+	if len(in.away) >= maxAway {
+		clear(in.away)
+	}
+	in.away[turn.Program] = away{at: now, left: turn.Left}
+}
+
+// tight reports whether a program that has not begun is unlikely to end in time.
+func (in *Intake) tight(now time.Time, turn Turn) bool {
+	if turn.late(now) {
+		return true
+	}
+	first, ok := in.away[turn.Program]
+	return ok && float64(now.Sub(first.at)) > tightAfter*float64(first.left)
+}
+
+// Begin notes that a turn has its place.
+func (in *Intake) Begin(now time.Time, turn Turn) {
+	k := in.shapes.of(turn.Kind)
+	if _, again := in.away[turn.Program]; turn.Fresh && turn.Left > 0 && !again {
+		k.left = mean(k.left, turn.Left)
+	}
+	delete(in.away, turn.Program)
+	p, ok := in.active[turn.Program]
+	if !ok {
+		p = &progress{kind: turn.Kind}
+		in.active[turn.Program] = p
+	}
+	if ok && p.under == 0 {
+		k.rested(now.Sub(p.rested))
+	}
+	if p.under == 0 {
+		p.turns++
+	}
+	p.under++
+	in.forget(now)
+}
+
+// forget drops programs that have rested so long that they are likely over, a few at a time.
+func (in *Intake) forget(now time.Time) {
+	looked := 0
+	for name, p := range in.active {
+		if p.under == 0 && now.Sub(p.rested) > restsFor {
+			in.shapes.of(p.kind).over(p.turns)
+			delete(in.active, name)
+		}
+		if looked++; looked >= forgetAtOnce {
+			return
+		}
+	}
+}
+
+// End notes that a turn is over.
+func (in *Intake) End(now time.Time, turn Turn) {
+	if p, ok := in.active[turn.Program]; ok {
+		p.under--
+		p.rested = now
+	}
+}
+
+// Answered notes a turn that was answered whole: how long it held its place, and what it would have
+// taken at an engine that nothing else uses, zero if that is not known.
+func (in *Intake) Answered(now time.Time, turn Turn, held, ideal time.Duration) {
+	in.Figures.Turn(held)
+	if ideal <= 0 {
+		return
+	}
+	k := in.shapes.of(turn.Kind)
+	k.ideal = mean(k.ideal, ideal)
+	in.Pressure.Seen(now, float64(now.Sub(turn.Arrived))/float64(ideal), k.allowed())
+}
--- a/gate/route/order.go
+++ b/gate/sched/order.go
@@ -1,4 +1,4 @@
-package route
+package sched
 
 import (
 	"math"
--- /dev/null
+++ b/gate/target/bench_test.go
@@ -0,0 +1,27 @@
+package target
+
+import (
+	"fmt"
+	"testing"
+
+	"mulleingate.dev/gate/work"
+)
+
+// BenchmarkTake places a model call among 300 replicas: 23 us, and 30 us before candidates were kept
+// in memory that is used again.
+func BenchmarkTake(b *testing.B) {
+	t, _ := newTargets(300, true)
+	asks := make([]Ask, 64)
+	for i := range asks {
+		asks[i] = Ask{Work: "w", Services: toS, Seen: map[string]int{fmt.Sprintf("r%d", i): 900}, Prompt: &work.Prompt{
+			Tokens: 1500, Parts: []work.Part{{ID: fmt.Sprintf("shared%d", i%3), Tokens: 500}, {ID: fmt.Sprintf("own%d", i), Tokens: 1000}},
+		}}
+	}
+	for i := 0; b.Loop(); i++ {
+		lease, err := t.Take(asks[i%len(asks)])
+		if err != nil {
+			b.Fatal(err)
+		}
+		lease.Done(Answered, 0)
+	}
+}
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -1,58 +1,26 @@
 package target
 
 import (
-	"math"
 	"slices"
 	"time"
 
+	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/gate/work"
 )
 
-const (
-	// prefillRate is tokens a millisecond: the slower of the two deployments' engines.
-	prefillRate = 38
-	// missWeight is how much more than its own time a prefill costs: it delays all that run
-	// there, and it pushes other programs' prompts out of memory. With 1, programs moved about
-	// under load until prefill filled the replicas (docs/decisions/0011).
-	missWeight = 4
-	// streamCost is what one more stream of this box costs a model call; it stands for those of
-	// the other boxes too. Measured together with missWeight.
-	streamCost = 20 * time.Millisecond
-	// loadFor is how long a replica's own report is used.
-	loadFor = 2 * time.Second
-	// runningCost is what one more stream, of whatever box, costs a model call: its share of
-	// each step and its prefill. waitingCost is a turn's time at a full replica.
-	runningCost = 8 * time.Millisecond
-	waitingCost = 400 * time.Millisecond
-	// modelSteps weighs a replica's time between events into the cost of a call. More makes
-	// programs follow its noise.
-	modelSteps = 3
-	// farCost prices another availability zone: its round trips and the bytes of a chain.
-	farCost = 12 * time.Millisecond
-	// farCalls prices it for calls of plain services, in calls of this box under way: what a cut
-	// between zones breaks off is lost for good where a call may not be repeated.
-	farCalls = 0.7
-	// failCost is what a call that goes wrong costs: about the time that its program loses.
-	// turnFailCost is that of a turn: the third failure in a row ends the program, so a share of
-	// failures of 0.2 outweighs a long prefix, whose cost missWeight makes 0.3 to 0.9 s.
-	failCost     = 1500 * time.Millisecond
-	turnFailCost = 4 * time.Second
-	// nearTime is how much worse than the best a candidate may be to be drawn, so that boxes
-	// with the same beliefs don't all choose the same replica.
-	nearTime = 2 * time.Millisecond
-)
+// loadFor is how long a replica's own report is used.
+const loadFor = 2 * time.Second
 
 // choice is a candidate with its cost.
 type choice struct {
 	state  *state
+	belief sched.Belief
 	score  time.Duration
-	cached int
 }
 
 // choose returns the replica of least expected cost, drawn among those near to it, and the
 // number of candidates. Avoided and suspect replicas are taken only if no other is left.
-func (t *Targets) choose(now time.Time, ask Ask) (choice, int) {
-	service := t.draw(ask.Services)
+func (t *Targets) choose(now time.Time, ask Ask, service string) (choice, int) {
 	best, among := t.among(now, ask, service, false)
 	if best.state == nil {
 		best, among = t.among(now, ask, service, true)
@@ -91,36 +59,30 @@
 }
 
 func (t *Targets) among(now time.Time, ask Ask, service string, desperate bool) (choice, int) {
-	var found []choice
-	least := time.Duration(math.MaxInt64)
+	t.found, t.costs = t.found[:0], t.costs[:0]
 	ejector := t.eject(service)
 	lapsed := t.lapsed(service)
+	share := t.share(service)
+	call := sched.Call{Model: ask.Prompt != nil, Usual: t.usually(ask.Work)}
+	if call.Model {
+		call.Prompt = ask.Prompt.Tokens
+	}
+	figures := &t.intake(service).Figures
 	for _, s := range t.services[service] {
-		if s.missing && !lapsed {
-			continue
-		}
-		if s.Draining || slices.Contains(ask.Avoid, s.ID) || t.full(s) {
+		if s.Draining || s.busy >= share || (s.missing && !lapsed) || slices.Contains(ask.Avoid, s.ID) {
 			continue
 		}
 		if !desperate && (now.Before(s.suspect) || ejector.Ejected(now, s.ID)) {
 			continue
 		}
-		c := t.cost(now, ask, s)
-		least = min(least, c.score)
-		found = append(found, c)
+		t.found = append(t.found, s)
+		t.costs = append(t.costs, figures.Cost(call, t.belief(now, ask, s)))
 	}
-	var best choice
-	seen := 0
-	for _, c := range found {
-		if c.score > least+nearTime {
-			continue
-		}
-		seen++
-		if t.rng.IntN(seen) == 0 {
-			best = c
-		}
+	at := sched.Draw(t.costs, t.rng)
+	if at < 0 {
+		return choice{}, 0
 	}
-	return best, len(found)
+	return choice{state: t.found[at], belief: t.belief(now, ask, t.found[at]), score: t.costs[at]}, len(t.found)
 }
 
 // lapsedShare is the part of a service, one in so many, below which the listed replicas are too
@@ -145,55 +107,20 @@
 	return listed*lapsedShare < all
 }
 
-// full reports whether this box's share of the replica's connections is in use.
-func (t *Targets) full(s *state) bool {
-	return s.busy >= t.share(s.Service)
-}
-
-// cost is the expected time of the call at the replica, and what it takes from others.
-func (t *Targets) cost(now time.Time, ask Ask, s *state) choice {
-	c := choice{state: s}
-	if ask.Prompt == nil {
-		c.score += time.Duration(s.failing(now) * float64(failCost))
-		calls := float64(s.busy + 1)
-		if s.Zone != t.zone {
-			calls += farCalls
-		}
-		c.score += time.Duration(s.slow * calls * float64(t.usually(ask.Work)))
-		return c
+// belief is what is believed of the replica as to the call.
+func (t *Targets) belief(now time.Time, ask Ask, s *state) sched.Belief {
+	age := now.Sub(s.loadAt)
+	b := sched.Belief{
+		Busy: s.busy, BusyThen: s.busyThen, Slots: s.Slots, Reported: age <= loadFor, Age: age,
+		Running: s.load.Running, Waiting: s.load.Waiting, Slow: s.slow, Failing: s.failing(now), Far: s.Zone != t.zone,
 	}
-	c.score += time.Duration(s.failing(now) * float64(turnFailCost))
-	if s.Zone != t.zone {
-		c.score += farCost
+	if ask.Prompt != nil {
+		b.Cached = t.cached(now, ask, s)
 	}
-	c.cached = t.cached(now, ask, s)
-	missing := max(0, ask.Prompt.Tokens-c.cached)
-	c.score += time.Duration(float64(missWeight*missing) / prefillRate * float64(time.Millisecond))
-	c.score += t.crowd(now, s)
-	c.score += time.Duration(s.slow * modelSteps * float64(t.usually(ask.Work)))
-	return c
-}
-
-// crowd is what the calls that a replica has cost one more. Without a report only those of
-// this box are known.
-func (t *Targets) crowd(now time.Time, s *state) time.Duration {
-	if now.Sub(s.loadAt) > loadFor || s.Slots == 0 {
-		return streamCost * time.Duration(s.busy)
-	}
-	all := s.load.Running + s.load.Waiting + max(0, s.busy-s.busyThen)
-	over := max(0, all+1-s.Slots)
-	return runningCost*time.Duration(all) + waitingCost*time.Duration(over)/time.Duration(s.Slots)
+	return b
 }
 
 // cached estimates how many tokens of the prompt the replica holds.
 func (t *Targets) cached(now time.Time, ask Ask, s *state) int {
-	seen := ask.Seen[s.ID]
-	if len(ask.Prompt.Parts) == 0 {
-		return seen
-	}
-	first := ask.Prompt.Parts[0]
-	if at, ok := s.parts[first.ID]; ok && now.Sub(at) < partFor {
-		return max(seen, first.Tokens)
-	}
-	return seen
+	return min(max(ask.Seen[s.ID], s.holds(now, ask.Prompt.Parts)), ask.Prompt.Tokens)
 }
--- /dev/null
+++ b/gate/target/intake.go
@@ -0,0 +1,83 @@
+package target
+
+import (
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/sched"
+)
+
+func (t *Targets) intake(service string) *sched.Intake {
+	in, ok := t.intakes[service]
+	if !ok {
+		in = sched.NewIntake()
+		t.intakes[service] = in
+	}
+	return in
+}
+
+// admit decides whether the turn's program may begin.
+func (t *Targets) admit(now time.Time, ask Ask, service string) error {
+	in := t.intake(service)
+	in.Pressure.Reported(now, t.taken(now, service))
+	verdict := in.Admit(now, ask.Turn)
+	if !verdict.Refuse {
+		return nil
+	}
+	t.log.Info("target: program not begun", "program", ask.Turn.Program, "service", service, "left", ask.Turn.Left,
+		"stretch", verdict.Stretch, "taken", verdict.Taken, "retry_after", verdict.After)
+	return fault.Refuse(fault.Overloaded, "no programs are begun now that would not end in time").After(verdict.After)
+}
+
+// taken is the part of a service's places that is taken, by the reports that are known; negative
+// without any.
+func (t *Targets) taken(now time.Time, service string) float64 {
+	places, calls := 0, 0
+	for _, s := range t.services[service] {
+		if s.Draining || s.missing || now.Sub(s.loadAt) > loadFor {
+			continue
+		}
+		places += s.Slots
+		calls += s.load.Running + s.load.Waiting
+	}
+	if places == 0 {
+		return -1
+	}
+	return float64(calls) / float64(places)
+}
+
+// First notes the time from the lease to the answer's first event.
+func (l *Lease) First(took time.Duration) {
+	if l.ask.Prompt == nil {
+		return
+	}
+	t := l.owner
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l.first = took
+	if l.calm {
+		t.intake(l.state.Service).Figures.First(took, l.missing())
+	}
+}
+
+// missing is how much of the prompt is believed to be read, in tokens.
+func (l *Lease) missing() int {
+	return max(0, l.ask.Prompt.Tokens-l.Cached)
+}
+
+// turnDone notes the end of a turn that had a place. Gap is the mean time between its events, zero
+// if it is not known.
+func (t *Targets) turnDone(l *Lease, out Outcome, gap time.Duration) {
+	in := t.intake(l.state.Service)
+	now := time.Now()
+	in.End(now, l.ask.Turn)
+	if out != Answered || gap <= 0 || l.first <= 0 {
+		return
+	}
+	if l.calm {
+		in.Figures.Gap(gap)
+	}
+	held := now.Sub(l.begun)
+	events := 1 + int((held-l.first+gap/2)/gap)
+	in.Answered(now, l.ask.Turn, held, in.Figures.Ideal(l.missing(), events))
+}
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -10,6 +10,7 @@
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/limit"
+	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/gate/work"
 )
 
@@ -45,8 +46,8 @@
 	gone, missing bool
 	// suspect is until when the replica is avoided after a failed connection.
 	suspect time.Time
-	// parts names the shared parts of prompts that were sent there lately.
-	parts map[string]time.Time
+	// parts holds the parts of prompts that were sent there lately, by name.
+	parts map[string]part
 	pool  Pool
 	// load is its own report, loadAt when it came, and busyThen what busy was.
 	load     work.Load
@@ -78,7 +79,12 @@
 	ejector  map[string]*limit.Ejector
 	// usual is the running mean of the time of a unit of work, by kind of work.
 	usual map[string]time.Duration
-	conf  *work.Config
+	// intakes holds what decides on the turns of each service.
+	intakes map[string]*sched.Intake
+	conf    *work.Config
+	// found and costs hold the candidates of one choice, kept so that none need be made anew.
+	found []*state
+	costs []time.Duration
 	boxes int
 	rng   *rand.Rand
 	// failing is told of replicas that fail calls; it must not block.
@@ -91,6 +97,7 @@
 		zone: zone, opener: opener, log: log, boxes: 1,
 		byID: map[string]*state{}, services: map[string][]*state{}, ejector: map[string]*limit.Ejector{},
 		usual:   map[string]time.Duration{},
+		intakes: map[string]*sched.Intake{},
 		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		failing: func(string, float64) {},
 	}
@@ -159,7 +166,7 @@
 	if ok {
 		t.remove(have)
 	}
-	s := &state{Replica: rep, slow: 1, parts: map[string]time.Time{}}
+	s := &state{Replica: rep, slow: 1, parts: map[string]part{}}
 	t.byID[rep.ID] = s
 	t.services[rep.Service] = append(t.services[rep.Service], s)
 	t.log.Info("target: replica listed", "replica", rep.ID, "service", rep.Service, "zone", rep.Zone)
@@ -244,7 +251,12 @@
 
 	owner *Targets
 	state *state
-	work  string
+	ask   Ask
+	begun time.Time
+	// first is the time to the answer's first event, zero before it.
+	first time.Duration
+	// calm says that the replica had little to do when the call came.
+	calm bool
 }
 
 // Pool returns the connections to the replica.
@@ -279,12 +291,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s.busy--
+	if l.ask.Prompt != nil {
+		t.turnDone(l, out, took)
+	}
 	if took > 0 {
-		usual, ok := t.usual[l.work]
+		usual, ok := t.usual[l.ask.Work]
 		if !ok {
 			usual = took
 		}
-		t.usual[l.work] = usual + time.Duration(smoothUsual*float64(took-usual))
+		t.usual[l.ask.Work] = usual + time.Duration(smoothUsual*float64(took-usual))
 		s.slow += smooth * (float64(took)/float64(usual) - s.slow)
 	}
 	t.judge(s, out)
@@ -409,26 +424,46 @@
 	Prompt *work.Prompt
 	// Seen tells how many tokens of the prompt a replica keeps from turns before; may be nil.
 	Seen map[string]int
+	// Turn is what decides on whether a model call is placed.
+	Turn sched.Turn
 }
 
-// Take chooses a replica and takes a place there.
+// Take chooses a replica and takes a place there. A turn of a program that has not begun is refused
+// where that would not end in time.
 func (t *Targets) Take(ask Ask) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	best, among := t.choose(now, ask)
+	service := t.draw(ask.Services)
+	if ask.Prompt != nil && ask.Turn.Fresh {
+		if err := t.admit(now, ask, service); err != nil {
+			return nil, err
+		}
+	}
+	best, among := t.choose(now, ask, service)
 	if best.state == nil {
 		return nil, fault.Refuse(fault.NoTarget, "no replica can take the call")
 	}
+	return t.lease(now, ask, best, among), nil
+}
+
+// lease takes a place at the chosen replica.
+func (t *Targets) lease(now time.Time, ask Ask, best choice, among int) *Lease {
 	s := best.state
 	if s.pool == nil {
 		s.pool = t.opener.Open(s.Replica, t.share(s.Service))
 	}
 	s.busy++
-	if ask.Prompt != nil && len(ask.Prompt.Parts) > 0 {
-		t.remember(s, ask.Prompt.Parts[0].ID, now)
+	if ask.Prompt != nil {
+		s.remember(now, ask.Prompt.Parts)
+	}
+	if ask.Prompt != nil {
+		t.intake(s.Service).Begin(now, ask.Turn)
+	}
+	return &Lease{
+		Replica: s.Replica, Cached: best.belief.Cached, Score: best.score, Among: among,
+		owner: t, state: s, ask: ask, begun: now, calm: best.belief.Calm(),
 	}
-	return &Lease{Replica: s.Replica, Cached: best.cached, Score: best.score, Among: among, owner: t, state: s, work: ask.Work}, nil
 }
 
 // share is this box's part of the connections that a replica of the service takes.
@@ -448,19 +483,28 @@
 	leastShare = 2
 	// spareBoxes leaves room for boxes that join later.
 	spareBoxes = 4
-	// maxParts bounds the shared parts remembered for a replica.
-	maxParts = 64
+	// maxParts bounds the parts of prompts remembered for a replica: those of some hundred programs.
+	maxParts = 512
 	// partFor is how long a shared part is believed to stay in a replica's memory unused.
 	partFor = 30 * time.Second
 )
 
-func (t *Targets) remember(s *state, part string, now time.Time) {
-	s.parts[part] = now
+// part is a piece of a prompt that a replica was sent.
+type part struct {
+	tokens int
+	at     time.Time
+}
+
+// remember notes the parts of a prompt that the replica gets to read.
+func (s *state) remember(now time.Time, parts []work.Part) {
+	for _, p := range parts {
+		s.parts[p.ID] = part{tokens: p.Tokens, at: now}
+	}
 	if len(s.parts) <= maxParts {
 		return
 	}
-	for id, at := range s.parts {
-		if now.Sub(at) > partFor {
+	for id, p := range s.parts {
+		if now.Sub(p.at) > partFor {
 			delete(s.parts, id)
 		}
 	}
@@ -471,3 +515,20 @@
 		delete(s.parts, id)
 	}
 }
+
+// holds is how many tokens of a prompt's parts the replica is believed to hold: a part is of use
+// only with all before it.
+func (s *state) holds(now time.Time, parts []work.Part) int {
+	sum := 0
+	for _, p := range parts {
+		have, ok := s.parts[p.ID]
+		if !ok || now.Sub(have.at) >= partFor {
+			break
+		}
+		sum += min(have.tokens, p.Tokens)
+		if have.tokens < p.Tokens {
+			break
+		}
+	}
+	return sum
+}
--- a/gate/turns/answer.go
+++ b/gate/turns/answer.go
@@ -146,6 +146,7 @@
 func (p *tap) hand(data []byte) error {
 	if !p.begun {
 		p.begun = true
+		p.turn.lease.First(time.Since(p.turn.offered))
 		p.turn.first = time.Since(p.turn.call.Arrived)
 		if err := p.Begin(p.head); err != nil {
 			return err
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -7,6 +7,7 @@
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/chain"
+	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/gate/shard"
 	"mulleingate.dev/gate/target"
 	"mulleingate.dev/gate/work"
@@ -72,6 +73,8 @@
 	// started is the record that must be in the log before anything is handed out; nil if the
 	// log holds it already.
 	started *shard.Pending
+	// fresh says that the turn is its program's first.
+	fresh bool
 	// ran says that a replica may have run the turn; ended that the state counts it as over.
 	ran, ended bool
 	// lease is the newest place at a replica; empty before there was one.
@@ -81,6 +84,8 @@
 	// tap is the answer on its way to the caller.
 	tap   *tap
 	first time.Duration
+	// offered is when the turn was sent to the replica of the lease.
+	offered time.Time
 	// heard is when the replica last said something, or when the turn was sent to it.
 	heard time.Time
 }
@@ -97,7 +102,7 @@
 	}
 	t.tap = &tap{turn: t, Answer: out}
 	t.ledger = newLedger(t)
-	if err := slot.Enter(t.ledger.enter); err != nil {
+	if err := slot.Enter(t.enter); err != nil {
 		return err
 	}
 	err := t.run(ctx)
@@ -107,6 +112,11 @@
 	return err
 }
 
+func (t *turn) enter(state *chain.State) error {
+	t.fresh = !state.Begun(t.open.Program)
+	return t.ledger.enter(state)
+}
+
 // most is the tokens that the call's answer may hold.
 func most(call *work.Call) int {
 	if call.Prompt == nil {
@@ -128,9 +138,7 @@
 	var avoid []string
 	var last error
 	for range maxSends {
-		lease, err := t.targets.Take(target.Ask{
-			Work: t.route.Name, Services: t.route.Splits, Avoid: avoid, Prompt: t.call.Prompt, Seen: t.seen,
-		})
+		lease, err := t.targets.Take(t.ask(avoid))
 		if err != nil {
 			last = err
 			break
@@ -150,7 +158,19 @@
 		return fault.Fail(fault.TargetFailed, "no replica took the turn up again").Because(last)
 	}
 	t.counts.Count("turns.no_replica", 1)
-	return fault.Refuse(fault.Overloaded, "no replica took the turn").After(retryAfter).Because(last)
+	after := max(fault.From(last).RetryAfter, retryAfter)
+	return fault.Refuse(fault.Overloaded, "no replica took the turn").After(after).Because(last)
+}
+
+// ask is the turn as it is placed.
+func (t *turn) ask(avoid []string) target.Ask {
+	return target.Ask{
+		Work: t.route.Name, Services: t.route.Splits, Avoid: avoid, Prompt: t.call.Prompt, Seen: t.seen,
+		Turn: sched.Turn{
+			Program: t.open.Program, Kind: t.route.Name, Fresh: t.fresh && !t.ran, Priority: t.route.Priority, Left: t.call.Turn.Left,
+			Arrived: t.call.Arrived,
+		},
+	}
 }
 
 // resumes reports whether another replica may take the turn up where this one broke off.
@@ -184,7 +204,8 @@
 		t.counts.Count("turns.resumed", 1)
 		t.log.Info("turns: turn taken up again", "id", t.call.ID, "replica", t.lease.Replica.ID, "behind", t.tap.collected.last)
 	}
-	t.heard = time.Now()
+	t.offered = time.Now()
+	t.heard = t.offered
 	reply, err := t.sender.Send(ctx, t.lease, &call, time.Until(call.Deadline))
 	if err != nil {
 		t.count(!fault.From(err).NotRun)
--- a/gate/work/call.go
+++ b/gate/work/call.go
@@ -65,6 +65,9 @@
 	Previous string
 	// Budget bounds the tokens of all answers of the program; negative if there is no bound.
 	Budget int
+	// Left is the time until the program should be over, at the call's arrival; negative if that has
+	// passed, zero if the caller does not say.
+	Left time.Duration `json:",omitempty"`
 	// Base is the text of the chain up to Previous, where that is a turn of another program.
 	Base []byte `json:",omitempty"`
 }
