--- a/gate/sched/pressure.go
+++ b/gate/sched/pressure.go
@@ -32,7 +32,7 @@
 	// scales: what the others leave is for the more urgent. tightStep is the same for programs
 	// that are unlikely to end in time.
 	rankStep  = 0.05
-	tightStep = 0.7
+	tightStep = 0.4
 )
 
 // scale bounds the range in which fewer and fewer programs begin: all up to from, none from to on.
