--- /dev/null
+++ b/base/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs reads the structured logs that boxes write.
+package logs
--- a/gate/admit/admit.go
+++ b/gate/admit/admit.go
@@ -51,7 +51,6 @@
 	firstService = 200 * time.Millisecond
 	// queueShare is the queue, as a share of the batch, from which a target counts as crowded.
 	queueShare = 0.5
-	retryLeast = 100 * time.Millisecond
 )
 
 type message interface{ isMessage() }
@@ -98,8 +97,8 @@
 	others  map[string]map[string]int
 	queue   []*request
 	eject   *limit.Ejector
-	pauses  *pauses
-	fair    *fair
+	pauses  *sched.Pauses
+	fair    *sched.Fair
 	// service is the mean time that a call holds a place.
 	service time.Duration
 
@@ -115,7 +114,7 @@
 		ctx: ctx, stop: stop, zone: zone, opts: opts, places: places, counts: counts, logger: logger,
 		inbox: make(chan message, inboxSize), rng: rand.New(rand.NewPCG(opts.Seed, opts.Seed+1)),
 		engines: map[string]*engine{}, others: map[string]map[string]int{}, eject: limit.NewEjector(),
-		pauses: newPauses(), fair: newFair(places), service: firstService, done: make(chan struct{}),
+		pauses: sched.NewPauses(), fair: sched.NewFair(places), service: firstService, done: make(chan struct{}),
 	}
 }
 
--- a/gate/admit/engine.go
+++ b/gate/admit/engine.go
@@ -94,7 +94,7 @@
 		}
 	}
 	for _, id := range programs {
-		l.pauses.end(id)
+		l.pauses.End(id)
 	}
 }
 
@@ -181,7 +181,7 @@
 		cands = append(cands, c)
 		engines = append(engines, e)
 	}
-	expected := l.pauses.length(req.ask.Input.Kind, req.ask.Expected)
+	expected := l.pauses.Length(req.ask.Input.Kind, req.ask.Expected)
 	ask := sched.Ask{Program: req.ask.Program, Prompt: req.ask.Prompt, Expected: expected}
 	i, weighed := sched.Pick(l.opts.Strategy, ask, cands, l.rng)
 	if i < 0 {
@@ -190,21 +190,21 @@
 	e := engines[i]
 	e.mine++
 	tokens := req.ask.Prompt - cands[i].Cached + expected
-	l.fair.used(req.ask.Input.Workspace, int64(tokens))
+	l.fair.Used(req.ask.Input.Workspace, int64(tokens))
 	place := &lease.Lease{
 		Target: e.target, Cached: cands[i].Cached, Weighed: weighed, Waited: now.Sub(req.arrived), Rank: req.rank,
 		Started: now, Give: func(p *lease.Lease, res lease.Result) { l.send(finishMsg{lease: p, res: res}) },
 	}
-	again := l.pauses.begins(now, req.ask.Program, req.ask.Input.Kind)
+	again := l.pauses.Begins(now, req.ask.Program, req.ask.Input.Kind)
 	if l.opts.Holds {
 		place.Hold = l.hold(req.ask, cands[i], again)
 	}
 	return place
 }
 
-func (l *Loop) hold(ask lease.Ask, c sched.Candidate, next nextTurn) bool {
+func (l *Loop) hold(ask lease.Ask, c sched.Candidate, next sched.NextTurn) bool {
 	weight := 1 + float64(ask.Input.Turn)/10
-	return sched.Hold(sched.HoldAsk{Tokens: ask.Prompt + ask.Expected, Pause: next.pause, Again: next.chance, Weight: weight}, c)
+	return sched.Hold(sched.HoldAsk{Tokens: ask.Prompt + ask.Expected, Pause: next.Pause, Again: next.Chance, Weight: weight}, c)
 }
 
 // sorted lists the engines by name, so that a seed gives the same choices again.
@@ -234,7 +234,7 @@
 func (l *Loop) finish(m finishMsg) {
 	now := time.Now()
 	name := m.lease.Target.Name
-	l.pauses.answered(now, m.res.Program, m.res.Usage.CompletionTokens)
+	l.pauses.Answered(now, m.res.Program, m.res.Usage.CompletionTokens)
 	e, ok := l.engines[name]
 	if !ok {
 		return
--- a/gate/admit/queue.go
+++ b/gate/admit/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -54,42 +55,34 @@
 	if len(l.queue) >= maxQueue {
 		return fault.Refuse(fault.Overloaded, "the queue is full").After(time.Second)
 	}
-	wait := l.expected(ask)
-	if ask.Fresh && wait > l.opts.MaxWait {
-		return fault.Refuse(fault.Overloaded, "no new programs are taken now").After(retryAfter(wait - l.opts.MaxWait))
+	decision, after := l.waiting(ask).Decide(now, ask.Deadline, ask.Fresh, l.opts.MaxWait)
+	switch decision {
+	case sched.NotBegun:
+		return fault.Refuse(fault.Overloaded, "no new programs are taken now").After(after)
+	case sched.TooLate:
+		return fault.Refuse(fault.DeadlineTooNear, "the deadline cannot be met").After(after)
+	default:
+		return nil
 	}
-	if now.Add(wait).After(ask.Deadline) {
-		return fault.Refuse(fault.DeadlineTooNear, "the deadline cannot be met").After(retryAfter(wait))
-	}
-	return nil
-}
-
-func retryAfter(wait time.Duration) time.Duration {
-	return max(wait, retryLeast)
 }
 
-// expected estimates the wait of a call that enters now: what waits before it, over the
-// rate at which places come free, plus the queues of the targets themselves.
-func (l *Loop) expected(ask lease.Ask) time.Duration {
-	places, least := 0, time.Duration(1<<62)
+// waiting is the queue as a call finds it that enters now.
+func (l *Loop) waiting(ask lease.Ask) sched.Queue {
+	q := sched.Queue{Service: l.service, Backlog: time.Duration(math.MaxInt64)}
 	for _, e := range l.engines {
 		if !l.usable(e, ask) {
 			continue
 		}
-		places += max(1, e.limit.Limit())
-		least = min(least, e.backlog())
-	}
-	if places == 0 {
-		return 0
+		q.Places += max(1, e.limit.Limit())
+		q.Backlog = min(q.Backlog, e.backlog())
 	}
 	rank := sched.Rank(l.opts.Order, ask.Work)
-	before := 0
 	for _, req := range l.queue {
 		if req.rank >= rank {
-			before++
+			q.Before++
 		}
 	}
-	return time.Duration(before)*l.service/time.Duration(places) + least
+	return q
 }
 
 // leave takes a call out whose caller has gone or whose time is up.
@@ -134,20 +127,11 @@
 // sortQueue puts starved calls first, then goes by priority, the workspaces' fair shares and rank.
 func (l *Loop) sortQueue(now time.Time) {
 	sort.SliceStable(l.queue, func(i, j int) bool {
-		a, b := l.queue[i], l.queue[j]
-		as, bs := now.Sub(a.arrived) > l.opts.Starve, now.Sub(b.arrived) > l.opts.Starve
-		if as != bs {
-			return as
-		}
-		if as {
-			return a.arrived.Before(b.arrived)
-		}
-		if a.ask.Work.Priority != b.ask.Work.Priority {
-			return a.ask.Work.Priority > b.ask.Work.Priority
-		}
-		if at, bt := l.fair.level(a.ask.Input.Workspace), l.fair.level(b.ask.Input.Workspace); at != bt {
-			return at < bt
-		}
-		return a.rank > b.rank
+		return sched.Before(now, l.opts.Starve, l.seat(l.queue[i]), l.seat(l.queue[j]))
 	})
 }
+
+// seat is what orders a request.
+func (l *Loop) seat(r *request) sched.Waiting {
+	return sched.Waiting{Arrived: r.arrived, Priority: r.ask.Work.Priority, Served: l.fair.Level(r.ask.Input.Workspace), Rank: r.rank}
+}
--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -165,7 +165,7 @@
 func (e *Entry) turn(ctx context.Context, call *work.Call, route *work.Route, out work.Answer) error {
 	if e.reach.CutOff() {
 		e.counts.Count("entry.cut_off", 1)
-		e.log.Info("entry: turn refused, this box is cut off", "id", call.ID, "program", call.Turn.Program)
+		e.log.Info("entry: turn refused, this box is cut off", "id", call.ID, "program", call.Turn.Program, "route", route.Name)
 		return fault.Refuse(fault.OwnerUnknown, "this box is cut off from the others").After(e.reach.Elsewhere())
 	}
 	home := e.layout.Home(call.Turn.Program)
@@ -179,7 +179,7 @@
 		return err
 	}
 	e.counts.Count("entry.owner_unknown", 1)
-	e.log.Info("entry: owner not reached", "id", call.ID, "program", call.Turn.Program, "after", time.Since(call.Arrived), "cause", err)
+	e.log.Info("entry: owner not reached", "id", call.ID, "program", call.Turn.Program, "route", route.Name, "after", time.Since(call.Arrived), "cause", err)
 	return fault.Refuse(fault.TurnUnknown, "the owner of the program can't be asked now").After(e.patience(home)).Because(err)
 }
 
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -280,6 +280,7 @@
 		return err
 	}
 	got.close(target.Answered)
+	a.log.Info("relay: answer passed on", "id", a.call.ID, "route", a.route.Name, "sent", a.sent, "took", time.Since(a.call.Arrived))
 	return nil
 }
 
--- a/gate/admit/learn.go
+++ b/gate/sched/pauses.go
@@ -1,13 +1,13 @@
-package admit
+package sched
 
 import (
 	"math"
 	"time"
 )
 
-// pauses learns how long programs of a kind pause between turns, and how likely they
+// Pauses learns how long programs of a kind pause between turns, and how likely they
 // are to go on. Nothing else is known of a program's shape ahead of time.
-type pauses struct {
+type Pauses struct {
 	kinds map[string]*kindPause
 	last  map[string]lastTurn
 }
@@ -26,33 +26,34 @@
 }
 
 const (
-	pauseGain  = 0.1
-	firstPause = 2 * time.Second
+	pauseGain = 0.1
+	firstRest = 2 * time.Second
 	// forgetBy fades old evidence, so that about the last thousand turns count.
 	forgetBy = 0.999
 )
 
-func newPauses() *pauses {
-	return &pauses{kinds: map[string]*kindPause{}, last: map[string]lastTurn{}}
+// NewPauses makes pauses of which nothing is known.
+func NewPauses() *Pauses {
+	return &Pauses{kinds: map[string]*kindPause{}, last: map[string]lastTurn{}}
 }
 
-func (p *pauses) kind(name string) *kindPause {
+func (p *Pauses) kind(name string) *kindPause {
 	k, ok := p.kinds[name]
 	if !ok {
-		k = &kindPause{mean: firstPause, turns: 1}
+		k = &kindPause{mean: firstRest, turns: 1}
 		p.kinds[name] = k
 	}
 	return k
 }
 
-// nextTurn is what is likely after a turn: the pause, and the chance of another turn.
-type nextTurn struct {
-	pause  time.Duration
-	chance float64
+// NextTurn is what is likely after a turn: the pause, and the chance of another turn, 0 to 1.
+type NextTurn struct {
+	Pause  time.Duration
+	Chance float64
 }
 
-// begins notes that a turn begins, and returns what is likely after it.
-func (p *pauses) begins(now time.Time, program, kind string) nextTurn {
+// Begins notes that a turn begins, and returns what is likely after it.
+func (p *Pauses) Begins(now time.Time, program, kind string) NextTurn {
 	k := p.kind(kind)
 	if last, ok := p.last[program]; ok && !last.at.IsZero() {
 		seen := now.Sub(last.at)
@@ -60,10 +61,11 @@
 	}
 	k.turns = k.turns*forgetBy + 1
 	p.last[program] = lastTurn{kind: kind}
-	return nextTurn{pause: k.mean, chance: 1 - k.ends/math.Max(k.turns, 1)}
+	return NextTurn{Pause: k.mean, Chance: 1 - k.ends/math.Max(k.turns, 1)}
 }
 
-func (p *pauses) answered(now time.Time, program string, tokens int) {
+// Answered notes the end of a turn with an answer of so many tokens.
+func (p *Pauses) Answered(now time.Time, program string, tokens int) {
 	last, ok := p.last[program]
 	if !ok {
 		return
@@ -80,15 +82,16 @@
 	k.answer += pauseGain * (float64(tokens) - k.answer)
 }
 
-// length is the likely length of an answer of the kind, in tokens; guess before the first.
-func (p *pauses) length(kind string, guess int) int {
+// Length is the likely length of an answer of the kind, in tokens; guess before the first.
+func (p *Pauses) Length(kind string, guess int) int {
 	if k, ok := p.kinds[kind]; ok && k.answer > 0 {
 		return int(k.answer)
 	}
 	return guess
 }
 
-func (p *pauses) end(program string) {
+// End notes that a program is over.
+func (p *Pauses) End(program string) {
 	last, ok := p.last[program]
 	if !ok {
 		return
@@ -98,9 +101,14 @@
 	delete(p.last, program)
 }
 
-// fair keeps what each workspace has been given, weighed by its share.
-type fair struct {
-	shares Places
+// Shares tells the share of each workspace, at least 1.
+type Shares interface {
+	Share(workspace string) int
+}
+
+// Fair keeps what each workspace has been given, weighed by its share.
+type Fair struct {
+	shares Shares
 	spent  map[string]float64
 	// floor is the least any workspace counts as having used, so that one that was idle
 	// cannot save its share up.
@@ -113,11 +121,13 @@
 	maxSaved = 10 * quantum
 )
 
-func newFair(shares Places) *fair {
-	return &fair{shares: shares, spent: map[string]float64{}}
+// NewFair makes shares of which none has been used.
+func NewFair(shares Shares) *Fair {
+	return &Fair{shares: shares, spent: map[string]float64{}}
 }
 
-func (f *fair) used(workspace string, tokens int64) {
+// Used notes that a workspace has been given so many tokens.
+func (f *Fair) Used(workspace string, tokens int64) {
 	f.spent[workspace] = math.Max(f.spent[workspace], f.floor) + float64(tokens)/float64(f.shares.Share(workspace))
 	most := 0.0
 	for _, used := range f.spent {
@@ -126,7 +136,7 @@
 	f.floor = math.Max(f.floor, most-maxSaved)
 }
 
-// level is the workspace's weighed use in quanta; lower goes first.
-func (f *fair) level(workspace string) int64 {
+// Level is the workspace's weighed use in quanta; lower goes first.
+func (f *Fair) Level(workspace string) int64 {
 	return int64(math.Max(f.spent[workspace], f.floor) / quantum)
 }
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -46,8 +46,10 @@
 	// queue is written in its order; the writer runs while it is not empty.
 	queue   []*batch
 	writing bool
-	// sent is the number of the last append of the epoch.
-	sent int64
+	// sent is the number of the last append of the epoch, since when that went out; zero while none
+	// is under way.
+	sent  int64
+	since time.Time
 }
 
 func newSlot(s *Shards, number int, epoch int64, state *chain.State) *Slot {
@@ -88,6 +90,16 @@
 	return nil
 }
 
+// Behind is how long the log has not taken the slot's newest append; zero if none is under way.
+func (s *Slot) Behind() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.since.IsZero() {
+		return 0
+	}
+	return time.Since(s.since)
+}
+
 // Change changes the state in the course of a turn.
 func (s *Slot) Change(do func(state *chain.State)) {
 	s.mu.Lock()
@@ -211,6 +223,10 @@
 	batches := s.queue[:n:n]
 	s.queue = s.queue[n:]
 	s.writing = n > 0
+	s.since = time.Time{}
+	if s.writing {
+		s.since = time.Now()
+	}
 	if size > 0 {
 		s.sent++
 	}
--- a/gate/turns/ledger.go
+++ b/gate/turns/ledger.go
@@ -28,6 +28,8 @@
 type ledger interface {
 	// enter checks the turn against the state and reserves its budget.
 	enter(state *chain.State) error
+	// needsLog reports whether the turn can't end without the log.
+	needsLog() bool
 	// logged notes that the log holds the turn's first record.
 	logged()
 	// finish ends the turn after a whole answer.
@@ -98,6 +100,8 @@
 	t.prompt = append(t.prompt, t.input...)
 }
 
+func (*kept) needsLog() bool { return true }
+
 func (*kept) logged() {}
 
 // finish writes the turn to the log; the answer's end waits for it.
@@ -167,6 +171,8 @@
 	return nil
 }
 
+func (t *drawn) needsLog() bool { return t.started != nil }
+
 func (t *drawn) logged() {
 	t.slot.Change(func(state *chain.State) { state.Confirm(t.open.Program, t.open.Granted) })
 }
@@ -215,5 +221,5 @@
 	t.counts.Time("turns.first_event{class="+t.route.Name+"}", t.first)
 	t.log.Info("turns: turn answered", "id", t.call.ID, "program", t.open.Program, "route", t.route.Name, "slot", t.slot.Number(),
 		"replica", t.lease.Replica.ID, "prompt", promptTokens(t.call), "cached", t.lease.Cached, "score", t.lease.Score, "among", t.lease.Among,
-		"sent", t.sent, "events", t.tap.collected.count, "first", t.first, "confirm", confirm, "took", time.Since(t.call.Arrived))
+		"sent", t.sent, "placed", t.offered.Sub(t.call.Arrived), "events", t.tap.collected.count, "first", t.first, "confirm", confirm, "took", time.Since(t.call.Arrived))
 }
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -23,6 +23,15 @@
 	silentAfter = 1500 * time.Millisecond
 	// worthTrying is the least time left in which another replica can still take a turn up.
 	worthTrying = 30 * time.Millisecond
+	// logAway is how long the log may leave an append unanswered before turns that need it are
+	// postponed: as long as callers bear to wait for it. A shorter outage is best waited out.
+	logAway = 2 * time.Second
+	// stayFor is the time that a caller must have left for its turn when it comes again: a silence
+	// that callers bear, and a turn.
+	stayFor = 2500 * time.Millisecond
+	// comeShare is the part of its time, one in so many, after which a caller is asked to come again:
+	// the longest that callers of the platform wait.
+	comeShare = 3
 	// lastEvent is the header that has a replica go on behind an event.
 	lastEvent = "Last-Event-Id"
 )
@@ -127,14 +136,17 @@
 
 // abandon ends a turn without a whole answer.
 func (t *turn) abandon(ctx context.Context, err error) {
-	t.log.Info("turns: turn failed", "id", t.call.ID, "program", t.open.Program, "slot", t.slot.Number(), "ran", t.ran,
-		"replica", t.lease.Replica.ID, "sent", t.sent, "caller_gone", ctx.Err() == context.Canceled, "after", time.Since(t.call.Arrived), "cause", err)
+	t.log.Info("turns: turn failed", "id", t.call.ID, "program", t.open.Program, "route", t.route.Name, "slot", t.slot.Number(), "ran", t.ran,
+		"replica", t.lease.Replica.ID, "sent", t.sent, "caller_gone", ctx.Err() == context.Canceled, "after", time.Since(t.call.Arrived), "kind", fault.From(err).Kind, "cause", err)
 	t.counts.Count("turns.failed", 1)
 	t.ledger.abort()
 }
 
 // run offers the turn to replicas until one has answered it.
 func (t *turn) run(ctx context.Context) error {
+	if err := t.postpone(); err != nil {
+		return err
+	}
 	var avoid []string
 	var last error
 	for range maxSends {
@@ -162,6 +174,23 @@
 	return fault.Refuse(fault.Overloaded, "no replica took the turn").After(after).Because(last)
 }
 
+// postpone refuses a turn that needs the log while that is away, if its caller has the time to come
+// again and stay. A turn that is tried at once is given up after two seconds and counts as one
+// of three failures that a program bears, so that an outage of seven seconds ends it; with each try begun
+// so late it outlasts eleven.
+func (t *turn) postpone() error {
+	if !t.ledger.needsLog() || t.slot.Behind() < logAway {
+		return nil
+	}
+	left := time.Until(t.call.Deadline)
+	after := left / comeShare
+	if left-after < stayFor {
+		return nil
+	}
+	t.counts.Count("turns.postponed", 1)
+	return fault.Refuse(fault.LogUnavailable, "the log is away").After(after)
+}
+
 // ask is the turn as it is placed.
 func (t *turn) ask(avoid []string) target.Ask {
 	return target.Ask{
