--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -225,9 +225,7 @@
 	defer func() { <-v.joining }()
 	ctx, stop := context.WithTimeout(ctx, v.timing.Call)
 	defer stop()
-	if err := v.log.Leave(ctx, v.self.Member()); err != nil {
-		v.logger.Warn("view: others not told that this box leaves", "cause", err)
-	}
+	v.takeOut(ctx)
 	v.update(time.Now())
 }
 
@@ -297,7 +295,9 @@
 			return err
 		}
 		if leaving && slices.Contains(members, v.self.Member()) {
-			v.leaveAgain(ctx)
+			// The log has done a heartbeat from before, whose answer was lost, after the box had
+			// left. Others would take it for the owner of slots.
+			v.takeOut(ctx)
 		}
 		v.take(generation, members)
 	}
@@ -305,9 +305,8 @@
 	return nil
 }
 
-// leaveAgain takes the box out once more: the log has done a heartbeat from before, whose
-// answer was lost, after the box had left. Others would take it for the owner of slots.
-func (v *View) leaveAgain(ctx context.Context) {
+// takeOut has the log take the box out of the fleet.
+func (v *View) takeOut(ctx context.Context) {
 	if err := v.log.Leave(ctx, v.self.Member()); err != nil {
 		v.logger.Warn("view: others not told that this box leaves", "cause", err)
 	}
