turns, target: decide whether a program begins before anything is written of it

Cause: a first turn was entered at its program's ledger, which queued a grant, and refused after; the store was called in vain, and after a change of owner the grant would have counted as spent, so that a program which came again as told could have met a 402.

The decision is target.Admit, asked by turns, which writes the line; placing a call (Take) refuses nobody. Shown by TestProgramsAreNotBegunWhenEnginesAreFull.

--- a/bench/recap/recap.go
+++ b/bench/recap/recap.go
@@ -67,6 +67,8 @@
 	case "relay: call failed":
 		ran, _ := l.Fields["ran"].(fmt.Stringer)
 		r.row(l).lost(l.Text("kind"), ran != nil && ran.String() == "0")
+	case "turns: program not begun":
+		r.row(l).lost("not begun", true)
 	case "entry: owner not reached":
 		r.row(l).lost("owner not reached", true)
 	case "entry: turn refused, this box is cut off":
--- a/gate/replay/replay_test.go
+++ b/gate/replay/replay_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/target"
 )
 
@@ -131,14 +132,18 @@
 	}
 }
 
-// handOn places each turn, as if its program were under way.
+// handOn places each turn.
 func handOn(home *target.Targets, ask target.Ask) (*target.Lease, error) {
-	ask.Turn.Fresh = false
 	return home.Take(ask)
 }
 
-// decide is how boxes place turns.
+// decide is how boxes place turns: only programs that may begin do.
 func decide(home *target.Targets, ask target.Ask) (*target.Lease, error) {
+	if ask.Turn.Fresh {
+		if verdict := home.Admit(ask); verdict.Refuse {
+			return nil, fault.Refuse(fault.Overloaded, "not begun").After(verdict.After)
+		}
+	}
 	return home.Take(ask)
 }
 
--- a/gate/target/intake.go
+++ b/gate/target/intake.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/sched"
 )
 
@@ -16,17 +15,15 @@
 	return in
 }
 
-// admit decides whether the turn's program may begin.
-func (t *Targets) admit(now time.Time, ask Ask, service string) error {
+// Admit decides whether the program of a turn may begin.
+func (t *Targets) Admit(ask Ask) sched.Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	service := t.draw(ask.Services)
 	in := t.intake(service)
 	in.Pressure.Reported(now, t.taken(now, service))
-	verdict := in.Admit(now, ask.Turn)
-	if !verdict.Refuse {
-		return nil
-	}
-	t.log.Info("target: program not begun", "program", ask.Turn.Program, "service", service, "left", ask.Turn.Left,
-		"stretch", verdict.Stretch, "taken", verdict.Taken, "retry_after", verdict.After)
-	return fault.Refuse(fault.Overloaded, "no programs are begun now that would not end in time").After(verdict.After)
+	return in.Admit(now, ask.Turn)
 }
 
 // taken is the part of a service's places that is taken, by the reports that are known; negative
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -250,23 +250,16 @@
 	Prompt *work.Prompt
 	// Seen tells how many tokens of the prompt a replica keeps from turns before; may be nil.
 	Seen map[string]int
-	// Turn is what decides on whether a model call is placed.
+	// Turn is what decides on whether a program begins.
 	Turn sched.Turn
 }
 
-// Take chooses a replica and takes a place there. A turn of a program that has not begun is refused
-// where that would not end in time.
+// Take chooses a replica and takes a place there.
 func (t *Targets) Take(ask Ask) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	service := t.draw(ask.Services)
-	if ask.Prompt != nil && ask.Turn.Fresh {
-		if err := t.admit(now, ask, service); err != nil {
-			return nil, err
-		}
-	}
-	best, among := t.choose(now, ask, service)
+	best, among := t.choose(now, ask, t.draw(ask.Services))
 	if best.state == nil {
 		return nil, fault.Refuse(fault.NoTarget, "no replica can take the call")
 	}
@@ -282,8 +275,6 @@
 	s.busy++
 	if ask.Prompt != nil {
 		s.remember(now, ask.Prompt.Parts)
-	}
-	if ask.Prompt != nil {
 		t.intake(s.Service).Begin(now, ask.Turn)
 	}
 	return &Lease{
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -43,6 +43,8 @@
 
 // Targets chooses replicas.
 type Targets interface {
+	// Admit decides whether the program of a turn may begin.
+	Admit(ask target.Ask) sched.Verdict
 	Take(ask target.Ask) (*target.Lease, error)
 }
 
@@ -121,11 +123,30 @@
 	return err
 }
 
+// enter begins the turn at its program's ledger. A program that has not begun is refused where it
+// would not end in time, before anything is written of it.
 func (t *turn) enter(state *chain.State) error {
 	t.fresh = !state.Begun(t.open.Program)
+	if err := t.admit(); err != nil {
+		return err
+	}
 	return t.ledger.enter(state)
 }
 
+func (t *turn) admit() error {
+	if !t.fresh || t.call.Prompt == nil {
+		return nil
+	}
+	verdict := t.targets.Admit(t.ask(nil))
+	if !verdict.Refuse {
+		return nil
+	}
+	t.log.Info("turns: program not begun", "id", t.call.ID, "program", t.open.Program, "route", t.route.Name, "left", t.call.Turn.Left,
+		"stretch", verdict.Stretch, "taken", verdict.Taken, "retry_after", verdict.After)
+	t.counts.Count("turns.not_begun", 1)
+	return fault.Refuse(fault.Overloaded, "no programs are begun now that would not end in time").After(verdict.After)
+}
+
 // most is the tokens that the call's answer may hold.
 func most(call *work.Call) int {
 	if call.Prompt == nil {
@@ -170,8 +191,7 @@
 		return fault.Fail(fault.TargetFailed, "no replica took the turn up again").Because(last)
 	}
 	t.counts.Count("turns.no_replica", 1)
-	after := max(fault.From(last).RetryAfter, retryAfter)
-	return fault.Refuse(fault.Overloaded, "no replica took the turn").After(after).Because(last)
+	return fault.Refuse(fault.Overloaded, "no replica took the turn").After(retryAfter).Because(last)
 }
 
 // postpone refuses a turn that needs the log while that is away, if its caller has the time to come
@@ -196,7 +216,7 @@
 	return target.Ask{
 		Work: t.route.Name, Services: t.route.Splits, Avoid: avoid, Prompt: t.call.Prompt, Seen: t.seen,
 		Turn: sched.Turn{
-			Program: t.open.Program, Kind: t.route.Name, Fresh: t.fresh && !t.ran, Priority: t.route.Priority, Left: t.call.Turn.Left,
+			Program: t.open.Program, Kind: t.route.Name, Fresh: t.fresh, Priority: t.route.Priority, Left: t.call.Turn.Left,
 			Arrived: t.call.Arrived,
 		},
 	}
