view: trust no view in which the log has told of nobody

A view settles only once the log has told the members. Shown by TestBoxThatHasHeardOfNobody, red before.

--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -408,7 +408,10 @@
 	v.mu.Lock()
 	v.forget(now)
 	live := v.list()
-	settled := !v.since.IsZero() && now.Sub(v.since) >= v.quarantine()
+	// A box that has joined and was then cut off knows of nobody; it must not take itself for the
+	// only one.
+	told := v.known >= 0
+	settled := told && !v.since.IsZero() && now.Sub(v.since) >= v.quarantine()
 	same := settled == v.settled && slices.Equal(live, v.live)
 	v.live, v.settled = live, settled
 	v.trusted = v.trusted || settled
--- a/gate/view/view_test.go
+++ b/gate/view/view_test.go
@@ -24,6 +24,8 @@
 	generation int64
 	// deaf holds boxes whose calls fail; "all" stands for every box.
 	deaf map[string]bool
+	// untold holds boxes that are cut off once they have joined: the log tells them no members.
+	untold map[string]bool
 	// slow is added to every answer.
 	slow time.Duration
 	// late has heartbeats done so much later than they are given up; zero does them at once.
@@ -113,6 +115,10 @@
 	}
 	e.board.mu.Lock()
 	defer e.board.mu.Unlock()
+	if e.board.untold[e.box] {
+		e.board.deaf[e.box] = true
+		return nil, fault.Refuse(fault.LogUnavailable, "away")
+	}
 	e.board.expire()
 	var members []string
 	for member := range e.board.until {
@@ -176,6 +182,33 @@
 	})
 }
 
+// TestBoxThatHasHeardOfNobody checks that a box which was cut off between its first heartbeat and the
+// answer on who lives trusts no view of its own. It took itself for the only box, said that it was
+// ready and claimed all slots, and its zone's callers were sent to it until the cut was over.
+func TestBoxThatHasHeardOfNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBoard()
+		views := begin(t, b, "a", "b")
+		defer end(views)
+		time.Sleep(2 * time.Second)
+		b.untold = map[string]bool{"c": true}
+		late := begin(t, b, "c")
+		defer end(late)
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			if c := late["c"]; c.Settled() || c.Trusted() {
+				t.Fatalf("a box that has heard of nobody is settled (%v) or trusted (%v), and sees %v", c.Settled(), c.Trusted(), names(c))
+			}
+		}
+		b.untold = nil
+		b.set("c", false)
+		time.Sleep(3 * time.Second)
+		if diff := cmp.Diff([]string{"a", "b", "c"}, names(late["c"])); diff != "" || !late["c"].Settled() {
+			t.Errorf("it sees (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestOwnersAreRanked checks that without the owner of a slot the next rank is its owner, so
 // that a call finds the holder while a box joins.
 func TestOwnersAreRanked(t *testing.T) {
