sched, target: count calls placed since a report by all boxes that heard it

Cause: boxes of a zone hear the same report of a replica and, until the next one 0.3 s later, each placed its calls as if it were alone: they filled the same replica. A call of a box's own at a replica without a report also stands for those of the other boxes, and weighed too little.

--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -120,10 +120,22 @@
 func (n *Node) boxesChanged() {
 	live := n.view.Live()
 	n.targets.Boxes(len(live))
+	n.targets.Mates(mates(n.deps.Self.Zone, live))
 	n.peers.Keep(live)
 	n.shards.Rebalance()
 }
 
+// mates counts the boxes of a zone: those hear the reports of the same replicas.
+func mates(zone string, live []work.Box) int {
+	count := 0
+	for _, box := range live {
+		if box.Zone == zone {
+			count++
+		}
+	}
+	return count
+}
+
 // Start starts all services, last the front: it takes callers' connections from its start on,
 // tells callers to leave while the box is not ready, and finishes calls under way at its stop.
 func (n *Node) Start(ctx context.Context, front kernel.Service) error {
--- a/gate/replay/fleet_test.go
+++ b/gate/replay/fleet_test.go
@@ -63,6 +63,7 @@
 		t := target.New(zones[i%len(zones)], noPool{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		t.Configure(conf)
 		t.Boxes(boxes)
+		t.Mates(boxes / len(zones))
 		for _, e := range f.order {
 			t.Put(e.rep)
 		}
--- a/gate/sched/cost.go
+++ b/gate/sched/cost.go
@@ -15,6 +15,8 @@
 	Reported         bool
 	Running, Waiting int
 	Age              time.Duration
+	// Hearers is the number of boxes that are told of the same reports, this one included.
+	Hearers int
 	// Slow is the time of a unit of work there against what it usually takes.
 	Slow float64
 	// Failing is the share of calls that it failed lately.
@@ -40,9 +42,11 @@
 	// there, and it pushes other programs' prompts out of memory. With 1, programs moved about
 	// under load until prefill filled the replicas (docs/decisions/0011).
 	missWeight = 4
-	// streamShare is what one more stream of this box costs a model call, in parts of a turn; it
-	// stands for those of the other boxes too. Measured together with missWeight.
-	streamShare = 0.05
+	// streamShare is what one more stream of this box costs a model call at a replica without a
+	// report, in parts of a turn; it stands for those of the other boxes too. With half of it, ten
+	// boxes heap their calls on the replicas that they can't see (gate/replay: 0.95 of a burst's
+	// worth in place of 0.99).
+	streamShare = 0.1
 	// runningShare is what one more stream, of whatever box, costs a model call, in parts of a
 	// turn: its share of each step and its prefill. A turn that finds no place waits for a whole one.
 	runningShare = 0.02
@@ -82,14 +86,15 @@
 	return cost + time.Duration(b.Slow*modelSteps*float64(call.Usual))
 }
 
-// crowd is what the calls that a replica has cost one more. Without a report only those of
-// this box are known.
+// crowd is what the calls that a replica has cost one more. Since a report, each box that heard it is
+// taken to have placed as many calls there as this one has: all believe the same, and would otherwise
+// fill the same replica. Without a report only the calls of this box are known.
 func (f *Figures) crowd(b Belief) time.Duration {
 	turn := float64(f.turn())
 	if !b.Reported || b.Slots == 0 {
 		return time.Duration(streamShare * turn * float64(b.Busy))
 	}
-	all := b.Running + b.Waiting + max(0, b.Busy-b.BusyThen)
+	all := b.Running + b.Waiting + max(1, b.Hearers)*max(0, b.Busy-b.BusyThen)
 	over := max(0, all+1-b.Slots)
 	return time.Duration(turn * (runningShare*float64(all) + float64(over)/float64(b.Slots)))
 }
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -112,7 +112,7 @@
 	age := now.Sub(s.loadAt)
 	b := sched.Belief{
 		Busy: s.busy, BusyThen: s.busyThen, Slots: s.Slots, Reported: age <= loadFor, Age: age,
-		Running: s.load.Running, Waiting: s.load.Waiting, Slow: s.slow, Failing: s.failing(now), Far: s.Zone != t.zone,
+		Hearers: t.mates, Running: s.load.Running, Waiting: s.load.Waiting, Slow: s.slow, Failing: s.failing(now), Far: s.Zone != t.zone,
 	}
 	if ask.Prompt != nil {
 		b.Cached = t.cached(now, ask, s)
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -84,6 +84,8 @@
 	// found and costs hold the candidates of one choice, kept so that none need be made anew.
 	found []*state
 	costs []time.Duration
+	// mates is the number of boxes that hear the same reports of replicas, this one included.
+	mates int
 	boxes int
 	rng   *rand.Rand
 	// failing is told of replicas that fail calls; it must not block.
@@ -93,7 +95,7 @@
 // New makes targets without replicas for a box of the zone.
 func New(zone string, opener Opener, log *slog.Logger) *Targets {
 	return &Targets{
-		zone: zone, opener: opener, log: log, boxes: 1,
+		zone: zone, opener: opener, log: log, boxes: 1, mates: 1,
 		byID: map[string]*state{}, services: map[string][]*state{}, ejector: map[string]*limit.Ejector{},
 		usual:   map[string]time.Duration{},
 		intakes: map[string]*sched.Intake{},
@@ -138,6 +140,13 @@
 	t.limitPools()
 }
 
+// Mates takes the number of boxes that hear the same reports of replicas, this one included.
+func (t *Targets) Mates(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mates = max(n, 1)
+}
+
 // limitPools gives all connections to replicas their share.
 func (t *Targets) limitPools() {
 	for _, s := range t.byID {
