turns: postpone only the last try of a turn while the log is away

The first form postponed each try once the log had been away for two seconds. A caller that waits outlasts a short outage; the third try that fails ends its program. So only that is postponed now.

--- a/gate/chain/chain.go
+++ b/gate/chain/chain.go
@@ -65,7 +65,10 @@
 	grant grant
 	// running counts the open turns that this owner has under way.
 	running int
-	keep    time.Time
+	// failures counts the tries of a turn that failed one after the other, by the turn that it goes
+	// on from.
+	failures map[string]int
+	keep     time.Time
 }
 
 // State is what an owner knows of one slot. It is not safe for use by many goroutines.
@@ -155,7 +158,7 @@
 func (s *State) program(name string) *program {
 	prog, ok := s.programs[name]
 	if !ok {
-		prog = &program{turns: map[string]*Turn{}, open: map[string]*reservation{}, uses: map[string]string{}, grant: grant{drawn: map[string]int{}}}
+		prog = &program{turns: map[string]*Turn{}, open: map[string]*reservation{}, uses: map[string]string{}, failures: map[string]int{}, grant: grant{drawn: map[string]int{}}}
 		s.programs[name] = prog
 	}
 	return prog
@@ -249,6 +252,30 @@
 	return ok && (prog.running > 0 || prog.bound() > 0 || len(prog.turns) > 0)
 }
 
+// Fail notes that a try of a turn has failed after a replica may have run it.
+func (s *State) Fail(o Open) {
+	if prog, ok := s.programs[o.Program]; ok {
+		prog.failures[o.Previous]++
+	}
+}
+
+// Pass notes that a turn was answered whole.
+func (s *State) Pass(o Open) {
+	if prog, ok := s.programs[o.Program]; ok {
+		delete(prog.failures, o.Previous)
+	}
+}
+
+// Failures is the number of tries of a turn that failed one after the other, as far as this owner
+// has seen them.
+func (s *State) Failures(o Open) int {
+	prog, ok := s.programs[o.Program]
+	if !ok {
+		return 0
+	}
+	return prog.failures[o.Previous]
+}
+
 // Spent is what the program has spent, and what its turns under way and turns that were lost with
 // another owner may have.
 func (s *State) Spent(name string) int {
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -23,9 +23,11 @@
 	silentAfter = 1500 * time.Millisecond
 	// worthTrying is the least time left in which another replica can still take a turn up.
 	worthTrying = 30 * time.Millisecond
-	// logAway is how long the log may leave an append unanswered before turns that need it are
-	// postponed: as long as callers bear to wait for it. A shorter outage is best waited out.
-	logAway = 2 * time.Second
+	// logAway is how long the log may leave an append unanswered before it counts as away: twice what
+	// it takes where it is sixty times slower than usual.
+	logAway = 600 * time.Millisecond
+	// lastTry is the number of failed tries from which a program of the platform bears no more.
+	lastTry = 2
 	// stayFor is the time that a caller must have left for its turn when it comes again: a silence
 	// that callers bear, and a turn.
 	stayFor = 2500 * time.Millisecond
@@ -84,8 +86,9 @@
 	// started is the record that must be in the log before anything is handed out; nil if the
 	// log holds it already.
 	started *shard.Pending
-	// fresh says that the turn is its program's first.
-	fresh bool
+	// fresh says that the turn is its program's first, failures how many tries of it have failed.
+	fresh    bool
+	failures int
 	// ran says that a replica may have run the turn; ended that the state counts it as over.
 	ran, ended bool
 	// lease is the newest place at a replica; empty before there was one.
@@ -120,13 +123,25 @@
 	if err != nil && !t.ended {
 		t.abandon(ctx, err)
 	}
+	t.slot.Change(func(state *chain.State) { t.tally(state, err) })
 	return err
 }
 
+// tally counts the turn's tries that failed one after the other.
+func (t *turn) tally(state *chain.State, err error) {
+	switch {
+	case err == nil:
+		state.Pass(t.open)
+	case t.ran:
+		state.Fail(t.open)
+	}
+}
+
 // enter begins the turn at its program's ledger. A program that has not begun is refused where it
 // would not end in time, before anything is written of it.
 func (t *turn) enter(state *chain.State) error {
 	t.fresh = !state.Begun(t.open.Program)
+	t.failures = state.Failures(t.open)
 	if err := t.admit(); err != nil {
 		return err
 	}
@@ -194,12 +209,12 @@
 	return fault.Refuse(fault.Overloaded, "no replica took the turn").After(retryAfter).Because(last)
 }
 
-// postpone refuses a turn that needs the log while that is away, if its caller has the time to come
-// again and stay. A turn that is tried at once is given up after two seconds and counts as one
-// of three failures that a program bears, so that an outage of seven seconds ends it; with each try begun
-// so late it outlasts eleven.
+// postpone refuses the last try of a turn that needs the log while that is away, if its caller has the
+// time to come again and stay. A try is given up after two silent seconds, and the third that fails ends
+// its program, so that an outage of seven seconds would; begun so late, the last try outlasts eight.
+// Tries before it are held instead: most outages are shorter.
 func (t *turn) postpone() error {
-	if !t.ledger.needsLog() || t.slot.Behind() < logAway {
+	if t.failures < lastTry || !t.ledger.needsLog() || t.slot.Behind() < logAway {
 		return nil
 	}
 	left := time.Until(t.call.Deadline)
