sched: weigh costs by the time of turns at calm engines

Cause: a replica's crowd costs parts of a turn, and turns were taken as long as they were. Under load they grow, and then the crowd outweighed prompts that have to be read: programs moved about and read more.

--- a/gate/sched/figures.go
+++ b/gate/sched/figures.go
@@ -9,8 +9,10 @@
 	first line
 	// gap is the mean time between two events, zero before any was measured.
 	gap time.Duration
-	// held is the mean time of all turns, calm or not, zero before any was measured.
-	held time.Duration
+	// ideal is the mean time that turns would have taken at calm engines, zero before any was known.
+	// What they do take grows with the load; costs that grew with it would outweigh prompts that have
+	// to be read, and moving programs about reads more.
+	ideal time.Duration
 }
 
 const (
@@ -32,17 +34,17 @@
 	return time.Duration(slope * float64(tokens) * float64(time.Millisecond))
 }
 
-// turn is the mean time of a turn.
+// turn is the mean time of a turn at a calm engine.
 func (f *Figures) turn() time.Duration {
-	if f.held == 0 {
+	if f.ideal == 0 {
 		return firstTurn
 	}
-	return f.held
+	return f.ideal
 }
 
-// Turn notes how long a turn held its place.
-func (f *Figures) Turn(d time.Duration) {
-	f.held = mean(f.held, d)
+// Turn notes how long a turn would have taken at a calm engine.
+func (f *Figures) Turn(ideal time.Duration) {
+	f.ideal = mean(f.ideal, ideal)
 }
 
 // First notes the time to a first event of a turn that had so many tokens to be read.
--- a/gate/sched/intake.go
+++ b/gate/sched/intake.go
@@ -167,13 +167,13 @@
 	}
 }
 
-// Answered notes a turn that was answered whole: how long it held its place, and what it would have
-// taken at an engine that nothing else uses, zero if that is not known.
-func (in *Intake) Answered(now time.Time, turn Turn, held, ideal time.Duration) {
-	in.Figures.Turn(held)
+// Answered notes a turn that was answered whole, and what it would have taken at a calm engine, zero if
+// that is not known.
+func (in *Intake) Answered(now time.Time, turn Turn, ideal time.Duration) {
 	if ideal <= 0 {
 		return
 	}
+	in.Figures.Turn(ideal)
 	k := in.shapes.of(turn.Kind)
 	k.ideal = mean(k.ideal, ideal)
 	in.Pressure.Seen(now, float64(now.Sub(turn.Arrived))/float64(ideal), k.allowed())
--- a/gate/sched/intake_test.go
+++ b/gate/sched/intake_test.go
@@ -165,7 +165,7 @@
 			in.Begin(now, turn)
 			now = now.Add(200 * time.Millisecond)
 			in.End(now, turn)
-			in.Answered(now, turn, 200*time.Millisecond, 200*time.Millisecond)
+			in.Answered(now, turn, 200*time.Millisecond)
 			now = now.Add(100 * time.Millisecond)
 			turn.Fresh = false
 		}
--- a/gate/target/intake.go
+++ b/gate/target/intake.go
@@ -76,5 +76,5 @@
 	}
 	held := now.Sub(l.begun)
 	events := 1 + int((held-l.first+gap/2)/gap)
-	in.Answered(now, l.ask.Turn, held, in.Figures.Ideal(l.missing(), events))
+	in.Answered(now, l.ask.Turn, in.Figures.Ideal(l.missing(), events))
 }
