--- a/gate/chain/grant.go
+++ b/gate/chain/grant.go
@@ -14,7 +14,7 @@
 	// owner had granted, and did not spend, larger.
 	aheadTurns = 4
 	// keepAhead is how many retentions a grant is kept in the log from when it is written, so
-	// that the programs's later turns need not write it anew.
+	// that the program's later turns need not write it anew.
 	keepAhead = 2
 )
 
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"net/http"
 	"time"
 
 	"mulleingate.dev/base/fault"
@@ -245,6 +247,9 @@
 	if ctx.Err() != nil || time.Until(t.call.Deadline) < worthTrying {
 		return false
 	}
+	if t.tap.begun && t.tap.collected.last == "" {
+		return false // its events have no ids to go on behind
+	}
 	return fault.From(err).NotRun || fault.Is(err, fault.TargetFailed) || fault.Is(err, fault.Protocol)
 }
 
@@ -263,10 +268,7 @@
 	call := *t.call
 	call.Body = t.prompt
 	if t.tap.begun {
-		call.Header = call.Header.Clone()
-		call.Header.Set(lastEvent, t.tap.collected.last)
-		t.counts.Count("turns.resumed", 1)
-		t.log.Info("turns: turn taken up again", "id", t.call.ID, "replica", t.lease.Replica.ID, "behind", t.tap.collected.last)
+		call.Header = t.behind(call.Header)
 	}
 	t.offered = time.Now()
 	t.heard = t.offered
@@ -286,6 +288,16 @@
 	return reply, nil
 }
 
+// behind is the header with the word to go on behind the last event that the caller got.
+func (t *turn) behind(header http.Header) http.Header {
+	out := http.Header{}
+	maps.Copy(out, header)
+	out.Set(lastEvent, t.tap.collected.last)
+	t.counts.Count("turns.resumed", 1)
+	t.log.Info("turns: turn taken up again", "id", t.call.ID, "replica", t.lease.Replica.ID, "behind", t.tap.collected.last)
+	return out
+}
+
 // count notes whether the replica may have run the turn.
 func (t *turn) count(ran bool) {
 	if ran {
