--- a/bench/cmds/summary.go
+++ b/bench/cmds/summary.go
@@ -22,6 +22,8 @@
 	every time.Duration
 	svg   string
 	csv   string
+	// routes is how many routes are drawn.
+	routes int
 }
 
 func (*summary) Aliases() []string { return []string{"summary"} }
@@ -32,6 +34,7 @@
 func (s *summary) Flags(cmd *cobra.Command) {
 	cmd.Flags().DurationVar(&s.every, "every", time.Second, "length of one span of time")
 	cmd.Flags().StringVar(&s.svg, "svg", "", "also draw the calls by time to this file")
+	cmd.Flags().IntVar(&s.routes, "routes", 3, "how many routes to draw, the busiest first")
 	cmd.Flags().StringVar(&s.csv, "csv", "", "also write the table to this file")
 }
 
@@ -58,5 +61,5 @@
 	if s.svg == "" {
 		return nil
 	}
-	return report.Plot(s.svg, "calls by route", "s", "calls in "+s.every.String(), sums.Lines())
+	return report.Plot(s.svg, "calls by route", "s", "calls in "+s.every.String(), sums.Lines(s.routes))
 }
--- a/bench/recap/recap.go
+++ b/bench/recap/recap.go
@@ -146,24 +146,45 @@
 	return strings.Join(names, ", ")
 }
 
-// Lines are the calls of each route that were refused or failed, and those that were answered, by
-// time, for a plot.
-func (r *Recap) Lines() []report.Series {
+// Lines are the calls of the busiest routes, so many at most, by time, for a plot: those that were
+// answered, and those that were refused or failed, if any.
+func (r *Recap) Lines(routes int) []report.Series {
 	var all []report.Series
-	at := map[string]int{}
-	add := func(name string, row *Row, n int) {
-		i, ok := at[name]
-		if !ok {
-			i = len(all)
-			at[name] = i
-			all = append(all, report.Series{Name: name})
+	for _, route := range r.busiest(routes) {
+		answered, lost := report.Series{Name: route + " answered"}, report.Series{Name: route + " refused or failed"}
+		any := false
+		for _, row := range r.Rows() {
+			if row.Route != route {
+				continue
+			}
+			at, n := row.From.Seconds(), row.Refused+row.Failed
+			answered.X, answered.Y = append(answered.X, at), append(answered.Y, float64(row.Answered))
+			lost.X, lost.Y = append(lost.X, at), append(lost.Y, float64(n))
+			any = any || n > 0
+		}
+		all = append(all, answered)
+		if any {
+			all = append(all, lost)
 		}
-		all[i].X = append(all[i].X, row.From.Seconds())
-		all[i].Y = append(all[i].Y, float64(n))
-	}
-	for _, row := range r.Rows() {
-		add(row.Route+" answered", row, row.Answered)
-		add(row.Route+" refused or failed", row, row.Refused+row.Failed)
 	}
 	return all
 }
+
+// busiest names the routes with most calls, the busiest first.
+func (r *Recap) busiest(most int) []string {
+	calls := map[string]int{}
+	for _, row := range r.rows {
+		calls[row.Route] += row.Answered + row.Refused + row.Failed
+	}
+	names := make([]string, 0, len(calls))
+	for name := range calls {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool {
+		if calls[names[i]] != calls[names[j]] {
+			return calls[names[i]] > calls[names[j]]
+		}
+		return names[i] < names[j]
+	})
+	return names[:min(most, len(names))]
+}
--- a/bench/recap/recap_test.go
+++ b/bench/recap/recap_test.go
@@ -37,7 +37,11 @@
 	if diff := cmp.Diff(want, sums.Table().Rows); diff != "" {
 		t.Errorf("rows (-want +got):\n%s", diff)
 	}
-	if got := len(sums.Lines()); got != 4 {
-		t.Errorf("%d lines to draw", got)
+	var names []string
+	for _, line := range sums.Lines(1) {
+		names = append(names, line.Name)
+	}
+	if diff := cmp.Diff([]string{"chat answered", "chat refused or failed"}, names); diff != "" {
+		t.Errorf("lines to draw (-want +got):\n%s", diff)
 	}
 }
