view: set the test's board under its lock

A race of the test's own, traced by the detector's two stacks (view_test.go:194 and :118); the view is not concerned. Change: the stand-in takes its lock.

--- a/gate/view/view_test.go
+++ b/gate/view/view_test.go
@@ -33,7 +33,7 @@
 }
 
 func newBoard() *board {
-	return &board{until: map[string]time.Time{}, deaf: map[string]bool{}}
+	return &board{until: map[string]time.Time{}, deaf: map[string]bool{}, untold: map[string]bool{}}
 }
 
 // ear is the log as one box reaches it.
@@ -133,6 +133,13 @@
 	b.deaf[box] = deaf
 }
 
+// tellNothing cuts the box off once it has joined.
+func (b *board) tellNothing(box string, untold bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.untold[box] = untold
+}
+
 func begin(t *testing.T, b *board, names ...string) map[string]*View {
 	t.Helper()
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -191,7 +198,7 @@
 		views := begin(t, b, "a", "b")
 		defer end(views)
 		time.Sleep(2 * time.Second)
-		b.untold = map[string]bool{"c": true}
+		b.tellNothing("c", true)
 		late := begin(t, b, "c")
 		defer end(late)
 		for range 50 {
@@ -200,7 +207,7 @@
 				t.Fatalf("a box that has heard of nobody is settled (%v) or trusted (%v), and sees %v", c.Settled(), c.Trusted(), names(c))
 			}
 		}
-		b.untold = nil
+		b.tellNothing("c", false)
 		b.set("c", false)
 		time.Sleep(3 * time.Second)
 		if diff := cmp.Diff([]string{"a", "b", "c"}, names(late["c"])); diff != "" || !late["c"].Settled() {
