node: ask few boxes whether this one is cut off

Cause: while the log is silent each box asks all others every 300 ms whether it reaches them; of 195 boxes that is 650 questions a second to send and as many to answer, on boxes with a fifth of a core, and 194 connections each. Change: 16 are asked, from each availability zone in proportion to its size, drawn by rendezvous so that they stay the same. Test: in a fleet of 200 without its log the 40 boxes of a cut zone know it, the others don't, none asks more than 16 (TestCutOffOfMany: with all asked it fails at 199 questions). Fleets of up to 17 boxes ask as before.

--- a/gate/node/reach.go
+++ b/gate/node/reach.go
@@ -1,12 +1,15 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"mulleingate.dev/base/ident"
 	"mulleingate.dev/gate/kernel"
 	"mulleingate.dev/gate/work"
 )
@@ -23,6 +26,10 @@
 	// balancerMoves is how long the balancer takes to send new connections elsewhere: it asks
 	// every second and wants two misses. Boxes that are cut off together advise to wait for it.
 	balancerMoves = 2100 * time.Millisecond
+	// mostAsked bounds the boxes that are asked. While the log is away every box asks at every look:
+	// of 200 boxes that all ask all, each would send and answer 650 questions a second. Of sixteen, a box
+	// that reaches a fifth of the fleet reaches eight less than once in a thousand looks.
+	mostAsked = 16
 )
 
 // boxes is the part of the view that a reach uses.
@@ -37,7 +44,7 @@
 }
 
 // reach finds out whether this box is cut off: it reaches neither the log nor half of the
-// boxes. The log alone may be away for all; then nobody is better off with another box.
+// boxes that it asks. The log alone may be away for all; then nobody is better off with another box.
 type reach struct {
 	self   string
 	boxes  boxes
@@ -101,19 +108,52 @@
 	}
 }
 
-// count asks all boxes at once; this one counts as reached.
+// count asks some boxes at once; this one counts as reached.
 func (r *reach) count(ctx context.Context) (reached, all int) {
 	ctx, stop := context.WithTimeout(ctx, reachWait)
 	defer stop()
-	live := r.boxes.Live()
-	answers := make(chan bool, len(live))
-	for _, box := range live {
-		go func() { answers <- box.Name == r.self || r.pinger.Ping(ctx, box) }()
+	boxes := r.sample()
+	answers := make(chan bool, len(boxes))
+	for _, box := range boxes {
+		go func() { answers <- r.pinger.Ping(ctx, box) }()
 	}
-	for range live {
+	reached = 1
+	for range boxes {
 		if <-answers {
 			reached++
 		}
 	}
-	return reached, len(live)
+	return reached, 1 + len(boxes)
+}
+
+// asked is a box with its place among those of its availability zone, 0 to 1.
+type asked struct {
+	box   work.Box
+	place float64
+}
+
+// sample returns the other boxes to ask, from each availability zone in proportion to its size: a cut
+// runs along zones. They stay the same while the fleet does, so that connections to them are kept.
+func (r *reach) sample() []work.Box {
+	zones := map[string][]work.Box{}
+	for _, box := range r.boxes.Live() {
+		if box.Name != r.self {
+			zones[box.Zone] = append(zones[box.Zone], box)
+		}
+	}
+	var all []asked
+	for _, boxes := range zones {
+		name := func(i int) string { return boxes[i].Name }
+		for place, i := range ident.Closest(r.self, len(boxes), name, mostAsked) {
+			all = append(all, asked{box: boxes[i], place: (float64(place) + 0.5) / float64(len(boxes))})
+		}
+	}
+	slices.SortFunc(all, func(a, b asked) int {
+		return cmp.Or(cmp.Compare(a.place, b.place), cmp.Compare(a.box.Name, b.box.Name))
+	})
+	boxes := make([]work.Box, 0, mostAsked)
+	for _, one := range all[:min(mostAsked, len(all))] {
+		boxes = append(boxes, one.box)
+	}
+	return boxes
 }
--- a/gate/node/reach_test.go
+++ b/gate/node/reach_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,3 +67,58 @@
 		look(false, "the log is back")
 	})
 }
+
+// bigWorld is a fleet of five availability zones that loses its log; the boxes of one zone are cut off.
+type bigWorld struct {
+	boxes []work.Box
+	cut   string
+	self  work.Box
+
+	mu    sync.Mutex
+	asked map[string]int
+}
+
+func newBigWorld(boxes int) *bigWorld {
+	w := &bigWorld{asked: map[string]int{}}
+	for i := range boxes {
+		w.boxes = append(w.boxes, work.Box{Name: fmt.Sprintf("box-%d", i), Zone: string(rune('a' + i%5))})
+	}
+	return w
+}
+
+func (w *bigWorld) Live() []work.Box       { return w.boxes }
+func (w *bigWorld) ReadAge() time.Duration { return 2 * readWithin }
+func (w *bigWorld) Ping(_ context.Context, box work.Box) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.asked[box.Name]++
+	return (box.Zone == w.cut) == (w.self.Zone == w.cut)
+}
+
+// TestCutOffOfMany checks that in a fleet of 200 boxes without its log the boxes of a zone that is cut off
+// know it and all others don't, and that each asks few: 16 questions a look in place of 199.
+func TestCutOffOfMany(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newBigWorld(200)
+		w.cut = "b"
+		asked := 0
+		for _, box := range w.boxes {
+			w.self = box
+			r := newReach(box.Name, w, w, slog.New(slog.NewTextHandler(io.Discard, nil)))
+			for range 5 {
+				r.look(context.Background())
+			}
+			if r.CutOff() != (box.Zone == w.cut) {
+				t.Errorf("%s of zone %s: cut off %v", box.Name, box.Zone, r.CutOff())
+			}
+			if len(w.asked) > mostAsked {
+				t.Errorf("%s asks %d boxes", box.Name, len(w.asked))
+			}
+			asked += len(w.asked)
+			clear(w.asked)
+		}
+		if asked < 100*mostAsked {
+			t.Errorf("%d questions of all boxes", asked)
+		}
+	})
+}
