entry: ask the owners of slots for a turn, not all boxes

Cause: a call that goes on from a turn which its program's owner does not keep (after a final fault, and for programs that go on from others) asked every living box: 195 calls and connections for each. Change: the owners of the slots are asked, and for slots that nobody has answered for the next ranks. Tests: TestSearch as it was, with the holder that does not own ranked second; TestSearchAsksFew (one box asked where one holds all slots; no more than the ranks of a slot where nobody does).

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -41,7 +41,6 @@
 	// Owners returns the box that should own a slot and, in order, those that should if the
 	// ones before were gone: n at most.
 	Owners(slot string, n int) []work.Box
-	Live() []work.Box
 	// Unreached notes that a box could not be reached.
 	Unreached(box work.Box)
 	// Patience is how long it takes until a slot of the box is likely to have another owner.
--- a/gate/entry/entry_test.go
+++ b/gate/entry/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,7 +30,10 @@
 	turn []error
 	// found is what boxes say when they are asked for a turn, by name.
 	found map[string]foundAt
-	calls []string
+	mu    sync.Mutex
+	// searched are the boxes that were asked for a turn.
+	searched []string
+	calls    []string
 }
 
 type foundAt struct {
@@ -55,7 +59,6 @@
 func (w *world) Holds(int) bool                  { return w.holds }
 func (w *world) All() []*shard.Slot              { return nil }
 func (w *world) Count(string, int64)             {}
-func (w *world) Live() []work.Box                { return []work.Box{{Name: "b"}, {Name: "c"}} }
 func (w *world) Get(context.Context, int) (*shard.Slot, error) {
 	w.calls = append(w.calls, "here")
 	if w.holds {
@@ -82,6 +85,9 @@
 }
 
 func (w *world) Find(_ context.Context, box work.Box, _ string, _ int) ([]byte, []int, error) {
+	w.mu.Lock()
+	w.searched = append(w.searched, box.Name)
+	w.mu.Unlock()
 	got := w.found[box.Name]
 	return got.text, got.slots, got.err
 }
@@ -186,6 +192,7 @@
 				w := newWorld()
 				w.turn = []error{none, nil}
 				w.found = map[string]foundAt{"b": c.b, "c": c.c}
+				w.behind = boxes("c")
 				call := turnCall("before")
 				err := w.handle(call)
 				if (err == nil) != (c.kind == "") || (err != nil && !fault.Is(err, c.kind)) {
@@ -199,6 +206,30 @@
 	}
 }
 
+// TestSearchAsksFew checks that a search ends with the owners of slots where those hold all: boxes that
+// own none are not asked.
+func TestSearchAsksFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.turn = []error{fault.Refuse(fault.NoTurn, "not kept")}
+		w.behind = boxes("c", "d", "e", "f", "g")
+		w.found = map[string]foundAt{"b": {slots: []int{0, 1}}}
+		if err := w.handle(turnCall("before")); !fault.Is(err, fault.NoTurn) {
+			t.Errorf("fault %v", err)
+		}
+		if diff := cmp.Diff([]string{"b"}, w.searched); diff != "" {
+			t.Errorf("asked (-want +got):\n%s", diff)
+		}
+		w.found, w.searched = map[string]foundAt{}, nil
+		if err := w.handle(turnCall("before")); !fault.Is(err, fault.TurnUnknown) {
+			t.Errorf("fault %v", err)
+		}
+		if got := len(w.searched); got != ownerRanks {
+			t.Errorf("%d boxes asked for slots that nobody holds", got)
+		}
+	})
+}
+
 func TestRoutes(t *testing.T) {
 	w := newWorld()
 	if err := w.handle(&work.Call{ID: "i", Host: "h", Target: "/none/x", Arrived: time.Now()}); !fault.Is(err, fault.NoRoute) {
