view: more slots for boxes that can do more, ranks kept

Cause: rendezvous gave all boxes the same chance of a slot. Change: a box tells its processor time (the settings' share times speed) with its member text, and the rendezvous is weighted by its square: a turn takes as much longer on a slower box, and one slot fills more of it. All boxes compute the same from the same members; where all are alike the choice is as before. Tests: TestShared (shares, no key moves between two others, equal shares choose as Closest), TestSlotsLiveOnFastBoxes (4,800 slots: less than a quarter on the slow boxes).

--- a/base/ident/ident_test.go
+++ b/base/ident/ident_test.go
@@ -32,3 +32,38 @@
 		}
 	}
 }
+
+// TestShared checks that names are chosen by their shares, that equal shares choose as no shares do, and
+// that a name which goes moves only its own keys.
+func TestShared(t *testing.T) {
+	var names []string
+	for i := range 40 {
+		names = append(names, "box-"+strconv.Itoa(i))
+	}
+	const keys = 20_000
+	large := func(i int) (string, float64) {
+		if i < 8 {
+			return names[i], 4
+		}
+		return names[i], 1
+	}
+	equal := func(i int) (string, float64) { return names[i], 1 }
+	first := 0
+	for key := range keys {
+		key := strconv.Itoa(key)
+		ranks := Shared(key, len(names), large, 2)
+		if ranks[0] < 8 {
+			first++
+		}
+		if diff := cmp.Diff(Closest(key, len(names), func(i int) string { return names[i] }, 3), Shared(key, len(names), equal, 3)); diff != "" {
+			t.Fatalf("key %s with equal shares (-want +got):\n%s", key, diff)
+		}
+		without := Shared(key, len(names)-1, large, 1)[0]
+		if ranks[0] != len(names)-1 && without != ranks[0] {
+			t.Errorf("key %s moves from %d to %d though neither went", key, ranks[0], without)
+		}
+	}
+	if got := float64(first) / keys; got < 0.48 || got > 0.52 {
+		t.Errorf("eight names with half of all shares get %.3f of the keys", got)
+	}
+}
--- /dev/null
+++ b/gate/view/owners.go
@@ -0,0 +1,73 @@
+package view
+
+import (
+	"mulleingate.dev/base/ident"
+	"mulleingate.dev/gate/work"
+)
+
+// ranks keeps who should own the slots, for as long as the same boxes live: each call of a program asks.
+type ranks struct {
+	live []work.Box
+	// owners holds the first of each slot's rendezvous, best first, by the slot's name.
+	owners map[string][]work.Box
+}
+
+// keptRanks is how many boxes are kept for a slot: those that are asked while boxes come and go.
+const keptRanks = 4
+
+// of returns the n boxes that come first in the slot's rendezvous.
+func (r *ranks) of(live []work.Box, slot string, n int) []work.Box {
+	if n > keptRanks {
+		return rank(live, slot, n)
+	}
+	if r.owners == nil || !same(r.live, live) {
+		r.live, r.owners = live, map[string][]work.Box{}
+	}
+	kept, ok := r.owners[slot]
+	if !ok {
+		kept = rank(live, slot, keptRanks)
+		r.owners[slot] = kept
+	}
+	return kept[:min(n, len(kept)):min(n, len(kept))]
+}
+
+// same reports whether both are the same list, not only alike.
+func same(a, b []work.Box) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+func rank(live []work.Box, slot string, n int) []work.Box {
+	var owners []work.Box
+	for _, i := range ident.Shared(slot, len(live), func(i int) (string, float64) { return live[i].Name, slotShare(live[i]) }, n) {
+		owners = append(owners, live[i])
+	}
+	return owners
+}
+
+// slotShare is a box's share of the slots. It grows with the square of its processor time: a slot's turns
+// take as much longer on a slower box as that is slower, and one slot fills more of it. Of 195 boxes with
+// 48 slots, 156 of which have a quarter of the others' processor, 9 slots live on those in place of 38.
+func slotShare(box work.Box) float64 {
+	if box.Cores <= 0 {
+		return 1
+	}
+	return box.Cores * box.Cores
+}
+
+// Owner is the box that should own a slot: the rendezvous winner among those that live, each by what it
+// can do.
+func (v *View) Owner(slot string) (work.Box, bool) {
+	owners := v.Owners(slot, 1)
+	if len(owners) == 0 {
+		return work.Box{}, false
+	}
+	return owners[0], true
+}
+
+// Owners returns the winner and the next n-1 boxes of the slot's rendezvous, best first: where
+// a box has just come, the one behind it held its slots until then.
+func (v *View) Owners(slot string, n int) []work.Box {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.ranks.of(v.live, slot, n)
+}
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"mulleingate.dev/base/ident"
 	"mulleingate.dev/gate/work"
 )
 
@@ -30,9 +29,6 @@
 	heard  time.Time
 }
 
-// failure is a row of failed calls to a box.
-type failure struct{ first, last time.Time }
-
 // View is the service.
 type View struct {
 	self   work.Box
@@ -75,7 +71,9 @@
 	// confirmation came.
 	saidAt, readAt time.Time
 	// live is sorted by name and holds this box too unless it leaves.
-	live    []work.Box
+	live []work.Box
+	// ranks is who should own the slots among live.
+	ranks   ranks
 	changed []func()
 }
 
@@ -159,62 +157,6 @@
 	return e.Box, ok && e.Incarnation == incarnation
 }
 
-// Owner is the box that should own a slot: the rendezvous winner among those that live.
-func (v *View) Owner(slot string) (work.Box, bool) {
-	owners := v.Owners(slot, 1)
-	if len(owners) == 0 {
-		return work.Box{}, false
-	}
-	return owners[0], true
-}
-
-// Owners returns the winner and the next n-1 boxes of the slot's rendezvous, best first: where
-// a box has just come, the one behind it held its slots until then.
-func (v *View) Owners(slot string, n int) []work.Box {
-	live := v.Live()
-	var owners []work.Box
-	for _, i := range ident.Closest(slot, len(live), func(i int) string { return live[i].Name }, n) {
-		owners = append(owners, live[i])
-	}
-	return owners
-}
-
-// Unreached notes that a call to the box failed to reach it.
-func (v *View) Unreached(box work.Box) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	now := time.Now()
-	f, ok := v.unreached[box.Name]
-	if !ok {
-		f.first = now
-	}
-	f.last = now
-	v.unreached[box.Name] = f
-}
-
-// Doubted reports that the box could not be reached a moment ago. Another try would keep a
-// caller waiting for nothing.
-func (v *View) Doubted(box work.Box) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	f, ok := v.unreached[box.Name]
-	return ok && time.Since(f.last) < doubt
-}
-
-// Patience is how long it takes until a slot of the box is likely to have another owner, or
-// until this box itself may claim its slots.
-func (v *View) Patience(box work.Box) time.Duration {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	left := time.Duration(0)
-	if box.Name == v.self.Name {
-		left = time.Until(v.since.Add(v.quarantine()))
-	} else if f, ok := v.unreached[box.Name]; ok {
-		left = time.Until(f.first.Add(v.hold() + v.timing.Beat))
-	}
-	return max(left, 0) + claimTime
-}
-
 // Leave takes this box out of the fleet.
 func (v *View) Leave(ctx context.Context) {
 	v.mu.Lock()
--- a/gate/view/view_test.go
+++ b/gate/view/view_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -241,6 +242,37 @@
 	}
 }
 
+// TestSlotsLiveOnFastBoxes checks that most slots of a fleet with many slow boxes and a few fast ones live
+// on the fast ones, where turns wait less for the processor, and that all boxes come to the same.
+func TestSlotsLiveOnFastBoxes(t *testing.T) {
+	v := New(work.Box{Name: "a"}, nil, Usual(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	v.live = nil
+	for i := range 195 {
+		box := work.Box{Name: "box-" + strconv.Itoa(i), Cores: 0.192}
+		if i%5 == 0 {
+			box.Cores = 0.8
+		}
+		v.live = append(v.live, box)
+	}
+	const slots = 4800
+	slow, owned := 0, map[string]int{}
+	for slot := range slots {
+		box, _ := v.Owner("slot-" + strconv.Itoa(slot))
+		owned[box.Name]++
+		if box.Cores < 0.5 {
+			slow++
+		}
+	}
+	if slow > slots/4 {
+		t.Errorf("%d of %d slots live on slow boxes", slow, slots)
+	}
+	for name, n := range owned {
+		if n > slots/20 {
+			t.Errorf("%s owns %d slots", name, n)
+		}
+	}
+}
+
 func TestDeadBoxIsFound(t *testing.T) {
 	for _, slow := range []time.Duration{0, 250 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
--- a/gate/work/record.go
+++ b/gate/work/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"strings"
 
 	"mulleingate.dev/base/fault"
@@ -57,22 +58,28 @@
 	Peer netip.AddrPort `json:"peer"`
 	// Incarnation is new for every start.
 	Incarnation string `json:"incarnation"`
+	// Cores is the processor time that it may use, in cores; 0 if that is not known.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // Member is the box as one text, by which it is a member of the fleet.
 func (b Box) Member() string {
-	return strings.Join([]string{b.Name, b.Zone, b.Peer.String(), b.Incarnation}, "|")
+	return strings.Join([]string{b.Name, b.Zone, b.Peer.String(), b.Incarnation, strconv.FormatFloat(b.Cores, 'g', -1, 64)}, "|")
 }
 
 // ParseMember reads the form that Member writes.
 func ParseMember(text string) (Box, error) {
 	fields := strings.Split(text, "|")
-	if len(fields) != 4 {
+	if len(fields) != 5 {
 		return Box{}, fault.Fail(fault.Protocol, "malformed member")
 	}
 	peer, err := netip.ParseAddrPort(fields[2])
 	if err != nil {
 		return Box{}, fault.Fail(fault.Protocol, "member without an address").Because(err)
 	}
-	return Box{Name: fields[0], Zone: fields[1], Peer: peer, Incarnation: fields[3]}, nil
+	cores, err := strconv.ParseFloat(fields[4], 64)
+	if err != nil {
+		return Box{}, fault.Fail(fault.Protocol, "member whose cores are no number").Because(err)
+	}
+	return Box{Name: fields[0], Zone: fields[1], Peer: peer, Incarnation: fields[3], Cores: cores}, nil
 }
