remote, dial: hold a forwarded turn back until its owner takes it

Hypothesis: told truly that the turn has not run, callers come back when a new owner is there. Change: the box that forwards writes the head with Expect: 100-continue, and the body once the owner has asked for it; until then nothing has run. Tests: TestBodyWaitsForThePeer (five ways), TestTurnToDeadBoxHasNotRun; with the body sent at once, the latter fails for both ways with not run false.

--- a/gate/dial/dial_test.go
+++ b/gate/dial/dial_test.go
@@ -135,6 +135,106 @@
 	}
 }
 
+// listen takes connections and hands each to do.
+func listen(t *testing.T, do func(n int, conn net.Conn)) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			go do(n, conn)
+		}
+	}()
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// TestBodyWaitsForThePeer checks that a request whose body is held back has surely not run where the peer is
+// gone or silent, and that a dead connection which had rested is left for a new one.
+func TestBodyWaitsForThePeer(t *testing.T) {
+	const within = 200 * time.Millisecond
+	bodies := make(chan string, 4)
+	take := func(conn net.Conn, in *bufio.Reader) bool {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return false
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+		raw, _ := io.ReadAll(req.Body)
+		bodies <- string(raw)
+		_, _ = io.WriteString(conn, fine)
+		return true
+	}
+	cases := map[string]struct {
+		peer func(n int, conn net.Conn)
+		// first is a request sent before, whose connection rests.
+		first bool
+		kind  fault.Kind
+		want  []string
+	}{
+		"sound": {peer: func(_ int, conn net.Conn) {
+			for in := bufio.NewReader(conn); take(conn, in); {
+			}
+		}, first: true, want: []string{"body", "body"}},
+		"silent":           {peer: func(int, net.Conn) {}, kind: fault.NoTarget},
+		"ends at the head": {peer: func(_ int, conn net.Conn) { _, _ = conn.Read(make([]byte, 1)); _ = conn.Close() }, kind: fault.NoTarget},
+		"a rested connection is dead": {peer: func(n int, conn net.Conn) {
+			in := bufio.NewReader(conn)
+			take(conn, in)
+			if n == 0 {
+				_, _ = http.ReadRequest(in)
+				_ = conn.Close()
+			}
+		}, first: true, want: []string{"body", "body"}},
+		"refuses without the body": {peer: func(_ int, conn net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, fine)
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := New(listen(t, c.peer), 2)
+			req := Request{Method: http.MethodPost, Target: "/", Host: "h", Body: []byte("body"), Confirm: within}
+			send := func() error {
+				resp, err := p.Send(context.Background(), req)
+				if err != nil {
+					return err
+				}
+				defer resp.Close()
+				_, err = io.ReadAll(resp)
+				return err
+			}
+			if c.first {
+				if err := send(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			start := time.Now()
+			err := send()
+			if (err == nil) != (c.kind == "") || (err != nil && (!fault.Is(err, c.kind) || !fault.From(err).NotRun)) {
+				t.Errorf("fault %v, not run %v", err, fault.From(err).NotRun)
+			}
+			if took := time.Since(start); took > 5*within {
+				t.Errorf("took %v", took)
+			}
+			var got []string
+			for len(bodies) > 0 {
+				got = append(got, <-bodies)
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("bodies that the peer saw (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestNotReached(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/gate/dial/send.go
+++ b/gate/dial/send.go
@@ -17,6 +17,9 @@
 // is given up.
 const maxSurplus = 4
 
+// headRoom is enough for most heads of requests, in bytes.
+const headRoom = 1 << 10
+
 // Request is what is sent.
 type Request struct {
 	Method string
@@ -29,6 +32,10 @@
 	// own bound. A short one makes it less likely that the request is lost on a connection
 	// that the peer has just closed.
 	MaxRest time.Duration
+	// Confirm is how long the peer may take to say that it takes the request, before which the body is held
+	// back; zero sends all at once. The peer must not act before it has the body. Where the connection turns
+	// out to be dead, the request then has surely not run.
+	Confirm time.Duration
 	// Mine tells whether an answer belongs to this request; nil takes any.
 	Mine func(header http.Header) bool
 }
@@ -55,37 +62,50 @@
 	done     bool
 }
 
-// Send sends the request once. A fault with NotRun means that no byte of it was written.
+// Send sends the request once. A fault with NotRun means that the peer has not seen it whole.
 // The caller must call Close on the response. Once ctx ends, the connection is cut.
 func (p *Pool) Send(ctx context.Context, req Request) (*Response, error) {
-	maxRest := req.MaxRest
-	if maxRest == 0 {
-		maxRest = maxIdle
+	if req.MaxRest == 0 {
+		req.MaxRest = maxIdle
+	}
+	if req.Confirm > 0 {
+		return p.confirmed(ctx, req)
 	}
-	c, err := p.take(ctx, maxRest)
+	c, err := p.take(ctx, req.MaxRest)
 	if err != nil {
 		return nil, err
 	}
+	resp := p.begin(ctx, c)
+	resp.write(append(head(req), req.Body...))
+	return resp.answer(ctx, req)
+}
+
+// begin starts an exchange on the connection.
+func (p *Pool) begin(ctx context.Context, c *conn) *Response {
 	resp := &Response{pool: p, conn: c, sent: make(chan struct{}), failed: &atomic.Bool{}}
 	resp.stop = context.AfterFunc(ctx, c.interrupt)
-	resp.write(req)
-	if err := resp.read(req); err != nil {
-		resp.stop()
-		p.drop(c)
-		if ctx.Err() != nil {
-			return nil, fault.Fail(fault.TimedOut, "the call ended before the target answered").Because(err)
-		}
-		return nil, fault.Fail(fault.TargetFailed, "the target did not answer").Because(err)
+	return resp
+}
+
+// answer waits for the head of the answer.
+func (r *Response) answer(ctx context.Context, req Request) (*Response, error) {
+	err := r.read(req)
+	if err == nil {
+		return r, nil
 	}
-	return resp, nil
+	r.stop()
+	r.pool.drop(r.conn)
+	if ctx.Err() != nil {
+		return nil, fault.Fail(fault.TimedOut, "the call ended before the target answered").Because(err)
+	}
+	return nil, fault.Fail(fault.TargetFailed, "the target did not answer").Because(err)
 }
 
 // inline is the longest request that is written before its answer is read, in bytes. A
 // longer one may fill the connection while the target already answers.
 const inline = 4 << 10
 
-func (r *Response) write(req Request) {
-	raw := encode(req)
+func (r *Response) write(raw []byte) {
 	if len(raw) <= inline {
 		r.put(raw)
 		return
@@ -100,16 +120,19 @@
 	}
 }
 
-func encode(req Request) []byte {
+// head is the request without its body.
+func head(req Request) []byte {
 	var b bytes.Buffer
-	b.Grow(len(req.Body) + 1024)
+	b.Grow(len(req.Body) + headRoom)
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	_ = req.Header.Write(&b) // a buffer takes all writes
+	if req.Confirm > 0 {
+		b.WriteString("Expect: 100-continue\r\n")
+	}
 	if len(req.Body) > 0 || (req.Method != http.MethodGet && req.Method != http.MethodHead) {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
 	return b.Bytes()
 }
 
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -29,6 +29,10 @@
 	leftPath = "/left"
 	// connections bounds those to one box: the turns that one box may forward to another.
 	connections = 256
+	// confirmWait is how long a box may take to say that it takes a turn: a few round trips between
+	// availability zones, on a busy box. A turn that was sent whole to a box which has just been cut off may
+	// have run, so its caller can't be told when to come back; three such failures end a program.
+	confirmWait = 400 * time.Millisecond
 	// retryFull is the advice given when none of them is free: some turns end in that time.
 	retryFull = 200 * time.Millisecond
 
@@ -90,7 +94,7 @@
 		return err
 	}
 	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{
-		Method: http.MethodPost, Target: turnPath, Host: box.Peer.String(), Body: append(raw, call.Body...),
+		Method: http.MethodPost, Target: turnPath, Host: box.Peer.String(), Body: append(raw, call.Body...), Confirm: confirmWait,
 	})
 	if err != nil {
 		return notSent(err)
--- a/gate/remote/client_test.go
+++ b/gate/remote/client_test.go
@@ -61,6 +61,37 @@
 	}
 }
 
+// TestTurnToDeadBoxHasNotRun checks that a turn for a box which is gone or hangs has surely not run: its caller
+// can be told when to come back.
+func TestTurnToDeadBoxHasNotRun(t *testing.T) {
+	for name, do := range map[string]func(conn net.Conn){
+		"resets": func(conn net.Conn) { _ = conn.Close() },
+		"hangs":  func(net.Conn) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = ln.Close() }()
+			go func() {
+				for {
+					conn, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					do(conn)
+				}
+			}()
+			start := time.Now()
+			f := turnTo(t, NewClient(), work.Box{Name: "b", Peer: netip.MustParseAddrPort(ln.Addr().String())})
+			if f.Kind != fault.PeerLost || !f.NotRun || time.Since(start) > 2*confirmWait {
+				t.Errorf("%v, not run %v, after %v", f, f.NotRun, time.Since(start))
+			}
+		})
+	}
+}
+
 // closedAddr is an address at which nobody listens.
 func closedAddr(t *testing.T) string {
 	t.Helper()
