sched, view: the field's names, one draw among near candidates

Cause: names that a reader of the field had to look up, and a loop that stood three times. Change: Intake is Admission, Pressure is Overload, shapes are profiles, those turned away are refusals, crowd is contention; view's Doubted and Patience say JustUnreached and TakeoverIn; load's mates are neighbours.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -43,10 +43,10 @@
 	Owners(slot string, n int) []work.Box
 	// Unreached notes that a box could not be reached.
 	Unreached(box work.Box)
-	// Patience is how long it takes until a slot of the box is likely to have another owner.
-	Patience(box work.Box) time.Duration
-	// Doubted reports that a box could not be reached a moment ago.
-	Doubted(box work.Box) bool
+	// TakeoverIn is how long it takes until a slot of the box is likely to have another owner.
+	TakeoverIn(box work.Box) time.Duration
+	// JustUnreached reports that a box could not be reached a moment ago.
+	JustUnreached(box work.Box) bool
 }
 
 // Reach knows whether this box is cut off from the others and from the log.
@@ -179,16 +179,16 @@
 	}
 	e.counts.Count("entry.owner_unknown", 1)
 	e.log.Info("entry: owner not reached", "id", call.ID, "program", call.Turn.Program, "route", route.Name, "after", time.Since(call.Arrived), "cause", err)
-	return fault.Refuse(fault.TurnUnknown, "the owner of the program can't be asked now").After(e.patience(home)).Because(err)
+	return fault.Refuse(fault.TurnUnknown, "the owner of the program can't be asked now").After(e.takeoverIn(home)).Because(err)
 }
 
-// patience is when a caller should come again whose program's owner can't be asked.
-func (e *Entry) patience(slot int) time.Duration {
+// takeoverIn is when a caller should come again whose program's owner can't be asked.
+func (e *Entry) takeoverIn(slot int) time.Duration {
 	box, ok := e.boxes.Owner(e.layout.Name(slot))
 	if !ok {
 		return retryUnknown
 	}
-	return min(e.boxes.Patience(box), retryUnknown)
+	return min(e.boxes.TakeoverIn(box), retryUnknown)
 }
 
 // elsewhere reports that the owner does not keep the turn to go on from.
@@ -248,7 +248,7 @@
 	if box.Name == e.self.Name {
 		return e.RunHere(ctx, slot, call, route, out)
 	}
-	if e.boxes.Doubted(box) {
+	if e.boxes.JustUnreached(box) {
 		return fault.Refuse(fault.PeerLost, "the owner of the slot was not reached a moment ago")
 	}
 	e.log.Info("entry: turn forwarded", "id", call.ID, "program", call.Turn.Program, "slot", slot, "owner", box.Name, "rank", rank)
--- a/gate/entry/entry_test.go
+++ b/gate/entry/entry_test.go
@@ -51,14 +51,14 @@
 	all := append([]work.Box{w.owner}, w.behind...)
 	return all[:min(n, len(all))]
 }
-func (w *world) Unreached(work.Box)              { w.calls = append(w.calls, "unreached") }
-func (w *world) Doubted(work.Box) bool           { return w.doubted }
-func (w *world) Patience(work.Box) time.Duration { return w.patience }
-func (w *world) CutOff() bool                    { return w.cutOff }
-func (w *world) Elsewhere() time.Duration        { return 100 * time.Millisecond }
-func (w *world) Holds(int) bool                  { return w.holds }
-func (w *world) All() []*shard.Slot              { return nil }
-func (w *world) Count(string, int64)             {}
+func (w *world) Unreached(work.Box)                { w.calls = append(w.calls, "unreached") }
+func (w *world) JustUnreached(work.Box) bool       { return w.doubted }
+func (w *world) TakeoverIn(work.Box) time.Duration { return w.patience }
+func (w *world) CutOff() bool                      { return w.cutOff }
+func (w *world) Elsewhere() time.Duration          { return 100 * time.Millisecond }
+func (w *world) Holds(int) bool                    { return w.holds }
+func (w *world) All() []*shard.Slot                { return nil }
+func (w *world) Count(string, int64)               {}
 func (w *world) Get(context.Context, int) (*shard.Slot, error) {
 	w.calls = append(w.calls, "here")
 	if w.holds {
--- a/gate/load/load.go
+++ b/gate/load/load.go
@@ -113,29 +113,29 @@
 
 // look asks the replicas that are this box's to ask and are due.
 func (w *Watch) look(ctx context.Context) {
-	mates := w.mates()
-	names := make([]string, 0, len(mates))
-	for _, box := range mates {
+	neighbours := w.neighbours()
+	names := make([]string, 0, len(neighbours))
+	for _, box := range neighbours {
 		names = append(names, box.Name)
 	}
 	models := w.targets.Models()
 	w.keep(models)
 	for _, rep := range models {
 		if ident.Winner(rep.ID, names) == w.self.Name && w.due(rep.ID) {
-			w.done.Go(func() { w.ask(ctx, rep, mates) })
+			w.done.Go(func() { w.ask(ctx, rep, neighbours) })
 		}
 	}
 }
 
-// mates are the living boxes of this zone.
-func (w *Watch) mates() []work.Box {
-	var mates []work.Box
+// neighbours are the living boxes of this zone.
+func (w *Watch) neighbours() []work.Box {
+	var neighbours []work.Box
 	for _, box := range w.boxes.Live() {
 		if box.Zone == w.self.Zone {
-			mates = append(mates, box)
+			neighbours = append(neighbours, box)
 		}
 	}
-	return mates
+	return neighbours
 }
 
 func (w *Watch) due(id string) bool {
@@ -168,7 +168,7 @@
 	}
 }
 
-func (w *Watch) ask(ctx context.Context, rep work.Replica, mates []work.Box) {
+func (w *Watch) ask(ctx context.Context, rep work.Replica, neighbours []work.Box) {
 	ctx, stop := context.WithTimeout(ctx, askWait)
 	defer stop()
 	got, err := w.reporter.Report(ctx, rep)
@@ -180,7 +180,7 @@
 	w.asked[rep.ID] = question{at: w.asked[rep.ID].at, calm: float64(got.Running+got.Waiting) < busyShare*float64(rep.Slots)}
 	w.mu.Unlock()
 	w.targets.Loaded(rep.ID, got)
-	w.tellAll(mates, message{Replica: rep.ID, Load: &got})
+	w.tellAll(neighbours, message{Replica: rep.ID, Load: &got})
 }
 
 // Tell has all boxes know that a replica fails a share of its calls. It does not wait.
--- a/gate/sched/intake.go
+++ b/gate/sched/admission.go
@@ -31,23 +31,23 @@
 	Refuse bool
 	// After is when its caller should come again.
 	After time.Duration
-	// Stretch and Taken are what decided; see Pressure.
+	// Stretch and Taken are what decided; see Overload.
 	Stretch, Taken float64
 }
 
-// Intake decides which programs begin. It answers bursts that last, and engines that are too slow
+// Admission decides which programs begin. It answers bursts that last, and engines that are too slow
 // for all that comes: each program that begins then makes those under way later, until all end
 // late: in a minute of more than engines can do, programs with 0.10 of all value end in time where all begin,
 // and with 0.52 by this (gate/replay). Turns of programs under way are never refused: what they have had would be lost.
 // Nor do they wait here for places to come free, in an order of their own: that gained nothing in
 // any pattern.
-type Intake struct {
+type Admission struct {
 	Figures  Figures
-	Pressure Pressure
-	shapes   shapes
+	Overload Overload
+	profiles profiles
 	active   map[string]*progress
-	// away tells of programs that were turned away before they began.
-	away map[string]away
+	// refused tells of programs that were turned away before they began.
+	refused map[string]refusal
 }
 
 // progress is a program under way.
@@ -59,8 +59,8 @@
 	rested time.Time
 }
 
-// away is a program that was turned away before it began.
-type away struct {
+// refusal is a program that was turned away before it began.
+type refusal struct {
 	at   time.Time
 	left time.Duration
 }
@@ -68,34 +68,34 @@
 const (
 	// leastAfter bounds the advice from below: sooner no turn has ended.
 	leastAfter = 150 * time.Millisecond
-	// tightAfter is the part of its time after which a program that was turned away is not likely to
+	// lateAfter is the part of its time after which a program that was turned away is not likely to
 	// end in time any more.
-	tightAfter = 0.1
-	// maxAway bounds the programs that are remembered for having been turned away.
-	maxAway = 10_000
+	lateAfter = 0.1
+	// maxRefused bounds the programs that are remembered for having been turned away.
+	maxRefused = 10_000
 	// restsFor is how long a program may rest before it counts as over: longer than tools and
 	// most callers take. forgetAtOnce is how many programs one look for those takes.
 	restsFor     = 2 * time.Second
 	forgetAtOnce = 8
 )
 
-// NewIntake makes an intake without a history.
-func NewIntake() *Intake {
-	return &Intake{shapes: shapes{}, active: map[string]*progress{}, away: map[string]away{}}
+// NewAdmission makes an admission without a history.
+func NewAdmission() *Admission {
+	return &Admission{profiles: profiles{}, active: map[string]*progress{}, refused: map[string]refusal{}}
 }
 
 // Admit decides on a turn that has just come.
-func (in *Intake) Admit(now time.Time, turn Turn) Verdict {
-	verdict := Verdict{Stretch: in.Pressure.Stretch(now), Taken: in.Pressure.Taken()}
+func (a *Admission) Admit(now time.Time, turn Turn) Verdict {
+	verdict := Verdict{Stretch: a.Overload.Stretch(now), Taken: a.Overload.Taken()}
 	if !turn.Fresh {
 		return verdict
 	}
-	part := in.Pressure.begin(now, turn.Priority, in.tight(now, turn))
+	part := a.Overload.begin(now, turn.Priority, a.unlikely(now, turn))
 	if part >= 1 || rand.Float64() < part {
 		return verdict
 	}
-	in.turnAway(now, turn)
-	verdict.Refuse, verdict.After = true, spread(in.Figures.turn())
+	a.remember(now, turn)
+	verdict.Refuse, verdict.After = true, spread(a.Figures.turn())
 	return verdict
 }
 
@@ -106,36 +106,36 @@
 	return wait + rand.N(wait)
 }
 
-func (in *Intake) turnAway(now time.Time, turn Turn) {
-	if _, ok := in.away[turn.Program]; ok || turn.Left <= 0 {
+func (a *Admission) remember(now time.Time, turn Turn) {
+	if _, ok := a.refused[turn.Program]; ok || turn.Left <= 0 {
 		return
 	}
-	if len(in.away) >= maxAway {
-		clear(in.away)
+	if len(a.refused) >= maxRefused {
+		clear(a.refused)
 	}
-	in.away[turn.Program] = away{at: now, left: turn.Left}
+	a.refused[turn.Program] = refusal{at: now, left: turn.Left}
 }
 
-// tight reports whether a program that has not begun is unlikely to end in time.
-func (in *Intake) tight(now time.Time, turn Turn) bool {
+// unlikely reports whether a program that has not begun is unlikely to end in time.
+func (a *Admission) unlikely(now time.Time, turn Turn) bool {
 	if turn.late(now) {
 		return true
 	}
-	first, ok := in.away[turn.Program]
-	return ok && float64(now.Sub(first.at)) > tightAfter*float64(first.left)
+	first, ok := a.refused[turn.Program]
+	return ok && float64(now.Sub(first.at)) > lateAfter*float64(first.left)
 }
 
 // Begin notes that a turn has its place.
-func (in *Intake) Begin(now time.Time, turn Turn) {
-	k := in.shapes.of(turn.Kind)
-	if _, again := in.away[turn.Program]; turn.Fresh && turn.Left > 0 && !again {
+func (a *Admission) Begin(now time.Time, turn Turn) {
+	k := a.profiles.of(turn.Kind)
+	if _, again := a.refused[turn.Program]; turn.Fresh && turn.Left > 0 && !again {
 		k.left = mean(k.left, turn.Left)
 	}
-	delete(in.away, turn.Program)
-	p, ok := in.active[turn.Program]
+	delete(a.refused, turn.Program)
+	p, ok := a.active[turn.Program]
 	if !ok {
 		p = &progress{kind: turn.Kind}
-		in.active[turn.Program] = p
+		a.active[turn.Program] = p
 	}
 	if ok && p.under == 0 {
 		k.rested(now.Sub(p.rested))
@@ -144,16 +144,16 @@
 		p.turns++
 	}
 	p.under++
-	in.forget(now)
+	a.forget(now)
 }
 
 // forget drops programs that have rested so long that they are likely over, a few at a time.
-func (in *Intake) forget(now time.Time) {
+func (a *Admission) forget(now time.Time) {
 	looked := 0
-	for name, p := range in.active {
+	for name, p := range a.active {
 		if p.under == 0 && now.Sub(p.rested) > restsFor {
-			in.shapes.of(p.kind).over(p.turns)
-			delete(in.active, name)
+			a.profiles.of(p.kind).ended(p.turns)
+			delete(a.active, name)
 		}
 		if looked++; looked >= forgetAtOnce {
 			return
@@ -162,8 +162,8 @@
 }
 
 // End notes that a turn is over.
-func (in *Intake) End(now time.Time, turn Turn) {
-	if p, ok := in.active[turn.Program]; ok {
+func (a *Admission) End(now time.Time, turn Turn) {
+	if p, ok := a.active[turn.Program]; ok {
 		p.under--
 		p.rested = now
 	}
@@ -171,12 +171,12 @@
 
 // Answered notes a turn that was answered whole, and what it would have taken at a calm engine, zero if
 // that is not known.
-func (in *Intake) Answered(now time.Time, turn Turn, ideal time.Duration) {
+func (a *Admission) Answered(now time.Time, turn Turn, ideal time.Duration) {
 	if ideal <= 0 {
 		return
 	}
-	in.Figures.Turn(ideal)
-	k := in.shapes.of(turn.Kind)
+	a.Figures.Turn(ideal)
+	k := a.profiles.of(turn.Kind)
 	k.ideal = mean(k.ideal, ideal)
-	in.Pressure.Seen(now, float64(now.Sub(turn.Arrived))/float64(ideal), k.allowed())
+	a.Overload.Seen(now, float64(now.Sub(turn.Arrived))/float64(ideal), k.allowed())
 }
--- a/gate/sched/intake_test.go
+++ b/gate/sched/admission_test.go
@@ -11,7 +11,7 @@
 var begun = time.UnixMilli(1_700_000_000_000)
 
 // admitted counts how many of a hundred programs begin at the moment.
-func admitted(in *Intake, now time.Time, turn Turn) int {
+func admitted(in *Admission, now time.Time, turn Turn) int {
 	n := 0
 	for i := range 100 {
 		turn.Program = fmt.Sprint(turn.Kind, i)
@@ -22,14 +22,14 @@
 	return n
 }
 
-// loaded makes an intake whose service has been at the load for a while.
-func loaded(stretch, taken float64) (*Intake, time.Time) {
-	in := NewIntake()
+// loaded makes an admission whose service has been at the load for a while.
+func loaded(stretch, taken float64) (*Admission, time.Time) {
+	in := NewAdmission()
 	now := begun
 	for range 300 {
 		now = now.Add(100 * time.Millisecond)
-		in.Pressure.Seen(now, stretch, 1)
-		in.Pressure.Reported(now, taken)
+		in.Overload.Seen(now, stretch, 1)
+		in.Overload.Reported(now, taken)
 	}
 	return in, now
 }
@@ -66,7 +66,7 @@
 	in, now := loaded(0.5, 0.4)
 	for range 20 {
 		now = now.Add(100 * time.Millisecond)
-		in.Pressure.Reported(now, 1.1)
+		in.Overload.Reported(now, 1.1)
 	}
 	if got := admitted(in, now, Turn{Kind: "k", Fresh: true}); got != 100 {
 		t.Errorf("%d of 100 begin", got)
@@ -88,9 +88,9 @@
 func TestProgramsThatCameTooLate(t *testing.T) {
 	in, now := loaded(0.9, 0.8)
 	turn := Turn{Program: "p", Kind: "k", Fresh: true, Left: 2 * time.Second, Arrived: now}
-	in.turnAway(now, turn)
+	in.remember(now, turn)
 	later := now.Add(500 * time.Millisecond)
-	in.Pressure.Seen(later, 0.9, 1)
+	in.Overload.Seen(later, 0.9, 1)
 	turn.Left, turn.Arrived = turn.Left-500*time.Millisecond, later
 	if !in.Admit(later, turn).Refuse {
 		t.Error("a program begins that has lost a quarter of its time")
@@ -108,7 +108,7 @@
 	}
 }
 
-// TestBoxThatTurnedAllAwayTriesAgain checks that pressure fades while no turn ends.
+// TestBoxThatTurnedAllAwayTriesAgain checks that overload fades while no turn ends.
 func TestBoxThatTurnedAllAwayTriesAgain(t *testing.T) {
 	in, now := loaded(5, -1)
 	turn := Turn{Kind: "k", Fresh: true}
@@ -153,8 +153,8 @@
 
 // TestShapeOfPrograms checks what turns may take by what was seen of their programs.
 func TestShapeOfPrograms(t *testing.T) {
-	in := NewIntake()
-	if got := in.shapes.of("k").allowed(); got != firstStretch {
+	in := NewAdmission()
+	if got := in.profiles.of("k").allowed(); got != firstStretch {
 		t.Errorf("allowed %v before any program was seen", got)
 	}
 	now := begun
@@ -172,7 +172,7 @@
 		now = now.Add(2 * restsFor)
 	}
 	// Four turns in 2 s are 500 ms each, of which 100 ms are a pause: 200 ms more than they need.
-	if got, want := in.shapes.of("k").allowed(), 1+slackUsed; got < want-0.1 || got > want+0.1 {
+	if got, want := in.profiles.of("k").allowed(), 1+slackUsed; got < want-0.1 || got > want+0.1 {
 		t.Errorf("turns may take %.2f times their time, want %.2f", got, want)
 	}
 	if len(in.active) > 2*forgetAtOnce {
--- a/gate/sched/cost.go
+++ b/gate/sched/cost.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -84,12 +85,12 @@
 		cost += farTime
 	}
 	cost += missWeight * f.reading(max(0, call.Prompt-b.Cached))
-	cost += f.crowd(b)
+	cost += f.contention(b)
 	return cost + time.Duration(b.Slow*modelSteps*float64(call.Usual))
 }
 
-// crowd is what the calls that a replica has cost one more: a turn that finds no place waits for a whole one.
-func (f *Figures) crowd(b Belief) time.Duration {
+// contention is what the calls that a replica has cost one more: a turn that finds no place waits for a whole one.
+func (f *Figures) contention(b Belief) time.Duration {
 	calls, unseen := b.calls()
 	cost := runningShare*calls + streamShare*float64(unseen)
 	if b.Slots > 0 {
@@ -126,24 +127,11 @@
 	calmShare = 4
 )
 
-// Draw chooses among costs: one of those near to the least, or -1 if there is none.
-func Draw(costs []time.Duration, rng *rand.Rand) int {
+// PickNear draws one of the costs that are near to the least; -1 if there is none.
+func PickNear(costs []time.Duration, rng *rand.Rand) int {
 	if len(costs) == 0 {
 		return -1
 	}
-	least := costs[0]
-	for _, cost := range costs {
-		least = min(least, cost)
-	}
-	chosen, seen := -1, 0
-	for i, cost := range costs {
-		if cost > least+drawTime {
-			continue
-		}
-		seen++
-		if rng.IntN(seen) == 0 {
-			chosen = i
-		}
-	}
-	return chosen
+	bound := slices.Min(costs) + drawTime
+	return drawAmong(len(costs), func(i int) bool { return costs[i] <= bound }, rng)
 }
--- a/gate/sched/engine.go
+++ b/gate/sched/engine.go
@@ -153,23 +153,18 @@
 		return -1
 	}
 	bound := best + max(time.Duration(float64(worst-best)*nearShare), nearTime)
-	chosen, seen := -1, 0
-	for i := range cands {
-		if !cands[i].Room || weighed[i].Score > bound {
-			continue
-		}
-		seen++
-		if rng.IntN(seen) == 0 {
-			chosen = i
-		}
-	}
-	return chosen
+	return drawAmong(len(cands), func(i int) bool { return cands[i].Room && weighed[i].Score <= bound }, rng)
 }
 
 func pickRandom(cands []Candidate, rng *rand.Rand) int {
+	return drawAmong(len(cands), func(i int) bool { return cands[i].Room }, rng)
+}
+
+// drawAmong draws one of those indices below n that may be taken; -1 if there is none.
+func drawAmong(n int, may func(i int) bool, rng *rand.Rand) int {
 	chosen, seen := -1, 0
-	for i := range cands {
-		if !cands[i].Room {
+	for i := range n {
+		if !may(i) {
 			continue
 		}
 		seen++
--- a/gate/sched/pressure.go
+++ b/gate/sched/overload.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// Pressure is how near a service is to the load from which programs end late: by how long turns
+// Overload is how near a service is to the load from which programs end late: by how long turns
 // take, whatever engines run short of, and by how many of the engines' places are taken.
-type Pressure struct {
+type Overload struct {
 	// stretch is the running mean, as of at, of how long turns take against how long they may if
 	// their programs are to end in time: 1 is all that they can bear.
 	stretch float64
@@ -29,10 +29,10 @@
 	// bursts that engines make up for by themselves.
 	takenLasting = 5 * time.Second
 	// rankStep is how much earlier than the first rank each one below it is turned away, on all
-	// scales: what the others leave is for the more urgent. tightStep is the same for programs
+	// scales: what the others leave is for the more urgent. unlikelyStep is the same for programs
 	// that are unlikely to end in time.
-	rankStep  = 0.05
-	tightStep = 0.4
+	rankStep     = 0.05
+	unlikelyStep = 0.4
 )
 
 // scale bounds the range in which fewer and fewer programs begin: all up to from, none from to on.
@@ -57,19 +57,19 @@
 }
 
 // Seen takes a turn's time against that at an idle engine, and how much that may be.
-func (p *Pressure) Seen(now time.Time, stretch, allowed float64) {
+func (p *Overload) Seen(now time.Time, stretch, allowed float64) {
 	p.stretch += stretchGain * (stretch/allowed - p.stretch)
 	p.at = now
 }
 
 // Stretch is how long turns take against how long they may, as of now.
-func (p *Pressure) Stretch(now time.Time) float64 {
+func (p *Overload) Stretch(now time.Time) float64 {
 	return p.stretch * math.Exp2(-now.Sub(p.at).Seconds()/stretchFade.Seconds())
 }
 
 // Reported takes the part of all places that is taken by the replicas' own reports; negative if it is
 // not known.
-func (p *Pressure) Reported(now time.Time, taken float64) {
+func (p *Overload) Reported(now time.Time, taken float64) {
 	p.taken = taken
 	if taken < 0 {
 		return
@@ -80,15 +80,15 @@
 }
 
 // Taken is the part of all places that is taken; negative if it is not known.
-func (p *Pressure) Taken() float64 {
+func (p *Overload) Taken() float64 {
 	return p.taken
 }
 
 // begin is the part of the programs of a rank that may begin, 0 to 1.
-func (p *Pressure) begin(now time.Time, rank int, tight bool) float64 {
+func (p *Overload) begin(now time.Time, rank int, unlikely bool) float64 {
 	early := rankStep * float64(rank)
-	if tight {
-		early += tightStep
+	if unlikely {
+		early += unlikelyStep
 	}
 	part := stretchScale.part(p.Stretch(now) + early)
 	if p.taken < 0 {
--- a/gate/sched/shapes.go
+++ b/gate/sched/profiles.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// shape is what is learned of the programs of a kind.
-type shape struct {
+// profile is what is learned of the programs of a kind.
+type profile struct {
 	// turns is the mean number of a program's turns one after another, zero before one was over.
 	// Those side by side count once.
 	turns float64
@@ -31,20 +31,20 @@
 	leastStretch = 1.25
 )
 
-// shapes holds the shapes by kind.
-type shapes map[string]*shape
+// profiles holds the profiles by kind.
+type profiles map[string]*profile
 
-func (s shapes) of(kind string) *shape {
+func (s profiles) of(kind string) *profile {
 	k, ok := s[kind]
 	if !ok {
-		k = &shape{pause: firstPause}
+		k = &profile{pause: firstPause}
 		s[kind] = k
 	}
 	return k
 }
 
-// over notes that a program of so many turns is over.
-func (k *shape) over(turns int) {
+// ended notes that a program of so many turns is over.
+func (k *profile) ended(turns int) {
 	if k.turns == 0 {
 		k.turns = float64(turns)
 	}
@@ -53,13 +53,13 @@
 
 // rested notes a pause between two turns. A long one is rather a turn that failed, and counts as a
 // few usual ones.
-func (k *shape) rested(pause time.Duration) {
+func (k *profile) rested(pause time.Duration) {
 	k.pause = mean(k.pause, min(pause, longPause*k.pause))
 }
 
 // allowed is how much longer than at an idle engine turns may take if programs of the kind are to
 // end in time.
-func (k *shape) allowed() float64 {
+func (k *profile) allowed() float64 {
 	if k.left == 0 || k.ideal == 0 || k.turns == 0 {
 		return firstStretch
 	}
--- a/gate/target/intake.go
+++ b/gate/target/admission.go
@@ -6,11 +6,11 @@
 	"mulleingate.dev/gate/sched"
 )
 
-func (t *Targets) intake(service string) *sched.Intake {
-	in, ok := t.intakes[service]
+func (t *Targets) admission(service string) *sched.Admission {
+	in, ok := t.admissions[service]
 	if !ok {
-		in = sched.NewIntake()
-		t.intakes[service] = in
+		in = sched.NewAdmission()
+		t.admissions[service] = in
 	}
 	return in
 }
@@ -21,8 +21,8 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	service := t.draw(ask.Services)
-	in := t.intake(service)
-	in.Pressure.Reported(now, t.taken(now, service))
+	in := t.admission(service)
+	in.Overload.Reported(now, t.taken(now, service))
 	return in.Admit(now, ask.Turn)
 }
 
@@ -52,7 +52,7 @@
 	defer t.mu.Unlock()
 	l.first = took
 	if l.calm {
-		t.intake(l.state.Service).Figures.First(took, l.missing())
+		t.admission(l.state.Service).Figures.First(took, l.missing())
 	}
 }
 
@@ -64,7 +64,7 @@
 // turnDone notes the end of a turn that had a place. Gap is the mean time between its events, zero
 // if it is not known.
 func (t *Targets) turnDone(l *Lease, out Outcome, gap time.Duration) {
-	in := t.intake(l.state.Service)
+	in := t.admission(l.state.Service)
 	now := time.Now()
 	in.End(now, l.ask.Turn)
 	if out != Answered || gap <= 0 || l.first <= 0 {
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -67,7 +67,7 @@
 	if call.Model {
 		call.Prompt = ask.Prompt.Tokens
 	}
-	figures := &t.intake(service).Figures
+	figures := &t.admission(service).Figures
 	t.usualLoad = t.full(now, service)
 	for _, s := range t.services[service] {
 		if s.Draining || s.busy >= share || (s.missing && !lapsed) || slices.Contains(ask.Avoid, s.ID) {
@@ -79,7 +79,7 @@
 		t.found = append(t.found, s)
 		t.costs = append(t.costs, figures.Cost(call, t.belief(now, ask, s)))
 	}
-	at := sched.Draw(t.costs, t.rng)
+	at := sched.PickNear(t.costs, t.rng)
 	if at < 0 {
 		return choice{}, 0
 	}
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -78,9 +78,9 @@
 	ejector  map[string]*limit.Ejector
 	// usual is the running mean of the time of a unit of work, by kind of work.
 	usual map[string]time.Duration
-	// intakes holds what decides on the turns of each service.
-	intakes map[string]*sched.Intake
-	conf    *work.Config
+	// admissions holds what decides on the turns of each service.
+	admissions map[string]*sched.Admission
+	conf       *work.Config
 	// found and costs hold the candidates of one choice, kept so that none need be made anew.
 	found []*state
 	costs []time.Duration
@@ -100,10 +100,10 @@
 	return &Targets{
 		zone: zone, opener: opener, log: log, boxes: 1, placers: 1,
 		byID: map[string]*state{}, services: map[string][]*state{}, ejector: map[string]*limit.Ejector{},
-		usual:   map[string]time.Duration{},
-		intakes: map[string]*sched.Intake{},
-		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		failing: func(string, float64) {},
+		usual:      map[string]time.Duration{},
+		admissions: map[string]*sched.Admission{},
+		rng:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		failing:    func(string, float64) {},
 	}
 }
 
@@ -287,7 +287,7 @@
 	s.busy++
 	if ask.Prompt != nil {
 		s.remember(now, ask.Prompt.Parts)
-		t.intake(s.Service).Begin(now, ask.Turn)
+		t.admission(s.Service).Begin(now, ask.Turn)
 	}
 	return &Lease{
 		Replica: s.Replica, Cached: best.belief.Cached, Score: best.score, Among: among,
--- a/gate/view/doubt.go
+++ b/gate/view/reached.go
@@ -22,18 +22,18 @@
 	v.unreached[box.Name] = f
 }
 
-// Doubted reports that the box could not be reached a moment ago. Another try would keep a
+// JustUnreached reports that the box could not be reached a moment ago. Another try would keep a
 // caller waiting for nothing.
-func (v *View) Doubted(box work.Box) bool {
+func (v *View) JustUnreached(box work.Box) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	f, ok := v.unreached[box.Name]
-	return ok && time.Since(f.last) < doubt
+	return ok && time.Since(f.last) < retryUnreached
 }
 
-// Patience is how long it takes until a slot of the box is likely to have another owner, or
+// TakeoverIn is how long it takes until a slot of the box is likely to have another owner, or
 // until this box itself may claim its slots.
-func (v *View) Patience(box work.Box) time.Duration {
+func (v *View) TakeoverIn(box work.Box) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	left := time.Duration(0)
--- a/gate/view/timing.go
+++ b/gate/view/timing.go
@@ -42,10 +42,10 @@
 	// heartbeats after the one before.
 	rereads     = 3
 	rereadAfter = 1
-	// doubt is how long a box that could not be reached is not tried again.
-	doubt = 300 * time.Millisecond
-	// streak is the time without a failed call that ends a row of them.
-	streak = 2 * time.Second
+	// retryUnreached is how long a box that could not be reached is not tried again.
+	retryUnreached = 300 * time.Millisecond
+	// failuresFor is the time without a failed call that ends a row of them.
+	failuresFor = 2 * time.Second
 	// claimTime is the time from a change of the view to the end of a claim: a heartbeat and
 	// some calls to the log.
 	claimTime = 250 * time.Millisecond
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -380,7 +380,7 @@
 		}
 	}
 	for name, f := range v.unreached {
-		if now.Sub(f.last) > streak {
+		if now.Sub(f.last) > failuresFor {
 			delete(v.unreached, name)
 		}
 	}
--- a/gate/view/view_test.go
+++ b/gate/view/view_test.go
@@ -350,8 +350,8 @@
 				t.Fatalf("boxes (-want +got):\n%s", diff)
 			}
 		}
-		if !views["a"].Doubted(work.Box{Name: "b"}) {
-			t.Error("not doubted just after a failed call")
+		if !views["a"].JustUnreached(work.Box{Name: "b"}) {
+			t.Error("not unreached just after a failed call")
 		}
 	})
 }
