--- a/gate/node/reach_test.go
+++ b/gate/node/reach_test.go
@@ -96,8 +96,9 @@
 }
 
 // TestCutOffOfMany checks that in a fleet of 200 boxes without its log the boxes of a zone that is cut off
-// know it and all others don't, and that each asks few: 16 questions a look in place of 199.
+// know it and all others don't, and that each asks few others, not all 199.
 func TestCutOffOfMany(t *testing.T) {
+	const few, some = 20, 10
 	synctest.Test(t, func(t *testing.T) {
 		w := newBigWorld(200)
 		w.cut = "b"
@@ -111,13 +112,13 @@
 			if r.CutOff() != (box.Zone == w.cut) {
 				t.Errorf("%s of zone %s: cut off %v", box.Name, box.Zone, r.CutOff())
 			}
-			if len(w.asked) > mostAsked {
+			if len(w.asked) > few {
 				t.Errorf("%s asks %d boxes", box.Name, len(w.asked))
 			}
 			asked += len(w.asked)
 			clear(w.asked)
 		}
-		if asked < 100*mostAsked {
+		if asked < some*len(w.boxes) {
 			t.Errorf("%d questions of all boxes", asked)
 		}
 	})
