--- a/base/ident/ident.go
+++ b/base/ident/ident.go
@@ -97,13 +97,13 @@
 // Closest is the rendezvous choice of n among several names for key, heaviest first. It
 // returns their indices; name tells the name of each.
 func Closest(key string, names int, name func(i int) string, n int) []int {
-	return Ranked(names, func(i int) float64 { return uniform(key, name(i)) }, n)
+	return ranked(names, func(i int) float64 { return uniform(key, name(i)) }, n)
 }
 
 // Shared is the same where names have shares: each is chosen in proportion to its own, above 0. A name
 // that comes or goes moves no key between two others.
 func Shared(key string, names int, name func(i int) (string, float64), n int) []int {
-	return Ranked(names, func(i int) float64 {
+	return ranked(names, func(i int) float64 {
 		name, share := name(i)
 		return share / -math.Log(uniform(key, name))
 	}, n)
@@ -117,8 +117,8 @@
 	return (float64(Weight(key, name)>>(64-uniformBits)) + 0.5) / (1 << uniformBits)
 }
 
-// Ranked returns the n of several indices whose weights are greatest, in that order.
-func Ranked(count int, of func(i int) float64, n int) []int {
+// ranked returns the n of several indices whose weights are greatest, in that order.
+func ranked(count int, of func(i int) float64, n int) []int {
 	best := make([]int, 0, n+1)
 	weights := make([]float64, 0, n+1)
 	for i := range count {
--- a/gate/sched/cost.go
+++ b/gate/sched/cost.go
@@ -112,9 +112,9 @@
 // report, each box that places calls by it is taken to have placed as many there as this one has: all believe
 // the same, and would otherwise fill the same replica. In a fleet of 200 boxes of which 40 place calls, a
 // box that counted all 40 of its availability zone in place of the 8 that do left the replicas that hold its
-// programs' prompts after each call: a fifth more prompt tokens were read, and a burst of 2.1 times kept
-// 0.88 of its programs' value in place of 0.91 (gate/replay). A replica that does not report is taken to be as
-// busy as those that do, which raises that to 0.92.
+// programs' prompts after each call: a fifth more prompt tokens were read, and of the value of the programs of a
+// burst of 2.1 times 0.88 was reached in time in place of 0.91 (gate/replay). A replica that does not report is
+// taken to be as busy as those that do, which raises that to 0.93.
 func (b Belief) calls() (all float64, unseen int) {
 	if !b.Reported || b.Slots == 0 {
 		return b.UsualLoad * float64(b.Slots), b.Busy
--- a/gate/target/admission.go
+++ b/gate/target/admission.go
@@ -29,17 +29,32 @@
 // taken is the part of a service's places that is taken, by the reports that are known; negative
 // without any.
 func (t *Targets) taken(now time.Time, service string) float64 {
-	places, calls := 0, 0
+	r := t.reported(now, service)
+	if r.places == 0 {
+		return -1
+	}
+	return float64(r.calls) / float64(r.places)
+}
+
+// reports sums up what the replicas of a service reported lately.
+type reports struct {
+	// places is how many calls they run at once, taken how many of those are taken, and calls all that run or
+	// wait.
+	places, taken, calls int
+}
+
+func (t *Targets) reported(now time.Time, service string) reports {
+	var sum reports
 	for _, s := range t.services[service] {
-		if s.reports(now) {
-			places += s.Slots
-			calls += s.load.Running + s.load.Waiting
+		if s.Draining || s.missing || now.Sub(s.loadAt) > loadFor {
+			continue
 		}
+		calls := s.load.Running + s.load.Waiting
+		sum.places += s.Slots
+		sum.taken += min(calls, s.Slots)
+		sum.calls += calls
 	}
-	if places == 0 {
-		return -1
-	}
-	return float64(calls) / float64(places)
+	return sum
 }
 
 // First notes the time from the lease to the answer's first event.
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -68,7 +68,7 @@
 		call.Prompt = ask.Prompt.Tokens
 	}
 	figures := &t.admission(service).Figures
-	t.usualLoad = t.full(now, service)
+	t.usualLoad = t.placesTaken(now, service)
 	for _, s := range t.services[service] {
 		if s.Draining || s.busy >= share || (s.missing && !lapsed) || slices.Contains(ask.Avoid, s.ID) {
 			continue
@@ -123,25 +123,11 @@
 	return b
 }
 
-// full is the part of their places that is taken at the replicas of a service that report. Calls that wait
-// at one say nothing of the others.
-func (t *Targets) full(now time.Time, service string) float64 {
-	places, calls := 0, 0
-	for _, s := range t.services[service] {
-		if s.reports(now) {
-			places += s.Slots
-			calls += min(s.load.Running+s.load.Waiting, s.Slots)
-		}
-	}
-	if places == 0 {
-		return 0
-	}
-	return float64(calls) / float64(places)
-}
-
-// reports reports whether the load of the replica is known and it takes calls.
-func (s *state) reports(now time.Time) bool {
-	return !s.Draining && !s.missing && now.Sub(s.loadAt) <= loadFor
+// placesTaken is the part of their places that is taken at the replicas of a service that report, zero if none
+// does. Calls that wait at one say nothing of the others.
+func (t *Targets) placesTaken(now time.Time, service string) float64 {
+	r := t.reported(now, service)
+	return float64(r.taken) / float64(max(r.places, 1))
 }
 
 // cached estimates how many tokens of the prompt the replica holds.
