--- a/gate/replay/replay_test.go
+++ b/gate/replay/replay_test.go
@@ -190,7 +190,10 @@
 	}
 }
 
-func burst(from, to time.Duration, kind string, load float64) func(time.Duration, string) float64 {
+// burst is a load on a kind, on all where none is named, from a moment after which boxes have learned what
+// engines can do.
+func burst(to time.Duration, kind string, load float64) func(time.Duration, string) float64 {
+	const from = 4 * time.Second
 	return func(at time.Duration, of string) float64 {
 		if at >= from && at < to && (kind == "" || kind == of) {
 			return load
@@ -202,8 +205,8 @@
 func patterns() []pattern {
 	return []pattern{
 		{name: "calm", least: 0.96, gain: -0.03, model: small, engines: 11, length: 10 * time.Second, load: steady(1)},
-		{name: "burst on all", least: 0.88, gain: -0.06, model: small, engines: 11, length: 16 * time.Second, load: burst(4*time.Second, 10*time.Second, "", 2.2)},
-		{name: "burst on one kind", least: 0.9, gain: -0.06, model: small, engines: 11, length: 14 * time.Second, load: burst(4*time.Second, 8*time.Second, "long", 4)},
+		{name: "burst on all", least: 0.88, gain: -0.06, model: small, engines: 11, length: 16 * time.Second, load: burst(10*time.Second, "", 2.2)},
+		{name: "burst on one kind", least: 0.9, gain: -0.06, model: small, engines: 11, length: 14 * time.Second, load: burst(8*time.Second, "long", 4)},
 		{name: "a third of the engines leaves", least: 0.62, gain: 0.02, model: small, engines: 11, length: 14 * time.Second, load: steady(1.5), harm: func(f *fleet) {
 			time.Sleep(4 * time.Second)
 			for _, e := range f.order[:4] {
@@ -221,7 +224,7 @@
 		{name: "full engines, for a minute", least: 0.4, gain: 0.3, model: small, engines: 5, length: time.Minute, load: after(1.3)},
 		{name: "twice what engines can do, for a minute", least: 0.2, gain: 0.15, model: small, engines: 4, length: time.Minute, load: after(1.6)},
 		{name: "200 boxes, calm", least: 0.97, gain: -0.03, size: twoHundred, kinds: wideKinds(), model: few, engines: 62, length: 10 * time.Second, load: steady(1)},
-		{name: "200 boxes, a burst on all", least: 0.87, gain: -0.06, size: twoHundred, kinds: wideKinds(), model: few, engines: 62, length: 10 * time.Second, load: burst(4*time.Second, 8*time.Second, "", 2.1)},
+		{name: "200 boxes, a burst on all", least: 0.87, gain: -0.06, size: twoHundred, kinds: wideKinds(), model: few, engines: 62, length: 10 * time.Second, load: burst(8*time.Second, "", 2.1)},
 		{name: "slow readers, full", least: 0.58, gain: -0.1, model: large, engines: 11, length: 30 * time.Second, load: after(1)},
 		{name: "slow readers, twice", least: 0.18, gain: 0.03, model: large, engines: 11, length: 30 * time.Second, load: after(2)},
 	}
@@ -249,7 +252,7 @@
 func TestPlacersOfLargeFleet(t *testing.T) {
 	wide := twoHundred
 	wide.placers = wide.boxes / wide.zones
-	p := pattern{size: wide, kinds: wideKinds(), model: few, engines: 62, length: 10 * time.Second, load: burst(4*time.Second, 8*time.Second, "", 2.1)}
+	p := pattern{size: wide, kinds: wideKinds(), model: few, engines: 62, length: 10 * time.Second, load: burst(8*time.Second, "", 2.1)}
 	all := play(t, p, decide, 1)
 	p.size = twoHundred
 	placers := play(t, p, decide, 1)
@@ -264,10 +267,15 @@
 // calls from the owners of all zones, so that counting those of one zone alone fills the replicas that hold prompts.
 // With 10 counted 0.93 of the value is reached in time, with 21 0.95.
 func TestFewOwners(t *testing.T) {
-	p := pattern{size: sixtyFour, kinds: wideKinds(), model: medium, engines: 60, length: 10 * time.Second, load: burst(4*time.Second, 8*time.Second, "", 2.5)}
-	res := play(t, p, decide, 1)
-	t.Logf("%v", res)
-	if got := res.worth(); got < 0.88 {
-		t.Errorf("worth %.3f", got)
+	p := pattern{size: sixtyFour, kinds: wideKinds(), model: medium, engines: 60, length: 10 * time.Second, load: burst(8*time.Second, "", 2.5)}
+	const seeds = 3
+	worth := 0.0
+	for seed := range seeds {
+		res := play(t, p, decide, uint64(1+seed))
+		t.Logf("%v", res)
+		worth += res.worth() / seeds
+	}
+	if worth < 0.88 {
+		t.Errorf("worth %.3f", worth)
 	}
 }
