work, shard, store: the newest records of a shard are read answer by answer

Its 60 s of turns of some 17 KB each take that link longer than the 4 s which a claim had in all; each claim was given up and begun anew, four times until the end, while turns that went on from the slot's got 503 or timed out. The detour made it worse: after 0.9 s it read the same slot by way of another box beside it, over the same link. Both hold only while slots are small; slots grow with callers and with how long turns are kept.

Ruled out: slots without a live owner (the owner was right on all boxes), the store's shared rate (other slots were claimed in 0.2 to 0.9 s at the same time), boxes that can't be reached (turns were forwarded to it in 4 ms).

Change: an answer of the newest records is a call of its own (work.AllNewest goes through them), bounded on its own and sent by another way only if that one answer takes long. Claims and the feed read so.

--- a/bench/mutant/list.go
+++ b/bench/mutant/list.go
@@ -68,6 +68,11 @@
 func slots() []Mutant {
 	const fuzz = "./shard"
 	return []Mutant{
+		{
+			Name: "claim_bounded_in_all", Promise: "each program has an owner", File: "gate/shard/claim.go", Tests: fuzz,
+			Old: "next, err := work.AllNewest(s.ctx, s.log, shard, callTimeout, load.take)",
+			New: "whole, end := context.WithTimeout(s.ctx, callTimeout+handoverWait)\n\tdefer end()\n\tnext, err := work.AllNewest(whole, s.log, shard, callTimeout, load.take)",
+		},
 		{
 			Name: "claim_without_tail", Promise: "history is never lost", File: "gate/shard/claim.go", Tests: fuzz,
 			Old: "if err := s.catchUp(ctx, shard, next, load); err != nil {", New: "if err := ctx.Err(); err != nil || next < 0 {",
--- a/gate/detour/detour.go
+++ b/gate/detour/detour.go
@@ -87,6 +87,7 @@
 // result is the end of one call; which fields hold something depends on the call.
 type result struct {
 	page       work.Page
+	batch      work.Batch
 	generation int64
 	members    []string
 	err        error
@@ -145,21 +146,14 @@
 	return got.members, got.err
 }
 
-// Newest implements the log.
-func (d *Detour) Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (int64, error) {
+// Newest implements the log. Each answer of a long shard is a call of its own: read in one, a shard that takes a box with
+// a slow link longer than the direct way may would be read twice over that link at once, and never end.
+func (d *Detour) Newest(ctx context.Context, shard work.Shard, after string) (work.Batch, error) {
 	got := d.do(ctx, ask{ownIn: 2 * patience, otherIn: otherPatience, make: func(ctx context.Context, log work.Log, _ bool) result {
-		var page work.Page
-		next, err := log.Newest(ctx, shard, func(rec work.Record) { page.Records = append(page.Records, rec) })
-		page.Next = next
-		return result{page: page, err: err}
+		batch, err := log.Newest(ctx, shard, after)
+		return result{batch: batch, err: err}
 	}})
-	if got.err != nil {
-		return 0, got.err
-	}
-	for _, rec := range got.page.Records {
-		each(rec)
-	}
-	return got.page.Next, nil
+	return got.batch, got.err
 }
 
 // Read implements the log.
--- a/gate/feed/feed.go
+++ b/gate/feed/feed.go
@@ -40,7 +40,7 @@
 
 // Log is the part of the log that a feed uses.
 type Log interface {
-	Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (next int64, err error)
+	Newest(ctx context.Context, shard work.Shard, after string) (work.Batch, error)
 	Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error)
 }
 
@@ -292,8 +292,6 @@
 }
 
 func (t *tail) step(ctx context.Context, start time.Time) error {
-	ctx, stop := context.WithTimeout(ctx, waitFor+readSlack)
-	defer stop()
 	shard := work.Shard{Topic: t.topic}
 	if t.next < 0 {
 		return t.reload(ctx, shard, start)
@@ -302,7 +300,7 @@
 	if !t.failing.IsZero() {
 		wait = 0 // the return of the log is to be noticed at once
 	}
-	page, err := t.feed.log.Read(ctx, shard, t.next, wait)
+	page, err := t.read(ctx, shard, wait)
 	if fault.Is(err, fault.HistoryGone) {
 		t.feed.logger.Info("feed: history gone, reading the newest records", "topic", t.topic)
 		t.next = -1
@@ -321,9 +319,15 @@
 	return nil
 }
 
+func (t *tail) read(ctx context.Context, shard work.Shard, wait time.Duration) (work.Page, error) {
+	ctx, stop := context.WithTimeout(ctx, waitFor+readSlack)
+	defer stop()
+	return t.feed.log.Read(ctx, shard, t.next, wait)
+}
+
 func (t *tail) reload(ctx context.Context, shard work.Shard, start time.Time) error {
 	var recs []work.Record
-	next, err := t.feed.log.Newest(ctx, shard, func(rec work.Record) { recs = append(recs, rec) })
+	next, err := work.AllNewest(ctx, t.feed.log, shard, waitFor+readSlack, func(rec work.Record) { recs = append(recs, rec) })
 	if err != nil {
 		return err
 	}
--- a/gate/remote/log.go
+++ b/gate/remote/log.go
@@ -27,6 +27,7 @@
 	Writer  work.Writer   `json:"writer"`
 	Records []work.Record `json:"records,omitempty"`
 	From    int64         `json:"from,omitempty"`
+	After   string        `json:"after,omitempty"`
 	WaitMS  int64         `json:"wait_ms,omitempty"`
 	LimitMS int64         `json:"limit_ms"`
 	Member  string        `json:"member,omitempty"`
@@ -37,7 +38,8 @@
 
 // logAnswer is its result.
 type logAnswer struct {
-	Page work.Page `json:"page"`
+	Page  work.Page  `json:"page"`
+	Batch work.Batch `json:"batch"`
 	// Generation and Members are those of the fleet.
 	Generation int64          `json:"generation,omitempty"`
 	Members    []string       `json:"members,omitempty"`
@@ -80,15 +82,9 @@
 }
 
 // Newest implements work.Log.
-func (v Via) Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (int64, error) {
-	out, err := v.call(ctx, logAsk{Op: opNewest, Shard: shard})
-	if err != nil {
-		return 0, err
-	}
-	for _, rec := range out.Page.Records {
-		each(rec)
-	}
-	return out.Page.Next, nil
+func (v Via) Newest(ctx context.Context, shard work.Shard, after string) (work.Batch, error) {
+	out, err := v.call(ctx, logAsk{Op: opNewest, Shard: shard, After: after})
+	return out.Batch, err
 }
 
 // Read implements work.Log.
@@ -134,7 +130,7 @@
 	case opAppend:
 		err = s.direct.Append(ctx, msg.Shard, msg.Writer, msg.Records)
 	case opNewest:
-		out.Page.Next, err = s.direct.Newest(ctx, msg.Shard, func(rec work.Record) { out.Page.Records = append(out.Page.Records, rec) })
+		out.Batch, err = s.direct.Newest(ctx, msg.Shard, msg.After)
 	case opRead:
 		out.Page, err = s.direct.Read(ctx, msg.Shard, msg.From, time.Duration(msg.WaitMS)*time.Millisecond)
 	case opJoin:
--- a/gate/shard/claim.go
+++ b/gate/shard/claim.go
@@ -36,14 +36,16 @@
 // acquire makes this box the owner: it asks the owner before to finish, fences it off, and
 // only then reads what it may have written last.
 func (s *Shards) acquire(number int) (*Slot, error) {
-	ctx, stop := context.WithTimeout(s.ctx, callTimeout+handoverWait)
-	defer stop()
 	shard := work.Shard{Topic: work.Turns, Number: number}
 	load := &loading{state: chain.New(), log: s}
-	next, err := s.log.Newest(ctx, shard, load.take)
+	// Only each answer is bounded, not all: a box that can't read a large slot within some time would
+	// begin again and again, and the slot's programs would have no owner.
+	next, err := work.AllNewest(s.ctx, s.log, shard, callTimeout, load.take)
 	if err != nil {
 		return nil, err
 	}
+	ctx, stop := context.WithTimeout(s.ctx, callTimeout+handoverWait)
+	defer stop()
 	if s.ask(ctx, number, load.owner) {
 		// The owner before may have written many records since they were read.
 		s.logger.Info("shard: slot handed over", "slot", number, "from", load.owner.Box)
@@ -104,7 +106,7 @@
 		page, err := s.log.Read(ctx, shard, next, 0)
 		if fault.Is(err, fault.HistoryGone) {
 			*load = loading{state: chain.New(), log: s}
-			_, err = s.log.Newest(ctx, shard, load.take)
+			_, err = work.AllNewest(s.ctx, s.log, shard, callTimeout, load.take)
 			return err
 		}
 		if err != nil {
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -39,9 +39,8 @@
 	// writer has fenced this one off; NotRun means that nothing was added; after any other
 	// fault the records may have been added. The same number may be sent again.
 	Append(ctx context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error
-	// Newest hands out the newest record of each key and returns an offset from which Read
-	// tells all that was added meanwhile.
-	Newest(ctx context.Context, shard work.Shard, each func(work.Record)) (next int64, err error)
+	// Newest returns the newest records of the keys behind after.
+	Newest(ctx context.Context, shard work.Shard, after string) (work.Batch, error)
 	Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error)
 }
 
