target, feed, entry: evacuated zones, cold replicas, regions

Evacuation: the operator's word is followed with the settings and bars an availability zone's replicas for every choice, also the last one left; taken back also where its record was dropped unseen. Cold replicas: what a replica says of itself, and a start too late to be known as warm, count as cold; of each zone one box sends, at most its share of the bound within a second (sched.ColdBounds: both sides of a cut, and two boxes that each take themselves for the one, stay within it). Regions: a route's and a workspace's bind together; no replica of another region gets a call, no owner there is handed a turn, the log is called by way of boxes of one's own region, and what can't be served is refused at once.

Weighed for cold replicas: an even share a box (0.8 calls a second of 39.5 at 48 owners: none would be sent; all at once may pass the bound), the parts of gate/quota (a round trip before each turn, for a bound that is rarely met), one box a zone (kept). Where a program's owner lies outside of the regions allowed, its turns are refused: owners by region are not built.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -99,24 +99,26 @@
 type Entry struct {
 	self   work.Box
 	layout shard.Layout
-	feed   Feed
-	rules  access.Rules
-	quotas Quotas
-	boxes  Boxes
-	reach  Reach
-	slots  Slots
-	runner Runner
-	peers  Peers
-	relay  Relay
-	counts Counts
-	log    *slog.Logger
+	// regions tells the region of each availability zone.
+	regions work.Regions
+	feed    Feed
+	rules   access.Rules
+	quotas  Quotas
+	boxes   Boxes
+	reach   Reach
+	slots   Slots
+	runner  Runner
+	peers   Peers
+	relay   Relay
+	counts  Counts
+	log     *slog.Logger
 }
 
 // New makes an entry.
-func New(self work.Box, layout shard.Layout, feed Feed, rules access.Rules, quotas Quotas, boxes Boxes, reach Reach, slots Slots, runner Runner,
+func New(self work.Box, layout shard.Layout, regions work.Regions, feed Feed, rules access.Rules, quotas Quotas, boxes Boxes, reach Reach, slots Slots, runner Runner,
 	peers Peers, relay Relay, counts Counts, log *slog.Logger) *Entry {
 	return &Entry{
-		self: self, layout: layout, feed: feed, rules: rules, quotas: quotas, boxes: boxes, reach: reach, slots: slots, runner: runner,
+		self: self, layout: layout, regions: regions, feed: feed, rules: rules, quotas: quotas, boxes: boxes, reach: reach, slots: slots, runner: runner,
 		peers: peers, relay: relay, counts: counts, log: log,
 	}
 }
@@ -143,6 +145,9 @@
 		return err
 	}
 	call.Workspace = space.Name
+	if call.Regions, err = e.bound(call, route, space); err != nil {
+		return err
+	}
 	if left <= 0 || left > route.Timeout {
 		left = route.Timeout
 	}
@@ -151,6 +156,23 @@
 	return e.counted(ctx, space, call, route, out)
 }
 
+// bound returns the regions in which the call may be served; both its route and its workspace bind.
+func (e *Entry) bound(call *work.Call, route *work.Route, space work.Workspace) ([]string, error) {
+	regions, ok := work.BothRegions(route.Regions, space.Regions)
+	if ok {
+		return regions, nil
+	}
+	e.counts.Count("entry.no_region", 1)
+	e.log.Info("entry: no region is allowed", "id", call.ID, "route", route.Name, "workspace", space.Name)
+	return nil, fault.Refuse(fault.NoTarget, "the route and the workspace allow no region in common")
+}
+
+// leaves reports that the call must not be handed to the box: it lies in another region than this one, to which the
+// caller chose to send, and the call may not be there.
+func (e *Entry) leaves(call *work.Call, box work.Box) bool {
+	return !e.regions.Allow(call.Regions, box.Zone) && e.regions[box.Zone] != e.regions[e.self.Zone]
+}
+
 // counted runs the call within its workspace's quota. One that no replica has run does not count.
 func (e *Entry) counted(ctx context.Context, space work.Workspace, call *work.Call, route *work.Route, out work.Answer) error {
 	pass, err := e.quotas.Take(ctx, space, begins(call, route))
@@ -213,6 +235,11 @@
 		return fault.Refuse(fault.OwnerUnknown, "this box is cut off from the others").After(e.reach.Elsewhere())
 	}
 	home := e.layout.Home(call.Own(call.Turn.Program))
+	if box, ok := e.boxes.Owner(e.layout.Name(home)); ok && e.leaves(call, box) {
+		e.counts.Count("entry.no_region", 1)
+		e.log.Info("entry: no region is allowed", "id", call.ID, "route", route.Name, "owner", box.Name)
+		return fault.Refuse(fault.NoTarget, "the owner of the program lies outside of the regions that are allowed")
+	}
 	err := e.runAt(ctx, home, call, route, out)
 	if elsewhere(err) {
 		if call.Turn.Base, err = e.find(ctx, call, home); err == nil {
@@ -293,6 +320,9 @@
 	if box.Name == e.self.Name {
 		return e.RunHere(ctx, slot, call, route, out)
 	}
+	if e.leaves(call, box) {
+		return fault.Refuse(fault.OwnerUnknown, "the box lies outside of the regions that are allowed")
+	}
 	if e.boxes.JustUnreached(box) {
 		return fault.Refuse(fault.PeerLost, "the owner of the slot was not reached a moment ago")
 	}
--- a/gate/entry/entry_test.go
+++ b/gate/entry/entry_test.go
@@ -109,7 +109,7 @@
 }
 
 func (w *world) handle(call *work.Call) error {
-	e := New(work.Box{Name: "a"}, shard.NewLayout(2), w, access.New(access.Bounds{Apply: time.Second}), w, w, w, w, w, w, w, w, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	e := New(work.Box{Name: "a", Zone: "a"}, shard.NewLayout(2), work.Regions{"a": "north", "b": "south"}, w, access.New(access.Bounds{Apply: time.Second}), w, w, w, w, w, w, w, w, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	return e.Handle(context.Background(), call, time.Minute, nil)
 }
 
@@ -165,6 +165,10 @@
 		{"no box", func(w *world) { w.owner = work.Box{} }, fault.TurnUnknown, retryUnknown, nil},
 		{"may have run", func(w *world) { w.turn = []error{fault.Fail(fault.PeerLost, "broke off")} }, fault.PeerLost, 0, []string{"to b", "unreached"}},
 		{"budget spent", func(w *world) { w.turn = []error{fault.Refuse(fault.BudgetSpent, "spent")} }, fault.BudgetSpent, 0, []string{"to b"}},
+		{"the owner lies outside of the route's regions", func(w *world) {
+			w.conf.Routes[0].Regions, w.owner.Zone = []string{"north"}, "b"
+		}, fault.NoTarget, 0, nil},
+		{"the owner lies in the caller's region", func(w *world) { w.conf.Routes[0].Regions, w.owner.Zone = []string{"east"}, "a" }, "", 0, []string{"to b"}},
 		{"no configuration", func(w *world) { w.conf = nil }, fault.NoConfig, retryUnknown, nil},
 	}
 	for _, c := range cases {
--- a/gate/feed/feed.go
+++ b/gate/feed/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,8 @@
 	// Config returns nil for a record that is no configuration.
 	Config(rec work.Record) (*work.Config, error)
 	Replica(rec work.Record) (work.Replica, error)
+	// Evacuation returns the availability zone that a record of the key evacuates; false for other keys.
+	Evacuation(key string) (zone string, ok bool)
 }
 
 // Targets takes the list of replicas.
@@ -59,6 +62,8 @@
 	Miss(id string)
 	Drop(id string)
 	Listed() []string
+	// Evacuate takes the availability zones whose replicas get nothing further.
+	Evacuate(zones map[string]bool)
 }
 
 // Feed is the service.
@@ -81,6 +86,9 @@
 	lists atomic.Bool
 	// listedAt is when the list of replicas was last read or found unchanged; nil before that.
 	listedAt atomic.Pointer[time.Time]
+	// evacuated holds the availability zones that are evacuated. It is replaced, never changed, by the one that
+	// follows the settings.
+	evacuated map[string]bool
 	// refused counts the configurations that could not be read, foreign the entries that named no replica.
 	refused, foreign atomic.Int64
 }
@@ -149,7 +157,7 @@
 	f.cancel = cancel
 	configs := &tail{
 		feed: f, topic: work.Settings, pause: configPause, wait: waitFor,
-		take: f.takeConfig, whole: func([]work.Record, time.Time) {}, heard: func(time.Time) {}, current: f.proveConfig,
+		take: f.takeSetting, whole: f.wholeSettings, heard: func(time.Time) {}, current: f.proveConfig,
 	}
 	lapses := &lapses{feed: f, missing: map[string]time.Time{}, foreign: map[string]bool{}}
 	list := &tail{
@@ -169,10 +177,53 @@
 	return nil
 }
 
-func (f *Feed) takeConfig(rec work.Record, _ time.Time) {
-	if len(rec.Value) == 0 {
+// takeSetting takes a record of the operators.
+func (f *Feed) takeSetting(rec work.Record, _ time.Time) {
+	if zone, ok := f.decoder.Evacuation(rec.Key); ok {
+		f.evacuate(zone, len(rec.Value) > 0)
 		return
 	}
+	if len(rec.Value) > 0 {
+		f.takeConfig(rec)
+	}
+}
+
+// wholeSettings takes all records of the operators at once: an availability zone that none of them evacuates has been
+// taken back.
+func (f *Feed) wholeSettings(recs []work.Record, _ time.Time) {
+	named := map[string]bool{}
+	for _, rec := range recs {
+		if zone, ok := f.decoder.Evacuation(rec.Key); ok {
+			named[zone] = true
+		}
+	}
+	for zone := range f.evacuated {
+		if !named[zone] {
+			f.evacuate(zone, false)
+		}
+	}
+}
+
+// evacuate has an availability zone evacuated, or taken back.
+func (f *Feed) evacuate(zone string, on bool) {
+	if f.evacuated[zone] == on {
+		return
+	}
+	zones := maps.Clone(f.evacuated)
+	if zones == nil {
+		zones = map[string]bool{}
+	}
+	if on {
+		zones[zone] = true
+	} else {
+		delete(zones, zone)
+	}
+	f.evacuated = zones
+	f.targets.Evacuate(zones)
+	f.logger.Warn("feed: availability zone evacuated or taken back", "zone", zone, "evacuated", on)
+}
+
+func (f *Feed) takeConfig(rec work.Record) {
 	conf, err := f.decoder.Config(rec)
 	if err != nil {
 		f.refused.Add(1)
--- a/gate/feed/feed_test.go
+++ b/gate/feed/feed_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -114,10 +115,22 @@
 	return work.Replica{ID: rec.Key}, nil
 }
 
+func (plain) Evacuation(key string) (string, bool) {
+	return strings.CutPrefix(key, "empty ")
+}
+
 // list is the replicas as the feed tells them.
 type list struct {
 	mu  sync.Mutex
 	ids map[string]bool
+	// evacuated are the availability zones to be left.
+	evacuated map[string]bool
+}
+
+func (l *list) Evacuate(zones map[string]bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evacuated = zones
 }
 
 func (l *list) Configure(*work.Config) {}
@@ -189,6 +202,35 @@
 	})
 }
 
+// TestEvacuations checks that an evacuated availability zone is told of, and that it was taken back also where the
+// record of that was dropped unseen.
+func TestEvacuations(t *testing.T) {
+	play(t, func(t *testing.T, s *source, _ *Feed, l *list) {
+		told := func() map[string]bool {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return l.evacuated
+		}
+		s.put(work.Settings, "empty a", "now")
+		s.put(work.Settings, "empty b", "now")
+		time.Sleep(time.Second)
+		if diff := cmp.Diff(map[string]bool{"a": true, "b": true}, told()); diff != "" {
+			t.Errorf("evacuated (-want +got):\n%s", diff)
+		}
+		s.put(work.Settings, "empty a", "")
+		time.Sleep(time.Second)
+		if diff := cmp.Diff(map[string]bool{"b": true}, told()); diff != "" {
+			t.Errorf("one taken back (-want +got):\n%s", diff)
+		}
+		s.put(work.Settings, "empty b", "")
+		s.forget()
+		time.Sleep(2 * time.Second)
+		if diff := cmp.Diff(map[string]bool{}, told()); diff != "" {
+			t.Errorf("both taken back (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestNewsThatWakeNobody checks that a change is known in time also where the log does not wake a
 // read that waits for it: calls reached replicas at the very end of the time for which these serve
 // on after they left, sent by boxes that nothing ailed and that had heard of it 2.00 s late, while
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -63,9 +63,12 @@
 	Meter       *meter.Meter
 	Timing      view.Timing
 	// Zones are all availability zones.
-	Zones  []string
-	Access access.Bounds
-	Quota  quota.Bounds
+	Zones []string
+	// Regions tells the region of each of them.
+	Regions work.Regions
+	Access  access.Bounds
+	Quota   quota.Bounds
+	Cold    sched.ColdBounds
 }
 
 // Node is a box.
@@ -79,6 +82,7 @@
 	entry   *entry.Entry
 	peers   *remote.Client
 	targets *target.Targets
+	places  *places
 	server  *remote.Server
 	reach   *reach
 	watch   *load.Watch
@@ -95,6 +99,9 @@
 	reached := detour.New(deps.Log, others{n}, log)
 	n.feed = feed.New(reached, deps.Decoder, n.targets, log)
 	n.view = view.New(deps.Self, reached, deps.Timing, log)
+	n.places = newPlaces(deps.Self, n.view, layout.Names())
+	n.targets.Bind(target.Bounds{Regions: deps.Regions, Cold: deps.Cold})
+	n.targets.OnWarming(n.places.Warms)
 	n.shards = shard.New(deps.Self, layout, reached, n.view, n.peers, deps.Meter, log)
 	n.watch = load.New(deps.Self, deps.Replicas, n.targets, n.view, log)
 	n.reach = newReach(deps.Self.Name, n.view, n.peers, log)
@@ -102,7 +109,7 @@
 	carrier := relay.New(n.targets, deps.Replicas, deps.Meter, log)
 	n.counter = quota.NewCounter(deps.Self, deps.Zones, deps.Quota, n.view)
 	quotas := quota.New(deps.Self, deps.Zones, deps.Quota, n.view, n.counter, n.peers, deps.Meter)
-	n.entry = entry.New(deps.Self, layout, n.feed, access.New(deps.Access), quotas, n.view, n.reach, n.shards, runner, n.peers, carrier, deps.Meter, log)
+	n.entry = entry.New(deps.Self, layout, deps.Regions, n.feed, access.New(deps.Access), quotas, n.view, n.reach, n.shards, runner, n.peers, carrier, deps.Meter, log)
 	n.server = remote.NewServer(deps.Self.Peer, n.entry, n.shards, n.view, n.counter, deps.Log, log)
 	n.feed.OnConfig(func(conf *work.Config) { n.counter.Update(time.Now(), conf) })
 	n.view.OnChange(n.boxesChanged)
@@ -113,11 +120,12 @@
 // others are the boxes by whose way the log may be called.
 type others struct{ node *Node }
 
-// Others implements detour.Others.
+// Others implements detour.Others. What goes to the log may be bound to regions, and other regions are far.
 func (o others) Others() []work.Box {
+	regions, self := o.node.deps.Regions, o.node.deps.Self
 	var boxes []work.Box
 	for _, box := range o.node.view.Live() {
-		if box.Name != o.node.deps.Self.Name {
+		if box.Name != self.Name && regions[box.Zone] == regions[self.Zone] {
 			boxes = append(boxes, box)
 		}
 	}
@@ -132,29 +140,13 @@
 func (n *Node) boxesChanged() {
 	live := n.view.Live()
 	n.targets.Boxes(len(live))
-	n.targets.Placers(n.placers())
+	n.places.Renew()
+	n.targets.Placers(n.places.Placers())
 	n.peers.Keep(live)
 	n.counter.Update(time.Now(), n.feed.Config())
 	n.shards.Rebalance()
 }
 
-// placers counts the boxes that place turns at the same replicas as this one: those that own slots. In a large
-// fleet most own none.
-func (n *Node) placers() int {
-	near, far := map[string]bool{}, map[string]bool{}
-	for slot := range n.layout.Slots() {
-		box, ok := n.view.Owner(n.layout.Name(slot))
-		switch {
-		case !ok:
-		case box.Zone == n.deps.Self.Zone:
-			near[box.Name] = true
-		default:
-			far[box.Name] = true
-		}
-	}
-	return sched.Placers(len(near), len(far))
-}
-
 // Start starts all services, last the front: it takes callers' connections from its start on,
 // tells callers to leave while the box is not ready, and finishes calls under way at its stop.
 func (n *Node) Start(ctx context.Context, front kernel.Service) error {
--- /dev/null
+++ b/gate/node/place.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"sync"
+
+	"mulleingate.dev/base/ident"
+	"mulleingate.dev/gate/sched"
+	"mulleingate.dev/gate/work"
+)
+
+// fleet is the part of the view that places uses.
+type fleet interface {
+	Live() []work.Box
+	Owner(slot string) (work.Box, bool)
+	Settled() bool
+}
+
+// places knows which boxes send calls to replicas: turns are placed by the owners of slots, other calls by all.
+type places struct {
+	self  work.Box
+	fleet fleet
+	// slots are the names of all slots.
+	slots []string
+
+	mu sync.Mutex
+	// near are the boxes of this availability zone, by name, and placing those of them that own slots.
+	near, placing []string
+	// far counts the owners of slots elsewhere.
+	far int
+}
+
+func newPlaces(self work.Box, fleet fleet, slots []string) *places {
+	return &places{self: self, fleet: fleet, slots: slots}
+}
+
+// Renew is called when the living boxes have changed.
+func (p *places) Renew() {
+	var near []string
+	for _, box := range p.fleet.Live() {
+		if box.Zone == p.self.Zone {
+			near = append(near, box.Name)
+		}
+	}
+	owners := map[string]bool{}
+	var placing []string
+	far := 0
+	for _, slot := range p.slots {
+		box, ok := p.fleet.Owner(slot)
+		if !ok || owners[box.Name] {
+			continue
+		}
+		owners[box.Name] = true
+		if box.Zone != p.self.Zone {
+			far++
+			continue
+		}
+		placing = append(placing, box.Name)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.near, p.placing, p.far = near, placing, far
+}
+
+// Placers is how many boxes count as placing turns at the same replicas as this one. In a large fleet most own no slot.
+func (p *places) Placers() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return sched.Placers(len(p.placing), p.far)
+}
+
+// Warms reports whether this box is the one of its availability zone that sends calls to a cold replica. A box that does
+// not know who lives sends none.
+func (p *places) Warms(rep work.Replica, model bool) bool {
+	if !p.fleet.Settled() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	senders := p.near
+	if model {
+		senders = p.placing
+	}
+	return ident.Winner(rep.ID, senders) == p.self.Name
+}
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -148,7 +148,7 @@
 
 // try offers the call to one replica.
 func (a *attempts) try(ctx context.Context) (whole, error) {
-	lease, err := a.targets.Take(target.Ask{Work: a.route.Name, Services: a.route.Splits, Avoid: a.avoid})
+	lease, err := a.targets.Take(target.Ask{Work: a.route.Name, Services: a.route.Splits, Regions: a.call.Regions, Avoid: a.avoid})
 	if err != nil {
 		return whole{}, noneLeftError{cause: err}
 	}
--- a/gate/shard/layout.go
+++ b/gate/shard/layout.go
@@ -21,6 +21,15 @@
 	return l.slots
 }
 
+// Names are the names of all slots.
+func (l Layout) Names() []string {
+	names := make([]string, 0, l.slots)
+	for slot := range l.slots {
+		names = append(names, l.Name(slot))
+	}
+	return names
+}
+
 // Name is the name of a slot in rendezvous and logs.
 func (l Layout) Name(slot int) string {
 	return "slot-" + strconv.Itoa(slot)
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -71,7 +71,7 @@
 	}
 	figures := &t.admission(service).Figures
 	for _, s := range t.services[service] {
-		if s.Draining || s.busy >= share || (s.missing && !lapsed) || slices.Contains(ask.Avoid, s.ID) {
+		if s.Draining || s.busy >= share || (s.missing && !lapsed) || slices.Contains(ask.Avoid, s.ID) || t.barred(now, s, ask) {
 			continue
 		}
 		if !desperate && (now.Before(s.suspect) || ejector.Ejected(now, s.ID)) {
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -52,6 +52,10 @@
 	// life ends with end once the replica is known to have started anew: no answer comes of calls before.
 	life context.Context
 	end  context.CancelFunc
+	// listedAt is when the replica came onto the list, coldUntil until when it says that it is cold, and sent when
+	// calls went there while it was.
+	listedAt, coldUntil time.Time
+	sent                sched.Sent
 	// load is its own report, loadAt when it came, and busyThen what busy was.
 	load     work.Load
 	loadAt   time.Time
@@ -87,6 +91,11 @@
 	// admissions holds what decides on the turns of each service.
 	admissions map[string]*sched.Admission
 	conf       *work.Config
+	bounds     Bounds
+	// evacuated holds the availability zones whose replicas get nothing further.
+	evacuated map[string]bool
+	// warms tells whether this box may send calls to a cold replica; it must not block.
+	warms func(rep work.Replica, model bool) bool
 	// found and costs hold the candidates of one choice, kept so that none need be made anew.
 	found []*state
 	costs []time.Duration
@@ -107,6 +116,7 @@
 		admissions: map[string]*sched.Admission{},
 		rng:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		failing:    func(string, float64) {},
+		warms:      func(work.Replica, bool) bool { return true },
 	}
 }
 
@@ -181,6 +191,7 @@
 			t.log.Warn("target: replica that drained takes work again", "replica", rep.ID, "service", rep.Service)
 		}
 		have.Replica, have.missing = rep, false
+		have.cool(time.Now())
 		return
 	}
 	if ok && rep.Reborn(have.Replica) {
@@ -200,7 +211,8 @@
 
 // add takes a replica of which nothing is known.
 func (t *Targets) add(rep work.Replica) {
-	s := &state{Replica: rep, slow: 1, parts: map[string]part{}}
+	s := &state{Replica: rep, slow: 1, parts: map[string]part{}, listedAt: time.Now()}
+	s.cool(s.listedAt)
 	s.life, s.end = context.WithCancel(context.Background())
 	t.byID[rep.ID] = s
 	t.services[rep.Service] = append(t.services[rep.Service], s)
@@ -211,7 +223,7 @@
 // under way there are lost. Whether it drains, the list says again.
 func (t *Targets) reborn(s *state, born time.Time) {
 	rep := s.Replica
-	rep.Born, rep.Draining = born, false
+	rep.Born, rep.Draining, rep.Cold = born, false, 0
 	t.bury(s)
 	t.log.Warn("target: replica started anew", "replica", rep.ID, "service", rep.Service, "born", born)
 	t.add(rep)
@@ -242,7 +254,7 @@
 	defer t.mu.Unlock()
 	var models []work.Replica
 	for _, s := range t.byID {
-		if s.Zone == t.zone && !s.Draining && !s.missing && t.model(s) {
+		if s.Zone == t.zone && !s.Draining && !s.missing && !t.evacuated[s.Zone] && t.model(s) {
 			models = append(models, s.Replica)
 		}
 	}
@@ -299,6 +311,8 @@
 	// Work names the kind of work, for the times that it usually takes.
 	Work     string
 	Services []work.Split
+	// Regions are those of the call; none bind nothing.
+	Regions []string
 	// Avoid names replicas that the call was sent to.
 	Avoid []string
 	// Prompt is nil for calls of plain services.
@@ -328,6 +342,9 @@
 		s.pool = t.opener.Open(s.Replica, t.share(s.Service))
 	}
 	s.busy++
+	if t.cold(now, s) {
+		s.sent.Note(now)
+	}
 	if ask.Prompt != nil {
 		s.remember(now, ask.Prompt.Parts)
 		t.admission(s.Service).Begin(now, ask.Turn)
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -231,7 +231,7 @@
 // ask is the turn as it is placed.
 func (t *turn) ask(avoid []string) target.Ask {
 	return target.Ask{
-		Work: t.route.Name, Services: t.route.Splits, Avoid: avoid, Prompt: t.call.Prompt, Seen: t.seen,
+		Work: t.route.Name, Services: t.route.Splits, Regions: t.call.Regions, Avoid: avoid, Prompt: t.call.Prompt, Seen: t.seen,
 		Turn: sched.Turn{
 			Program: t.open.Program, Kind: t.route.Name, Fresh: t.fresh, Priority: t.route.Priority, Left: t.call.Turn.Left,
 			Arrived: t.call.Arrived,
--- a/gate/work/call.go
+++ b/gate/work/call.go
@@ -17,6 +17,8 @@
 	Zone    string
 	// Slots is the number of calls that it works on at once.
 	Slots int
+	// Cold is how much longer it is slow, at the time when it says so.
+	Cold time.Duration
 	// Draining says that it takes no new work.
 	Draining bool
 	// Born is when it started; zero if it does not say. A replica that starts again under its ID holds and knows
@@ -57,6 +59,8 @@
 	Deadline time.Time `json:"-"`
 	// Arrived is when the box had read the call.
 	Arrived time.Time `json:"-"`
+	// Regions are those in which the call may be served and kept; none bind nothing.
+	Regions []string `json:",omitempty"`
 	// Priority is the route's, for replicas that serve urgent calls first.
 	Priority int
 	// Prompt describes the prompt of a model call; nil for others.
--- a/gate/work/config.go
+++ b/gate/work/config.go
@@ -43,6 +43,8 @@
 	Splits []Split
 	// Public says that it takes calls without a key.
 	Public bool
+	// Regions are those in which calls may be served and kept; none bind nothing.
+	Regions []string
 	// Attempts is the largest number of replicas that one call may be sent to; at least 1.
 	Attempts int
 	// Stateful says that the system keeps the turns of programs on this route.
@@ -64,6 +66,10 @@
 	Name string
 	// Connections bounds the connections that one replica takes from all callers together.
 	Connections int
+	// ColdFor is how long a replica is cold after a start, and ColdRate the calls a second that all boxes together
+	// may send it then; 0 if it bears as many as ever.
+	ColdFor  time.Duration
+	ColdRate float64
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/gate/work/space.go
+++ b/gate/work/space.go
@@ -7,6 +7,8 @@
 	Name string
 	// KeyDigests holds ident.KeyDigest of each key of its callers.
 	KeyDigests []string
+	// Regions are those in which its calls may be served and kept; none bind nothing.
+	Regions []string
 	// Priority ranks its calls before those of other workspaces, 0 first; routes rank them within it.
 	Priority int
 	// Rate is the calls a second that its callers may make at all boxes together, and Burst how many more
