mirror, subset, load: few boxes of a zone read for all, and a box knows a part of the replicas

Causes (named in the issue, confirmed by the code and by calls counted in tests): every box read the whole list of replicas (50 to 200 calls a box; boxes x replicas), the settings and all members (boxes squared) from the store by itself; asked, of each replica of its zone, which box asks it (boxes x replicas of a zone, every 300 ms), and told every report to all boxes of the zone, though only the owners of slots place turns; looked at all replicas of a service for each call; and had a part of a replica's connections that all boxes shared, two of 1,600 at 984 boxes.

Change: in a zone of 32 boxes or more two of them (one more for each 256) follow the log as each box did, keep what they hear and tell the others, over the same long reads with the same offsets. Each box hears only of its part of the replicas, drawn by rendezvous: of a service's replicas in a zone some 48 to 96, each known by eight boxes of a zone or more (gate/subset). Members are told as differences. How old an answer is travels along and counts against the proof that a configuration is the newest. A source that has not heard of the log for 2.5 s tells nothing; who is not told in time reads itself. The log names the sources of each zone, so that a box which starts finds them. Small zones: nothing changes but the first look for members, which comes at the second heartbeat if the log names no source; a box settles after two heartbeats as before. Reports are asked by one of the boxes that place turns and know the replica, and told to those.

Ways weighed: all read (today); one box a zone by a lease of its own (a second protocol of leases, and a gap when it dies); the store's group per zone (five times fewer bytes, but other zones would have to be heard of by another way). Kept: rendezvous over the view, since a wrong view costs a question and no more.

Tests on the test clock, 200 boxes and 2,000 replicas: calls for the list 8,200 to 82 at most, reads 2,000 to 24 in 10 s; news within 4 s with sources dead, hung, cut off from the log, or boxes that differ on who they are; the members read 20 times at most where 200 boxes start at once; parts follow a list that shrinks to an eighth.

--- a/gate/feed/feed.go
+++ b/gate/feed/feed.go
@@ -41,8 +41,9 @@
 
 // Log is the part of the log that a feed uses.
 type Log interface {
-	Newest(ctx context.Context, shard work.Shard, after string) (work.Batch, error)
-	Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error)
+	// All returns the newest records of a topic, each of its answers in its own time.
+	All(ctx context.Context, topic work.Topic) (work.Whole, error)
+	Read(ctx context.Context, topic work.Topic, from int64, wait time.Duration) (work.Page, error)
 }
 
 // Decoder reads what others have written.
@@ -343,20 +344,19 @@
 }
 
 func (t *tail) step(ctx context.Context, start time.Time) error {
-	shard := work.Shard{Topic: t.topic}
 	if t.next < 0 {
-		return t.reload(ctx, shard, start)
+		return t.reload(ctx, start)
 	}
 	wait := t.wait
 	if !t.failing.IsZero() {
 		wait = 0 // the return of the log is to be noticed at once
 	}
-	page, err := t.read(ctx, shard, wait)
+	page, err := t.read(ctx, wait)
 	if fault.Is(err, fault.HistoryGone) {
 		t.feed.logger.Info("feed: history gone, reading the newest records", "topic", t.topic)
 		t.next = -1
 		t.good(start, wait) // an answer, before which the log may have been away
-		return t.reload(ctx, shard, time.Now())
+		return t.reload(ctx, time.Now())
 	}
 	if err != nil {
 		return err
@@ -366,29 +366,28 @@
 	for _, rec := range page.Records {
 		t.take(rec, until)
 	}
-	t.current(start)
+	t.current(start.Add(-page.Age))
 	return nil
 }
 
-func (t *tail) read(ctx context.Context, shard work.Shard, wait time.Duration) (work.Page, error) {
+func (t *tail) read(ctx context.Context, wait time.Duration) (work.Page, error) {
 	ctx, stop := context.WithTimeout(ctx, waitFor+readSlack)
 	defer stop()
-	return t.feed.log.Read(ctx, shard, t.next, wait)
+	return t.feed.log.Read(ctx, t.topic, t.next, wait)
 }
 
-func (t *tail) reload(ctx context.Context, shard work.Shard, start time.Time) error {
-	var recs []work.Record
-	next, err := work.AllNewest(ctx, t.feed.log, shard, waitFor+readSlack, func(rec work.Record) { recs = append(recs, rec) })
+func (t *tail) reload(ctx context.Context, start time.Time) error {
+	all, err := t.feed.log.All(ctx, t.topic)
 	if err != nil {
 		return err
 	}
 	until := t.good(start, 0)
-	t.next = next
-	for _, rec := range recs {
+	t.next = all.Next
+	for _, rec := range all.Records {
 		t.take(rec, until)
 	}
-	t.whole(recs, until)
-	t.current(start)
+	t.whole(all.Records, until)
+	t.current(start.Add(-all.Age))
 	return nil
 }
 
--- a/gate/feed/feed_test.go
+++ b/gate/feed/feed_test.go
@@ -28,6 +28,8 @@
 	away   bool
 	// asleep has reads that wait for news learn of it only when their time is over.
 	asleep bool
+	// age is how old what it shows is, as another box would tell it.
+	age time.Duration
 	// hold is how much longer than asked for a read takes.
 	hold time.Duration
 }
@@ -53,27 +55,27 @@
 	}
 }
 
-func (s *source) Newest(_ context.Context, shard work.Shard, _ string) (work.Batch, error) {
+func (s *source) All(_ context.Context, topic work.Topic) (work.Whole, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
-		return work.Batch{}, fault.Refuse(fault.LogUnavailable, "away")
+		return work.Whole{}, fault.Refuse(fault.LogUnavailable, "away")
 	}
-	recs := s.topics[shard.Topic]
+	recs := s.topics[topic]
 	newest := map[string]int{}
 	for i, rec := range recs {
 		newest[rec.Key] = i
 	}
-	batch := work.Batch{Next: int64(len(recs))}
+	all := work.Whole{Next: int64(len(recs)), Age: s.age}
 	for i, rec := range recs {
 		if newest[rec.Key] == i && len(rec.Value) > 0 {
-			batch.Records = append(batch.Records, rec)
+			all.Records = append(all.Records, rec)
 		}
 	}
-	return batch, nil
+	return all, nil
 }
 
-func (s *source) Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error) {
+func (s *source) Read(ctx context.Context, topic work.Topic, from int64, wait time.Duration) (work.Page, error) {
 	s.mu.Lock()
 	hold := s.hold
 	s.mu.Unlock()
@@ -82,7 +84,7 @@
 	}
 	for end := time.Now().Add(wait); ; time.Sleep(50 * time.Millisecond) {
 		s.mu.Lock()
-		recs, first, away, asleep := s.topics[shard.Topic], s.first[shard.Topic], s.away, s.asleep
+		recs, first, away, asleep, age := s.topics[topic], s.first[topic], s.away, s.asleep, s.age
 		s.mu.Unlock()
 		switch {
 		case asleep && time.Now().Before(end):
@@ -92,7 +94,7 @@
 		case from < first:
 			return work.Page{}, fault.Refuse(fault.HistoryGone, "gone")
 		case int64(len(recs)) > from || time.Now().After(end) || ctx.Err() != nil:
-			return work.Page{Records: recs[from:], Next: int64(len(recs)), First: first}, nil
+			return work.Page{Records: recs[from:], Next: int64(len(recs)), First: first, Age: age}, nil
 		}
 	}
 }
--- a/gate/load/load.go
+++ b/gate/load/load.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,9 +45,13 @@
 	Failing(id string, share float64)
 }
 
-// Boxes tells who lives.
+// Boxes tells who needs to hear of replicas.
 type Boxes interface {
 	Live() []work.Box
+	// Placing returns the boxes of this box's availability zone that place turns.
+	Placing() []work.Box
+	// Knows reports whether the box knows the replica.
+	Knows(box work.Box, rep work.Replica) bool
 }
 
 // message is what boxes tell each other of a replica.
@@ -111,31 +116,36 @@
 	return err
 }
 
-// look asks the replicas that are this box's to ask and are due.
+// look asks the replicas that are this box's to ask and are due: of the boxes that place turns there, one asks and tells
+// the others. In a large fleet most boxes place none, and need not hear how busy a replica is.
 func (w *Watch) look(ctx context.Context) {
-	neighbours := w.neighbours()
-	names := make([]string, 0, len(neighbours))
-	for _, box := range neighbours {
-		names = append(names, box.Name)
+	placing := w.boxes.Placing()
+	if !slices.ContainsFunc(placing, func(box work.Box) bool { return box.Name == w.self.Name }) {
+		return
 	}
 	models := w.targets.Models()
 	w.keep(models)
 	for _, rep := range models {
+		knowing := w.knowing(placing, rep)
+		names := make([]string, 0, len(knowing))
+		for _, box := range knowing {
+			names = append(names, box.Name)
+		}
 		if ident.Winner(rep.ID, names) == w.self.Name && w.due(rep.ID) {
-			w.done.Go(func() { w.ask(ctx, rep, neighbours) })
+			w.done.Go(func() { w.ask(ctx, rep, knowing) })
 		}
 	}
 }
 
-// neighbours are the living boxes of this zone.
-func (w *Watch) neighbours() []work.Box {
-	var neighbours []work.Box
-	for _, box := range w.boxes.Live() {
-		if box.Zone == w.self.Zone {
-			neighbours = append(neighbours, box)
+// knowing are those of the boxes that know the replica.
+func (w *Watch) knowing(boxes []work.Box, rep work.Replica) []work.Box {
+	var knowing []work.Box
+	for _, box := range boxes {
+		if w.boxes.Knows(box, rep) {
+			knowing = append(knowing, box)
 		}
 	}
-	return neighbours
+	return knowing
 }
 
 func (w *Watch) due(id string) bool {
@@ -168,7 +178,7 @@
 	}
 }
 
-func (w *Watch) ask(ctx context.Context, rep work.Replica, neighbours []work.Box) {
+func (w *Watch) ask(ctx context.Context, rep work.Replica, knowing []work.Box) {
 	ctx, stop := context.WithTimeout(ctx, askWait)
 	defer stop()
 	got, err := w.reporter.Report(ctx, rep)
@@ -180,12 +190,12 @@
 	w.asked[rep.ID] = question{at: w.asked[rep.ID].at, calm: float64(got.Running+got.Waiting) < busyShare*float64(rep.Slots)}
 	w.mu.Unlock()
 	w.targets.Loaded(rep.ID, got)
-	w.tellAll(neighbours, message{Replica: rep.ID, Load: &got})
+	w.tellAll(knowing, message{Replica: rep.ID, Load: &got})
 }
 
-// Tell has all boxes know that a replica fails a share of its calls. It does not wait.
-func (w *Watch) Tell(id string, share float64) {
-	go w.tellAll(w.boxes.Live(), message{Replica: id, Failing: share})
+// Tell has all boxes that know a replica hear that it fails a share of its calls. It does not wait.
+func (w *Watch) Tell(rep work.Replica, share float64) {
+	go w.tellAll(w.knowing(w.boxes.Live(), rep), message{Replica: rep.ID, Failing: share})
 }
 
 func (w *Watch) tellAll(boxes []work.Box, msg message) {
--- a/gate/load/load_test.go
+++ b/gate/load/load_test.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -35,10 +37,18 @@
 	b.failing[id] = share
 }
 
+// fleet is boxes of which those of zone z place turns.
 type fleet []work.Box
 
 func (f fleet) Live() []work.Box { return f }
 
+func (f fleet) Placing() []work.Box {
+	return slices.DeleteFunc(slices.Clone(f), func(box work.Box) bool { return box.Zone != "z" })
+}
+
+// Knows has the boxes whose names begin with "un" know no replica.
+func (f fleet) Knows(box work.Box, _ work.Replica) bool { return !strings.HasPrefix(box.Name, "un") }
+
 type reporter struct{}
 
 func (reporter) Report(context.Context, work.Replica) (work.Load, error) {
@@ -56,11 +66,12 @@
 	return conn.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-// TestBoxesTellEachOther checks that a report reaches the boxes of the zone, and a word on
-// failures all boxes; what is no message is passed over.
+// TestBoxesTellEachOther checks that a report reaches the boxes of the zone that know the replica, and a word on
+// failures all boxes that do; what is no message is passed over.
 func TestBoxesTellEachOther(t *testing.T) {
 	boxes := fleet{
 		{Name: "a", Zone: "z", Peer: freePort(t)}, {Name: "b", Zone: "z", Peer: freePort(t)}, {Name: "c", Zone: "y", Peer: freePort(t)},
+		{Name: "unaware", Zone: "z", Peer: freePort(t)},
 	}
 	all := map[string]*beliefs{}
 	watches := map[string]*Watch{}
@@ -77,8 +88,8 @@
 		all[box.Name], watches[box.Name] = b, w
 	}
 	watches["a"].tell(boxes[2].Peer, []byte("{"))
-	watches["a"].Tell("r", 0.5)
-	wants := map[string]string{"a": "load", "b": "load failing", "c": "failing"}
+	watches["a"].Tell(work.Replica{ID: "r"}, 0.5)
+	wants := map[string]string{"a": "load", "b": "load failing", "c": "failing", "unaware": ""}
 	var got map[string]string
 	for range 40 {
 		time.Sleep(50 * time.Millisecond)
--- a/gate/node/leave_test.go
+++ b/gate/node/leave_test.go
@@ -27,7 +27,7 @@
 	<-ctx.Done()
 	return ctx.Err()
 }
-func (s *silentStore) Members(context.Context) ([]string, error) { return s.members, nil }
+func (s *silentStore) Members(context.Context, int64) ([]string, error) { return s.members, nil }
 
 // toldBox is another box, which notes when it is told that a box leaves.
 func toldBox(t *testing.T, told func()) netip.AddrPort {
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -17,11 +17,13 @@
 	"mulleingate.dev/gate/kernel"
 	"mulleingate.dev/gate/load"
 	"mulleingate.dev/gate/meter"
+	"mulleingate.dev/gate/mirror"
 	"mulleingate.dev/gate/quota"
 	"mulleingate.dev/gate/relay"
 	"mulleingate.dev/gate/remote"
 	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/gate/shard"
+	"mulleingate.dev/gate/subset"
 	"mulleingate.dev/gate/target"
 	"mulleingate.dev/gate/turns"
 	"mulleingate.dev/gate/view"
@@ -77,6 +79,7 @@
 	layout  shard.Layout
 	kern    *kernel.Kernel
 	view    *view.View
+	mirror  *mirror.Mirror
 	feed    *feed.Feed
 	shards  *shard.Shards
 	entry   *entry.Entry
@@ -97,26 +100,40 @@
 	log := deps.Logger
 	n.targets = target.New(deps.Self.Zone, deps.Replicas, log)
 	reached := detour.New(deps.Log, others{n}, log)
-	n.feed = feed.New(reached, deps.Decoder, n.targets, log)
-	n.view = view.New(deps.Self, reached, deps.Timing, log)
-	n.places = newPlaces(deps.Self, n.view, layout.Names())
+	n.mirror = mirror.New(deps.Self, deps.Zones, reached, boxes{n}, n.peers, deps.Decoder, log)
+	n.feed = feed.New(n.mirror, deps.Decoder, n.targets, log)
+	n.view = view.New(deps.Self, n.mirror, deps.Timing, log)
 	n.targets.Bind(target.Bounds{Regions: deps.Regions, Cold: deps.Cold})
 	n.targets.OnWarming(n.places.Warms)
 	n.shards = shard.New(deps.Self, layout, reached, n.view, n.peers, deps.Meter, log)
-	n.watch = load.New(deps.Self, deps.Replicas, n.targets, n.view, log)
+	n.places = newPlaces(deps.Self, n.view, layout.Names())
+	n.mirror.OnDrawn(func(levels subset.Levels) {
+		n.places.Draw(levels)
+		n.targets.Draw(levels)
+	})
+	n.watch = load.New(deps.Self, deps.Replicas, n.targets, n.places, log)
 	n.reach = newReach(deps.Self.Name, n.view, n.peers, log)
 	runner := turns.New(n.targets, deps.Replicas, deps.RecordBytes, deps.Meter, log)
 	carrier := relay.New(n.targets, deps.Replicas, deps.Meter, log)
 	n.counter = quota.NewCounter(deps.Self, deps.Zones, deps.Quota, n.view)
 	quotas := quota.New(deps.Self, deps.Zones, deps.Quota, n.view, n.counter, n.peers, deps.Meter)
 	n.entry = entry.New(deps.Self, layout, deps.Regions, n.feed, access.New(deps.Access), quotas, n.view, n.reach, n.shards, runner, n.peers, carrier, deps.Meter, log)
-	n.server = remote.NewServer(deps.Self.Peer, n.entry, n.shards, n.view, n.counter, deps.Log, log)
+	n.server = remote.NewServer(deps.Self.Peer, n.entry, n.shards, n.view, n.counter, n.mirror, deps.Log, log)
 	n.feed.OnConfig(func(conf *work.Config) { n.counter.Update(time.Now(), conf) })
 	n.view.OnChange(n.boxesChanged)
 	n.targets.OnFailing(n.watch.Tell)
 	return n
 }
 
+// boxes tells the mirror who lives; the view is made after it.
+type boxes struct{ node *Node }
+
+// Live implements mirror.Boxes.
+func (b boxes) Live() []work.Box { return b.node.view.Live() }
+
+// Trusted implements mirror.Boxes.
+func (b boxes) Trusted() bool { return b.node.view.Trusted() }
+
 // others are the boxes by whose way the log may be called.
 type others struct{ node *Node }
 
@@ -160,7 +177,8 @@
 	}
 	return []kernel.Part{
 		{Name: "meter", Make: made(n.deps.Meter)},
-		{Name: "feed", Needs: []string{"meter"}, Make: made(n.feed)},
+		{Name: "mirror", Needs: []string{"meter"}, Make: made(n.mirror)},
+		{Name: "feed", Needs: []string{"meter", "mirror"}, Make: made(n.feed)},
 		{Name: "view", Needs: []string{"meter"}, Make: made(n.view)},
 		{Name: "load", Needs: []string{"view", "feed"}, Make: made(n.watch)},
 		{Name: "quota", Needs: []string{"view", "feed"}, Make: made(n.counter)},
--- a/gate/node/place.go
+++ b/gate/node/place.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"slices"
 	"sync"
 
 	"mulleingate.dev/base/ident"
 	"mulleingate.dev/gate/sched"
+	"mulleingate.dev/gate/subset"
 	"mulleingate.dev/gate/work"
 )
 
@@ -23,10 +25,13 @@
 	slots []string
 
 	mu sync.Mutex
-	// near are the boxes of this availability zone, by name, and placing those of them that own slots.
-	near, placing []string
+	// near are the names of this availability zone's boxes, placing those of them that own slots.
+	near    []string
+	placing []work.Box
 	// far counts the owners of slots elsewhere.
 	far int
+	// levels are those at which each box draws its part of the replicas.
+	levels subset.Levels
 }
 
 func newPlaces(self work.Box, fleet fleet, slots []string) *places {
@@ -42,7 +47,7 @@
 		}
 	}
 	owners := map[string]bool{}
-	var placing []string
+	var placing []work.Box
 	far := 0
 	for _, slot := range p.slots {
 		box, ok := p.fleet.Owner(slot)
@@ -54,7 +59,7 @@
 			far++
 			continue
 		}
-		placing = append(placing, box.Name)
+		placing = append(placing, box)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -78,7 +83,43 @@
 	defer p.mu.Unlock()
 	senders := p.near
 	if model {
-		senders = p.placing
+		senders = names(p.placing)
 	}
+	knows := func(name string) bool { return p.levels.Holds(name, rep.ID, subset.Group(rep.Service, rep.Zone)) }
+	senders = slices.DeleteFunc(slices.Clone(senders), func(name string) bool { return !knows(name) })
 	return ident.Winner(rep.ID, senders) == p.self.Name
 }
+
+func names(boxes []work.Box) []string {
+	names := make([]string, 0, len(boxes))
+	for _, box := range boxes {
+		names = append(names, box.Name)
+	}
+	return names
+}
+
+// Live implements load.Boxes.
+func (p *places) Live() []work.Box {
+	return p.fleet.Live()
+}
+
+// Placing implements load.Boxes.
+func (p *places) Placing() []work.Box {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.placing
+}
+
+// Knows implements load.Boxes.
+func (p *places) Knows(box work.Box, rep work.Replica) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.levels.Holds(box.Name, rep.ID, subset.Group(rep.Service, rep.Zone))
+}
+
+// Draw takes the levels at which boxes draw their parts of the replicas.
+func (p *places) Draw(levels subset.Levels) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.levels = levels
+}
--- a/gate/node/reach.go
+++ b/gate/node/reach.go
@@ -32,8 +32,8 @@
 	mostAsked = 16
 )
 
-// boxes is the part of the view that a reach uses.
-type boxes interface {
+// neighbours is the part of the view that a reach uses.
+type neighbours interface {
 	Live() []work.Box
 	ReadAge() time.Duration
 }
@@ -47,7 +47,7 @@
 // boxes that it asks. The log alone may be away for all; then nobody is better off with another box.
 type reach struct {
 	self   string
-	boxes  boxes
+	boxes  neighbours
 	pinger pinger
 	logger *slog.Logger
 	cut    atomic.Bool
@@ -59,7 +59,7 @@
 	done   sync.WaitGroup
 }
 
-func newReach(self string, boxes boxes, pinger pinger, logger *slog.Logger) *reach {
+func newReach(self string, boxes neighbours, pinger pinger, logger *slog.Logger) *reach {
 	return &reach{self: self, boxes: boxes, pinger: pinger, logger: logger}
 }
 
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -28,6 +28,9 @@
 	pingPath    = "/ping"
 	// leftPath takes a box's word that it leaves.
 	leftPath = "/left"
+	// copyPath and rosterPath take questions to a source.
+	copyPath   = "/copy"
+	rosterPath = "/roster"
 	// quotaPath takes questions for a workspace's quota.
 	quotaPath = "/quota"
 	// connections bounds those to one box: the turns that one box may forward to another.
--- /dev/null
+++ b/gate/remote/mirror.go
@@ -0,0 +1,99 @@
+package remote
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/mirror"
+	"mulleingate.dev/gate/work"
+)
+
+// told is a source's answer or its refusal.
+type told struct {
+	Copy    *mirror.CopyAnswer   `json:"copy,omitempty"`
+	Roster  *mirror.RosterAnswer `json:"roster,omitempty"`
+	Problem *fault.Problem       `json:"problem,omitempty"`
+}
+
+// Copy implements mirror.Peers.
+func (c *Client) Copy(ctx context.Context, box work.Box, ask mirror.CopyAsk) (mirror.CopyAnswer, error) {
+	out, err := c.source(ctx, box, copyPath, ask)
+	if err != nil {
+		return mirror.CopyAnswer{}, err
+	}
+	if out.Copy == nil {
+		return mirror.CopyAnswer{}, fault.Fail(fault.Protocol, "a source's answer lacks the topic")
+	}
+	return *out.Copy, nil
+}
+
+// Roster implements mirror.Peers.
+func (c *Client) Roster(ctx context.Context, box work.Box, ask mirror.RosterAsk) (mirror.RosterAnswer, error) {
+	out, err := c.source(ctx, box, rosterPath, ask)
+	if err != nil {
+		return mirror.RosterAnswer{}, err
+	}
+	if out.Roster == nil {
+		return mirror.RosterAnswer{}, fault.Fail(fault.Protocol, "a source's answer lacks the members")
+	}
+	return *out.Roster, nil
+}
+
+func (c *Client) source(ctx context.Context, box work.Box, path string, ask any) (told, error) {
+	raw, err := json.Marshal(ask)
+	if err != nil {
+		return told{}, fault.Refuse(fault.Internal, "a question to a source does not encode").Because(err)
+	}
+	_, raw, err = c.ask(ctx, box, http.MethodPost, path, nil, raw)
+	if err != nil {
+		return told{}, err
+	}
+	var out told
+	if err := json.Unmarshal(raw, &out); err != nil {
+		return told{}, fault.Fail(fault.Protocol, "a source's answer does not decode").Because(err)
+	}
+	if out.Problem != nil {
+		return told{}, out.Problem.Fault()
+	}
+	return out, nil
+}
+
+func (s *Server) copy(w http.ResponseWriter, r *http.Request) {
+	var ask mirror.CopyAsk
+	if !decode(w, r, &ask) {
+		return
+	}
+	answer, err := s.mirror.Copy(r.Context(), ask)
+	s.tell(w, told{Copy: &answer}, err)
+}
+
+func (s *Server) roster(w http.ResponseWriter, r *http.Request) {
+	var ask mirror.RosterAsk
+	if !decode(w, r, &ask) {
+		return
+	}
+	answer, err := s.mirror.Roster(r.Context(), ask)
+	s.tell(w, told{Roster: &answer}, err)
+}
+
+// decode reads a short question and refuses one that is none.
+func decode(w http.ResponseWriter, r *http.Request, ask any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxHeader)).Decode(ask); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// tell sends a source's answer, or its refusal.
+func (s *Server) tell(w http.ResponseWriter, out told, err error) {
+	if err != nil {
+		problem := fault.From(err).Problem("")
+		out = told{Problem: &problem}
+	}
+	if err := json.NewEncoder(w).Encode(out); err != nil {
+		s.logger.Debug("remote: answer of a source not sent", "cause", err)
+	}
+}
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -12,6 +12,7 @@
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/base/serve"
+	"mulleingate.dev/gate/mirror"
 	"mulleingate.dev/gate/quota"
 	"mulleingate.dev/gate/work"
 )
@@ -43,6 +44,12 @@
 	Grant(now time.Time, ask quota.Ask) quota.Answer
 }
 
+// Sources tells what this box has read, as a source.
+type Sources interface {
+	Copy(ctx context.Context, ask mirror.CopyAsk) (mirror.CopyAnswer, error)
+	Roster(ctx context.Context, ask mirror.RosterAsk) (mirror.RosterAnswer, error)
+}
+
 // Boxes hears of boxes that leave.
 type Boxes interface {
 	Left(box work.Box)
@@ -55,6 +62,7 @@
 	slots  Slots
 	boxes  Boxes
 	quotas Quotas
+	mirror Sources
 	direct work.Log
 	logger *slog.Logger
 	http   *http.Server
@@ -64,8 +72,8 @@
 
 // NewServer makes a server that does not listen yet.
 // It calls the log directly for boxes that can't.
-func NewServer(addr netip.AddrPort, turns Turns, slots Slots, boxes Boxes, quotas Quotas, direct work.Log, logger *slog.Logger) *Server {
-	s := &Server{addr: addr, turns: turns, slots: slots, boxes: boxes, quotas: quotas, direct: direct, logger: logger}
+func NewServer(addr netip.AddrPort, turns Turns, slots Slots, boxes Boxes, quotas Quotas, sources Sources, direct work.Log, logger *slog.Logger) *Server {
+	s := &Server{addr: addr, turns: turns, slots: slots, boxes: boxes, quotas: quotas, mirror: sources, direct: direct, logger: logger}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+turnPath, s.turn)
 	mux.HandleFunc("POST "+yieldPath, s.yield)
@@ -74,6 +82,8 @@
 	mux.HandleFunc("POST "+deliverPath, s.deliver)
 	mux.HandleFunc("POST "+leftPath, s.left)
 	mux.HandleFunc("POST "+quotaPath, s.quota)
+	mux.HandleFunc("POST "+copyPath, s.copy)
+	mux.HandleFunc("POST "+rosterPath, s.roster)
 	mux.HandleFunc("GET "+pingPath, func(http.ResponseWriter, *http.Request) {})
 	s.http = &http.Server{Handler: mux, IdleTimeout: idleTimeout}
 	return s
--- a/gate/target/bound.go
+++ b/gate/target/bound.go
@@ -37,33 +37,31 @@
 }
 
 // barred reports that the call must not go to the replica, even if no other is left.
-func (t *Targets) barred(now time.Time, s *state, ask Ask) bool {
+func (t *Targets) barred(now time.Time, s *state, svc work.Service, ask Ask) bool {
 	if t.evacuated[s.Zone] || !t.bounds.Regions.Allow(ask.Regions, s.Zone) {
 		return true
 	}
-	return t.cold(now, s) && !t.mayWarm(now, s)
+	return s.cold(now, svc) && !t.mayWarm(now, s, svc)
 }
 
 // cold reports that the replica bears few calls: it said so, or it has started so lately that it can't be known to
 // be warm. Clocks may jump, so that a start counts as late only for a while from when it was listed.
-func (t *Targets) cold(now time.Time, s *state) bool {
+func (s *state) cold(now time.Time, svc work.Service) bool {
 	if now.Before(s.coldUntil) {
 		return true
 	}
-	start := t.service(s.Service).ColdFor
-	if start <= 0 || s.Born.IsZero() || now.Sub(s.listedAt) > start+clockSlack {
+	if svc.ColdFor <= 0 || s.Born.IsZero() || now.Sub(s.listedAt) > svc.ColdFor+clockSlack {
 		return false
 	}
-	return now.Sub(s.Born) < start+clockSlack
+	return now.Sub(s.Born) < svc.ColdFor+clockSlack
 }
 
 // mayWarm reports whether this box may send the cold replica one call more.
-func (t *Targets) mayWarm(now time.Time, s *state) bool {
-	rate := t.service(s.Service).ColdRate
-	if rate <= 0 {
+func (t *Targets) mayWarm(now time.Time, s *state, svc work.Service) bool {
+	if svc.ColdRate <= 0 {
 		return true
 	}
-	most := t.bounds.Cold.Share(rate, len(t.bounds.Regions))
+	most := t.bounds.Cold.Share(svc.ColdRate, len(t.bounds.Regions))
 	return s.sent.Free(now, most) && t.warms(s.Replica, t.model(s))
 }
 
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -62,7 +62,7 @@
 	t.found, t.costs = t.found[:0], t.costs[:0]
 	ejector := t.eject(service)
 	lapsed := t.lapsed(service)
-	share := t.share(service)
+	svc := t.service(service)
 	call := sched.Call{Model: ask.Prompt != nil, Usual: t.usually(ask.Work)}
 	usualLoad := 0.0
 	if call.Model {
@@ -71,7 +71,7 @@
 	}
 	figures := &t.admission(service).Figures
 	for _, s := range t.services[service] {
-		if s.Draining || s.busy >= share || (s.missing && !lapsed) || slices.Contains(ask.Avoid, s.ID) || t.barred(now, s, ask) {
+		if s.Draining || s.busy >= t.part(svc.Connections, s.level) || (s.missing && !lapsed) || slices.Contains(ask.Avoid, s.ID) || t.barred(now, s, svc, ask) {
 			continue
 		}
 		if !desperate && (now.Before(s.suspect) || ejector.Ejected(now, s.ID)) {
@@ -115,7 +115,7 @@
 	age := now.Sub(s.loadAt)
 	b := sched.Belief{
 		Busy: s.busy, BusyThen: s.busyThen, Slots: s.Slots, Reported: age <= loadFor, Age: age,
-		Placers: t.placers, UsualLoad: usualLoad, Running: s.load.Running, Waiting: s.load.Waiting, Slow: s.slow, Failing: s.failing(now), Far: s.Zone != t.zone,
+		Placers: 1 + (t.placers-1)>>s.level, UsualLoad: usualLoad, Running: s.load.Running, Waiting: s.load.Waiting, Slow: s.slow, Failing: s.failing(now), Far: s.Zone != t.zone,
 	}
 	if ask.Prompt != nil {
 		b.Cached = t.cached(now, ask, s)
--- a/gate/target/judge.go
+++ b/gate/target/judge.go
@@ -100,7 +100,7 @@
 	}
 	s.toldAt = now
 	t.log.Info("target: replica fails calls", "replica", s.ID, "service", s.Service, "share", share)
-	t.failing(s.ID, share)
+	t.failing(s.Replica, share)
 }
 
 func (t *Targets) eject(service string) *limit.Ejector {
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -11,6 +11,7 @@
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/limit"
 	"mulleingate.dev/gate/sched"
+	"mulleingate.dev/gate/subset"
 	"mulleingate.dev/gate/work"
 )
 
@@ -46,6 +47,8 @@
 	gone, missing bool
 	// suspect is until when the replica is avoided after a failed connection.
 	suspect time.Time
+	// level says that one box in 2^level knows the replica.
+	level int
 	// parts holds the parts of prompts that were sent there lately, by name.
 	parts map[string]part
 	pool  Pool
@@ -94,6 +97,8 @@
 	bounds     Bounds
 	// evacuated holds the availability zones whose replicas get nothing further.
 	evacuated map[string]bool
+	// levels are those at which this box's part of the replicas was drawn.
+	levels subset.Levels
 	// warms tells whether this box may send calls to a cold replica; it must not block.
 	warms func(rep work.Replica, model bool) bool
 	// found and costs hold the candidates of one choice, kept so that none need be made anew.
@@ -104,7 +109,7 @@
 	boxes   int
 	rng     *rand.Rand
 	// failing is told of replicas that fail calls; it must not block.
-	failing func(id string, share float64)
+	failing func(rep work.Replica, share float64)
 }
 
 // New makes targets without replicas for a box of the zone.
@@ -115,14 +120,14 @@
 		usual:      map[string]time.Duration{},
 		admissions: map[string]*sched.Admission{},
 		rng:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		failing:    func(string, float64) {},
+		failing:    func(work.Replica, float64) {},
 		warms:      func(work.Replica, bool) bool { return true },
 	}
 }
 
 // OnFailing calls do with a replica that says that it fails calls, and the share of those that
 // this box saw, 0 to 1. It must be called before the first lease.
-func (t *Targets) OnFailing(do func(id string, share float64)) {
+func (t *Targets) OnFailing(do func(rep work.Replica, share float64)) {
 	t.failing = do
 }
 
@@ -167,7 +172,7 @@
 func (t *Targets) limitPools() {
 	for _, s := range t.byID {
 		if s.pool != nil {
-			s.pool.Limit(t.share(s.Service))
+			s.pool.Limit(t.share(s))
 		}
 	}
 }
@@ -214,6 +219,7 @@
 	s := &state{Replica: rep, slow: 1, parts: map[string]part{}, listedAt: time.Now()}
 	s.cool(s.listedAt)
 	s.life, s.end = context.WithCancel(context.Background())
+	s.level = t.levels[subset.Group(rep.Service, rep.Zone)]
 	t.byID[rep.ID] = s
 	t.services[rep.Service] = append(t.services[rep.Service], s)
 	t.log.Info("target: replica listed", "replica", rep.ID, "service", rep.Service, "zone", rep.Zone, "born", rep.Born)
@@ -339,10 +345,10 @@
 func (t *Targets) lease(now time.Time, ask Ask, best choice, among int) *Lease {
 	s := best.state
 	if s.pool == nil {
-		s.pool = t.opener.Open(s.Replica, t.share(s.Service))
+		s.pool = t.opener.Open(s.Replica, t.share(s))
 	}
 	s.busy++
-	if t.cold(now, s) {
+	if s.cold(now, t.service(s.Service)) {
 		s.sent.Note(now)
 	}
 	if ask.Prompt != nil {
@@ -355,16 +361,29 @@
 	}
 }
 
-// share is this box's part of the connections that a replica of the service takes.
-func (t *Targets) share(service string) int {
-	all := 0
-	if t.conf != nil {
-		all = t.conf.Services[service].Connections
+// Draw takes the levels at which this box's part of the replicas was drawn: of a replica that few boxes know, each has a
+// larger share.
+func (t *Targets) Draw(levels subset.Levels) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.levels = levels
+	for _, s := range t.byID {
+		s.level = levels[subset.Group(s.Service, s.Zone)]
 	}
+	t.limitPools()
+}
+
+// share is this box's part of the connections that the replica takes.
+func (t *Targets) share(s *state) int {
+	return t.part(t.service(s.Service).Connections, s.level)
+}
+
+// part is this box's part of so many connections, where one box in 2^level knows the replica.
+func (t *Targets) part(all, level int) int {
 	if all == 0 {
 		return leastShare
 	}
-	return max(all/(t.boxes+spareBoxes), leastShare)
+	return max(all/(t.boxes>>level+spareBoxes), leastShare)
 }
 
 const (
--- a/gate/target/target_test.go
+++ b/gate/target/target_test.go
@@ -334,7 +334,7 @@
 				}
 				held = append(held, lease)
 				s := lease.state
-				if s.Draining || s.gone || s.ID == avoid[0] || s.busy > targets.share("s") {
+				if s.Draining || s.gone || s.ID == avoid[0] || s.busy > targets.share(s) {
 					rt.Fatalf("call to %+v", s.Replica)
 				}
 			}
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -17,8 +17,8 @@
 	// fleet; the one heard last is handed back.
 	Join(ctx context.Context, member string, generation int64, ttl time.Duration) (int64, error)
 	Leave(ctx context.Context, member string) error
-	// Members returns all members.
-	Members(ctx context.Context) ([]string, error)
+	// Members returns all members, as of the generation or later.
+	Members(ctx context.Context, generation int64) ([]string, error)
 }
 
 // entry is what is known of one other box.
@@ -232,7 +232,7 @@
 	}
 	v.heard(start, generation)
 	if v.changedFleet() || leaving {
-		members, err := v.log.Members(ctx)
+		members, err := v.log.Members(ctx, generation)
 		if err != nil {
 			return err
 		}
--- a/gate/view/view_test.go
+++ b/gate/view/view_test.go
@@ -110,7 +110,7 @@
 	return nil
 }
 
-func (e ear) Members(context.Context) ([]string, error) {
+func (e ear) Members(context.Context, int64) ([]string, error) {
 	if err := e.down(); err != nil {
 		return nil, err
 	}
--- a/gate/work/record.go
+++ b/gate/work/record.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"time"
 
 	"mulleingate.dev/base/fault"
 )
@@ -19,6 +20,8 @@
 	Settings Topic = "settings"
 	// Replicas holds the list of replicas. Boxes only read it.
 	Replicas Topic = "replicas"
+	// Sources names the boxes that tell others what they have read, by availability zone.
+	Sources Topic = "sources"
 )
 
 // Shard is one part of a topic with an order of its own.
@@ -40,6 +43,17 @@
 	Records []Record
 	// Next is the offset to read from after this page; First the oldest that is kept.
 	Next, First int64
+	// Age is how much older than the question the newest is that the page shows: none in the log's own answers.
+	Age time.Duration `json:",omitempty"`
+}
+
+// Whole is the newest record of each key that a box knows.
+type Whole struct {
+	Records []Record
+	// Next is an offset from which Read tells all that was added meanwhile.
+	Next int64
+	// Age is how much older than the question the records are.
+	Age time.Duration
 }
 
 // Writer identifies appends of one owner of a shard.
