node: a box that leaves a large fleet tells those that may hold slots

Cause: it told every living box by a call of its own, within 300 ms: 983 connections and goroutines on a box of a fifth of a core, each time one of half of the fleet is stopped in turn; most were not told in time. What needs the word at once are the boxes that take its slots over or run turns for others; 192 at most with 48 slots, whatever the fleet's size. The others hear from the members' list within a heartbeat, and a turn that they send to the wrong owner is led on as before. Up to 200 boxes all are told.

Test: TestFewAreToldOfALeave (calls counted at 100, 1,000 and 2,000 boxes).

--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -211,7 +211,7 @@
 // are told while the store is: a store that answers late must not put their word off, and they
 // take the word before the store's list of members.
 func (n *Node) leave(ctx context.Context) {
-	boxes := n.view.Live()
+	boxes := told(n.view.Live(), n.layout.Names(), n.view.Owners)
 	var all sync.WaitGroup
 	all.Go(func() { n.view.Leave(ctx) })
 	all.Go(func() { n.tell(ctx, boxes) })
--- a/gate/node/place.go
+++ b/gate/node/place.go
@@ -123,3 +123,30 @@
 	defer p.mu.Unlock()
 	p.levels = levels
 }
+
+const (
+	// mostTold is the number of boxes up to which all are told that one leaves.
+	mostTold = 200
+	// holderRanks is how many boxes may hold a slot while boxes come and go.
+	holderRanks = 4
+)
+
+// told are the boxes that a box which leaves tells of it: in a large fleet those that may hold a slot, since they come to
+// hold its own or run the turns of others. The rest hears of it from the log, and is led on by those that it asks. A
+// box that told a thousand others would be busy with that until its callers are gone.
+func told(live []work.Box, slots []string, owners func(slot string, n int) []work.Box) []work.Box {
+	if len(live) <= mostTold {
+		return live
+	}
+	named := map[string]bool{}
+	var holders []work.Box
+	for _, slot := range slots {
+		for _, box := range owners(slot, holderRanks) {
+			if !named[box.Name] {
+				named[box.Name] = true
+				holders = append(holders, box)
+			}
+		}
+	}
+	return holders
+}
--- a/gate/node/place_test.go
+++ b/gate/node/place_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
+	"mulleingate.dev/base/ident"
 	"mulleingate.dev/gate/work"
 )
 
@@ -59,3 +61,39 @@
 		}
 	}
 }
+
+// TestFewAreToldOfALeave checks that a box of a large fleet tells only those that may hold slots, and one of a small fleet
+// all.
+func TestFewAreToldOfALeave(t *testing.T) {
+	slots := make([]string, 48)
+	for i := range slots {
+		slots[i] = fmt.Sprintf("slot-%d", i)
+	}
+	for _, n := range []int{100, 1000, 2000} {
+		var live []work.Box
+		for i := range n {
+			live = append(live, work.Box{Name: fmt.Sprintf("b%d", i)})
+		}
+		owners := func(slot string, most int) []work.Box {
+			var boxes []work.Box
+			for _, i := range ident.Closest(slot, n, func(i int) string { return live[i].Name }, most) {
+				boxes = append(boxes, live[i])
+			}
+			return boxes
+		}
+		got := told(live, slots, owners)
+		if n <= mostTold && len(got) != n {
+			t.Errorf("%d of %d boxes are told", len(got), n)
+		}
+		if len(got) > len(slots)*holderRanks {
+			t.Errorf("%d of %d boxes are told", len(got), n)
+		}
+		for _, slot := range slots {
+			for _, box := range owners(slot, holderRanks) {
+				if !slices.Contains(got, box) {
+					t.Errorf("%s may hold %s and is not told", box.Name, slot)
+				}
+			}
+		}
+	}
+}
