mirror: starts and losses of sources bounded by what the log and slow boxes bear

Change: at a start only fast boxes announce themselves, unless none does for 0.9 s; reading for oneself is spread by 100 ms for each box of the zone, so that ten begin in a second whatever its size; the members are read by one box in three at a heartbeat, once no source has told them for 0.8 s. Announced sources are asked behind the ranked ones. Test: TestSourcesOfMembersDie, TestStartOfAll.

--- a/gate/mirror/mirror.go
+++ b/gate/mirror/mirror.go
@@ -24,10 +24,16 @@
 	tendEvery = time.Second
 	// servesFor is how long a box that has announced itself while the fleet started serves, however it ranks.
 	servesFor = 10 * time.Second
-	// patience is how long at least a box waits for a source to be ready before it reads a topic itself, and as long
-	// again at random: the log could not bear all at once.
+	// patience is how long at least a box waits for a source before it reads a topic itself, and spread, at random, how
+	// much longer for each box of its zone: so many that read all at once, or within a few seconds, would be more than
+	// the log bears.
 	patience   = 2 * time.Second
+	spread     = 100 * time.Millisecond
 	sourceWait = 150 * time.Millisecond
+	// membersPatience is the same for the members, where sources that have just died are still asked; after it one box in
+	// membersDraw reads them at each of its heartbeats.
+	membersPatience = 800 * time.Millisecond
+	membersDraw     = 3
 	// sizeWait is how long a box that starts waits to hear how large the fleet is.
 	sizeWait = time.Second
 	// looksAlone is the number of looks for members after which a box that starts reads them itself though others
@@ -111,6 +117,8 @@
 	// looks counts the looks for members before the first that found them.
 	looks int
 	found bool
+	// untold is since when no source has told the members; zero while one does.
+	untold time.Time
 	// last is the newest list of members from each source, by its name.
 	last map[string]list
 }
@@ -195,10 +203,20 @@
 	return m.hosts.Known(), near
 }
 
-// others are the sources to ask, in order; none if this box reads for itself.
+// others are the sources to ask, in order; none if this box reads for itself. Those that announced themselves at a start
+// come behind those by rank: views that still grow differ on the ranks.
 func (m *Mirror) others() []work.Box {
 	sources, _ := m.sources()
-	return m.shuns.order(m.self.Name, sources)
+	if len(sources) == 0 {
+		return nil
+	}
+	asked := m.shuns.order(m.self.Name, sources)
+	for _, box := range m.shuns.order(m.self.Name, m.hosts.Known()) {
+		if !contains(asked, box.Name) {
+			asked = append(asked, box)
+		}
+	}
+	return asked
 }
 
 // Join implements view.Log.
@@ -220,12 +238,27 @@
 	if !m.known() {
 		return m.first(ctx, generation)
 	}
-	if members, ok := m.askMembers(ctx, m.others(), generation); ok {
+	others := m.others()
+	members, ok := m.askMembers(ctx, others, generation)
+	if ok {
 		return members, nil
 	}
+	if len(others) > 0 && !m.alone() {
+		return nil, fault.Refuse(fault.OwnerUnknown, "no source of the zone tells the members")
+	}
 	return m.log.Members(ctx)
 }
 
+// alone decides whether a box that no source tells the members reads them itself.
+func (m *Mirror) alone() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.untold.IsZero() {
+		m.untold = time.Now()
+	}
+	return time.Since(m.untold) >= membersPatience && rand.IntN(membersDraw) == 0
+}
+
 // know notes that the members were found.
 func (m *Mirror) know(members []string, err error) ([]string, error) {
 	if err != nil {
@@ -247,7 +280,7 @@
 }
 
 // first finds the members for a box that has just started: by the sources that are announced. Where the whole fleet starts
-// there are none yet; then a box that looks for the second time reads the members itself, and announces itself if it
+// there are none yet; then a box that looks for the second time reads the members itself, and a fast one announces itself if it
 // finds many. The log could not bear that all of a large fleet read them.
 func (m *Mirror) first(ctx context.Context, generation int64) ([]string, error) {
 	m.mu.Lock()
@@ -266,7 +299,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if m.many(members) {
+	if m.many(members) && (fast(m.self) || looks >= looksAlone) {
 		m.hosts.Announce(ctx, servesFor)
 	}
 	return members, nil
@@ -307,7 +340,7 @@
 			continue
 		}
 		m.mu.Lock()
-		m.last = map[string]list{box.Name: next}
+		m.last, m.untold = map[string]list{box.Name: next}, time.Time{}
 		m.mu.Unlock()
 		return next.members, true
 	}
@@ -346,7 +379,8 @@
 // All implements feed.Log.
 func (m *Mirror) All(ctx context.Context, topic work.Topic) (work.Whole, error) {
 	m.awaitSize(ctx)
-	until := time.Now().Add(patience + rand.N(patience))
+	_, near := m.sources()
+	until := time.Now().Add(patience + rand.N(spread*time.Duration(near+1)))
 	for ctx.Err() == nil {
 		if m.Serving() {
 			return m.load(ctx, topic)
--- a/gate/mirror/mirror_test.go
+++ b/gate/mirror/mirror_test.go
@@ -278,6 +278,11 @@
 		if got := w.store.called("members"); got > 20 {
 			t.Errorf("the members were read %d times", got)
 		}
+		for _, rec := range w.store.shards[work.Shard{Topic: work.Sources}] {
+			if !fast(w.boxes[rec.Key].Box) {
+				t.Errorf("%s is slow and announced itself", rec.Key)
+			}
+		}
 		if latest > 1500*time.Millisecond {
 			t.Errorf("the last box knows the members after %v", latest)
 		}
@@ -337,3 +342,36 @@
 		}
 	})
 }
+
+// TestSourcesOfMembersDie checks that boxes come to know that all their sources died, and that they don't all read the members
+// again and again.
+func TestSourcesOfMembersDie(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(200)
+		w.settle()
+		for _, one := range w.sources() {
+			w.boxes[one.Name].dead.Store(true)
+		}
+		w.store.members = w.store.members[1:]
+		var done sync.WaitGroup
+		for _, b := range w.boxes {
+			done.Go(func() {
+				for try := 0; ; try++ {
+					members, err := b.mirror.Members(context.Background(), 7)
+					if err == nil && len(members) == 199 {
+						return
+					}
+					if try > 20 {
+						t.Errorf("%s does not know the members", b.Name)
+						return
+					}
+					time.Sleep(300 * time.Millisecond)
+				}
+			})
+		}
+		done.Wait()
+		if got := w.store.called("members"); got > len(w.all) {
+			t.Errorf("the members were read %d times", got)
+		}
+	})
+}
--- a/gate/mirror/sources.go
+++ b/gate/mirror/sources.go
@@ -14,14 +14,25 @@
 	// little, and no second step lies between a change and the boxes.
 	smallZone = 32
 	// leastSources serve a zone, so that one may fail, and one more for each boxesASource.
-	leastSources  = 2
-	boxesASource  = 256
-	sourceKey     = "source"
-	shunFor       = time.Second
-	shunForSlow   = 2 * time.Second
-	leastCoreTime = 0.01
+	leastSources = 2
+	boxesASource = 256
+	// sourceKey is the key of the rendezvous of sources.
+	sourceKey = "source"
+	// leastCores is taken for the processor time of a box that does not say.
+	leastCores = 0.01
+	// fastCores and fastLink, in Mbit/s, make a box fast enough to tell a hundred others their parts of a list within a
+	// second.
+	fastCores, fastLink = 0.4, 100
+	// shunFor is how long a source that refused is asked last, shunForSlow the same for one that did not answer.
+	shunFor     = time.Second
+	shunForSlow = 2 * time.Second
 )
 
+// fast reports whether the box may be a source from the moment when its fleet starts.
+func fast(box work.Box) bool {
+	return box.Cores >= fastCores && box.Link >= fastLink
+}
+
 // ranked returns the boxes of a zone that should be its sources, the first of them first; none in a small zone. Fast boxes
 // are chosen by the square of their processor time, since a source answers for hundreds of others.
 func ranked(near []work.Box) []work.Box {
@@ -29,7 +40,7 @@
 		return nil
 	}
 	share := func(i int) (string, float64) {
-		cores := max(near[i].Cores, leastCoreTime)
+		cores := max(near[i].Cores, leastCores)
 		return near[i].Name, cores * cores
 	}
 	var sources []work.Box
