mirror: few announce themselves at a start, and no part is drawn before the zone is known

Change: a box that finds no source waits at random, fast ones first, and looks once more before it reads the members itself; a source draws parts by its own knowledge of the zone, and none before it trusts that. Test: TestStartOfAll with boxes of a kind starting in the same moment (121 reads of the members before, 20 at most now).

--- a/gate/mirror/mirror.go
+++ b/gate/mirror/mirror.go
@@ -39,6 +39,13 @@
 	// looksAlone is the number of looks for members after which a box that starts reads them itself though others
 	// are announced as sources.
 	looksAlone = 4
+	// mostAnnounced is how many of them it asks in one look: some may be gone, and say nothing.
+	mostAnnounced = 2
+	// fastPause and slowPause are how long, and with fastDraw and slowDraw at random how much longer, boxes wait for others
+	// to be announced at the start of all: fast ones come first, apart by more than a read and an announcement take, and
+	// all before a box has listened for long enough to trust what it knows.
+	fastPause, fastDraw = 150 * time.Millisecond, 250 * time.Millisecond
+	slowPause, slowDraw = 450 * time.Millisecond, 100 * time.Millisecond
 )
 
 // Log is the log as this box reaches it.
@@ -72,9 +79,8 @@
 // CopyAsk asks a source for a topic.
 type CopyAsk struct {
 	Topic work.Topic `json:"topic"`
-	// Box is the asker's name, and Boxes how many its availability zone has.
-	Box   string `json:"box"`
-	Boxes int    `json:"boxes"`
+	// Box is the asker's name.
+	Box string `json:"box"`
 	// Whole asks for all newest records that the box knows; otherwise for those from the offset From on, or as soon as
 	// there are some, within Wait. Levels are those at which the asker's part was drawn.
 	Whole  bool          `json:"whole,omitempty"`
@@ -280,19 +286,22 @@
 }
 
 // first finds the members for a box that has just started: by the sources that are announced. Where the whole fleet starts
-// there are none yet; then a box that looks for the second time reads the members itself, and a fast one announces itself if it
-// finds many. The log could not bear that all of a large fleet read them.
+// there are none yet; then the box waits a little, and if there is none still it reads the members itself, and announces
+// itself if it finds many and is fast. The log could not bear that all of a large fleet read them.
 func (m *Mirror) first(ctx context.Context, generation int64) ([]string, error) {
 	m.mu.Lock()
 	m.looks++
 	looks := m.looks
 	m.mu.Unlock()
-	announced := m.hosts.Look(ctx)
-	if members, ok := m.askMembers(ctx, m.shuns.order(m.self.Name, announced), generation); ok {
+	members, announced := m.askAnnounced(ctx, generation)
+	if members == nil && looks == 1 && len(announced) == 0 {
+		m.stagger(ctx)
+		members, announced = m.askAnnounced(ctx, generation)
+	}
+	if members != nil {
 		return m.know(members, nil)
 	}
-	waits := len(announced) > 0 && !contains(announced, m.self.Name) && looks < looksAlone
-	if looks == 1 || waits {
+	if len(announced) > 0 && !contains(announced, m.self.Name) && looks < looksAlone {
 		return nil, fault.Refuse(fault.OwnerUnknown, "no source of the zone answers yet")
 	}
 	members, err := m.know(m.log.Members(ctx))
@@ -305,6 +314,23 @@
 	return members, nil
 }
 
+// askAnnounced asks the sources that the log names.
+func (m *Mirror) askAnnounced(ctx context.Context, generation int64) (members []string, announced []work.Box) {
+	announced = m.hosts.Look(ctx)
+	asked := m.shuns.order(m.self.Name, announced)
+	members, _ = m.askMembers(ctx, asked[:min(len(asked), mostAnnounced)], generation)
+	return members, announced
+}
+
+// stagger waits so long that of boxes which start together few look at once.
+func (m *Mirror) stagger(ctx context.Context) {
+	if fast(m.self) {
+		pause(ctx, fastPause+rand.N(fastDraw))
+		return
+	}
+	pause(ctx, slowPause+rand.N(slowDraw))
+}
+
 // many reports whether the zone has so many members that it has sources.
 func (m *Mirror) many(members []string) bool {
 	near := 0
@@ -421,9 +447,8 @@
 
 // askWhole asks the sources for the box's part of a topic, one after the other.
 func (m *Mirror) askWhole(ctx context.Context, boxes []work.Box, topic work.Topic) (work.Whole, bool) {
-	_, near := m.sources()
 	for _, box := range boxes {
-		answer, err := m.askCopy(ctx, box, CopyAsk{Topic: topic, Box: m.self.Name, Boxes: near, Whole: true}, wholeWait)
+		answer, err := m.askCopy(ctx, box, CopyAsk{Topic: topic, Box: m.self.Name, Whole: true}, wholeWait)
 		if err != nil {
 			m.logger.Debug("mirror: topic not told", "source", box.Name, "topic", topic, "cause", err)
 			continue
@@ -523,9 +548,8 @@
 	m.mu.Lock()
 	levels := m.levels
 	m.mu.Unlock()
-	_, near := m.sources()
 	for _, box := range m.others() {
-		ask := CopyAsk{Topic: topic, Box: m.self.Name, Boxes: near, From: from, Wait: wait, Levels: levels}
+		ask := CopyAsk{Topic: topic, Box: m.self.Name, From: from, Wait: wait, Levels: levels}
 		answer, err := m.askCopy(ctx, box, ask, wait+answerWait)
 		if err == nil || fault.Is(err, fault.HistoryGone) {
 			return answer.Page, err
@@ -579,22 +603,24 @@
 	m.mu.Lock()
 	whole := m.copies[ask.Topic]
 	m.mu.Unlock()
-	if whole == nil {
+	// Before it knows who lives, a source would draw parts for far too few boxes: a thousand whole lists.
+	if whole == nil || !m.boxes.Trusted() {
 		return CopyAnswer{}, notSource()
 	}
+	_, near := m.sources()
 	if ask.Whole {
-		part, levels, err := whole.All(ask.Box, ask.Boxes)
+		part, levels, err := whole.All(ask.Box, near)
 		return CopyAnswer{Page: work.Page{Records: part.Records, Next: part.Next, Age: part.Age}, Levels: levels}, err
 	}
-	return m.news(ctx, whole, ask)
+	return m.news(ctx, whole, ask, near)
 }
 
 // news waits for records that the box knows.
-func (m *Mirror) news(ctx context.Context, whole *topicCopy, ask CopyAsk) (CopyAnswer, error) {
+func (m *Mirror) news(ctx context.Context, whole *topicCopy, ask CopyAsk, near int) (CopyAnswer, error) {
 	ctx, stop := context.WithTimeout(ctx, ask.Wait)
 	defer stop()
 	for {
-		page, changed, err := whole.Since(ask.From, ask.Box, ask.Boxes, ask.Levels)
+		page, changed, err := whole.Since(ask.From, ask.Box, near, ask.Levels)
 		if err != nil || len(page.Records) > 0 || ctx.Err() != nil {
 			return CopyAnswer{Page: page}, err
 		}
