load, target: of a large fleet's engines those are asked where turns are placed

A box that places turns asked each engine that it knows every 1.5 s, some 90, and keeps connections for 64 of them: beyond that each question opens one. Both hold only while a zone has few engines. A larger constant would move the limit.

Change: where a box knows a part of the engines it asks those where it has placed a turn in the last 5 s. Where all boxes know all nothing changes. Test: TestIdleReplicasNeedNoReports.

--- a/gate/load/load.go
+++ b/gate/load/load.go
@@ -37,7 +37,7 @@
 
 // Targets holds what is believed of replicas.
 type Targets interface {
-	// Models returns the model replicas of this box's zone that take work.
+	// Models returns the model replicas of this box's zone that take work and of which it needs reports.
 	Models() []work.Replica
 	// Loaded takes the load of a replica.
 	Loaded(id string, load work.Load)
@@ -52,6 +52,8 @@
 	Placing() []work.Box
 	// Knows reports whether the box knows the replica.
 	Knows(box work.Box, rep work.Replica) bool
+	// All reports whether all boxes know the replica.
+	All(rep work.Replica) bool
 }
 
 // message is what boxes tell each other of a replica.
@@ -127,16 +129,25 @@
 	w.keep(models)
 	for _, rep := range models {
 		knowing := w.knowing(placing, rep)
-		names := make([]string, 0, len(knowing))
-		for _, box := range knowing {
-			names = append(names, box.Name)
-		}
-		if ident.Winner(rep.ID, names) == w.self.Name && w.due(rep.ID) {
+		if w.asks(rep, knowing) && w.due(rep.ID) {
 			w.done.Go(func() { w.ask(ctx, rep, knowing) })
 		}
 	}
 }
 
+// asks reports whether this box asks the replica: one of the boxes that know it does, or, where few know it, each that
+// needs to hear of it.
+func (w *Watch) asks(rep work.Replica, knowing []work.Box) bool {
+	if !w.boxes.All(rep) {
+		return true
+	}
+	names := make([]string, 0, len(knowing))
+	for _, box := range knowing {
+		names = append(names, box.Name)
+	}
+	return ident.Winner(rep.ID, names) == w.self.Name
+}
+
 // knowing are those of the boxes that know the replica.
 func (w *Watch) knowing(boxes []work.Box, rep work.Replica) []work.Box {
 	var knowing []work.Box
--- a/gate/load/load_test.go
+++ b/gate/load/load_test.go
@@ -46,6 +46,8 @@
 	return slices.DeleteFunc(slices.Clone(f), func(box work.Box) bool { return box.Zone != "z" })
 }
 
+func (f fleet) All(work.Replica) bool { return true }
+
 // Knows has the boxes whose names begin with "un" know no replica.
 func (f fleet) Knows(box work.Box, _ work.Replica) bool { return !strings.HasPrefix(box.Name, "un") }
 
--- a/gate/node/place.go
+++ b/gate/node/place.go
@@ -117,6 +117,13 @@
 	return p.levels.Holds(box.Name, rep.ID, subset.Group(rep.Service, rep.Zone))
 }
 
+// All implements load.Boxes.
+func (p *places) All(rep work.Replica) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.levels[subset.Group(rep.Service, rep.Zone)] == 0
+}
+
 // Draw takes the levels at which boxes draw their parts of the replicas.
 func (p *places) Draw(levels subset.Levels) {
 	p.mu.Lock()
--- a/gate/target/bound_test.go
+++ b/gate/target/bound_test.go
@@ -1,14 +1,17 @@
 package target
 
 import (
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/sched"
+	"mulleingate.dev/gate/subset"
 	"mulleingate.dev/gate/work"
 )
 
@@ -136,3 +139,27 @@
 		}
 	})
 }
+
+// TestIdleReplicasNeedNoReports checks that of a large fleet's replicas a box needs reports of those where it places turns, and
+// of a small fleet's of all.
+func TestIdleReplicasNeedNoReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets, _ := newTargets(200, true)
+		if got := len(targets.Models()); got != 200 {
+			t.Errorf("reports of %d replicas of a small fleet", got)
+		}
+		targets.Draw(subset.Levels{subset.Group("s", "a"): 3})
+		if got := targets.Models(); len(got) != 0 {
+			t.Errorf("reports of %d idle replicas", len(got))
+		}
+		lease := take(t, targets, Ask{Prompt: &work.Prompt{Tokens: 100, Parts: []work.Part{{ID: "p", Tokens: 100}}}})
+		lease.Done(Answered, 0)
+		if diff := cmp.Diff([]work.Replica{lease.Replica}, targets.Models(), cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
+			t.Errorf("where turns are placed (-want +got):\n%s", diff)
+		}
+		time.Sleep(placedFor)
+		if got := targets.Models(); len(got) != 0 {
+			t.Errorf("reports of %d replicas that are left", len(got))
+		}
+	})
+}
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -60,7 +60,9 @@
 	listedAt, coldUntil time.Time
 	sent                sched.Sent
 	// load is its own report, loadAt when it came, and busyThen what busy was.
-	load     work.Load
+	load work.Load
+	// placedAt is when this box last took a place for a turn there.
+	placedAt time.Time
 	loadAt   time.Time
 	busyThen int
 }
@@ -254,13 +256,22 @@
 	}
 }
 
-// Models returns the model replicas of this box's zone that take work.
+// placedFor is how long a replica counts as one where this box places turns: longer than programs rest between two.
+const placedFor = 5 * time.Second
+
+// Models returns the model replicas of this box's zone that take work and of which it needs reports: all, where it knows
+// all; otherwise those where it places turns. Of thousands of replicas most are idle, and each question to one of those
+// needs a new connection.
 func (t *Targets) Models() []work.Replica {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
 	var models []work.Replica
 	for _, s := range t.byID {
-		if s.Zone == t.zone && !s.Draining && !s.missing && !t.evacuated[s.Zone] && t.model(s) {
+		if s.Zone != t.zone || s.Draining || s.missing || t.evacuated[s.Zone] || !t.model(s) {
+			continue
+		}
+		if s.level == 0 || s.busy > 0 || now.Sub(s.placedAt) < placedFor {
 			models = append(models, s.Replica)
 		}
 	}
@@ -352,6 +363,7 @@
 		s.sent.Note(now)
 	}
 	if ask.Prompt != nil {
+		s.placedAt = now
 		s.remember(now, ask.Prompt.Parts)
 		t.admission(s.Service).Begin(now, ask.Turn)
 	}
