--- a/bench/mutant/list.go
+++ b/bench/mutant/list.go
@@ -37,6 +37,26 @@
 			Name: "waiting_read_proves", Promise: "keys that were taken away are refused in time", File: "gate/feed/feed.go", Tests: "./feed",
 			Old: "f.proven.Store(&asked)", New: "now := time.Now()\n\tf.proven.Store(&now)",
 		},
+		{
+			Name: "told_late_proves", Promise: "keys that were taken away are refused in time", File: "gate/feed/feed.go", Tests: "./feed",
+			Old: "t.current(start.Add(-age))", New: "t.current(start)",
+		},
+		{
+			Name: "evacuated_zone_serves", Promise: "an evacuated zone gets nothing", File: "gate/target/bound.go", Tests: "./target",
+			Old: "if t.evacuated[s.Zone] || !t.bounds", New: "if !t.bounds",
+		},
+		{
+			Name: "other_region_serves", Promise: "calls stay in their regions", File: "gate/target/bound.go", Tests: "./target",
+			Old: "|| !t.bounds.Regions.Allow(ask.Regions, s.Zone) {", New: "{",
+		},
+		{
+			Name: "cold_for_each_box", Promise: "a cold replica gets few calls", File: "gate/sched/cold.go", Tests: "./sched",
+			Old: "float64(doubt*max(zones, 1))", New: "float64(max(zones, 1))",
+		},
+		{
+			Name: "stale_source_tells", Promise: "what all must know is known in time", File: "gate/mirror/copy.go", Tests: "./mirror",
+			Old: "if age > staleAfter {", New: "if age > time.Hour {",
+		},
 		{
 			Name: "old_page_proves", Promise: "keys that were taken away are refused in time", File: "gate/feed/feed.go", Tests: "./feed",
 			Old: "f.newest < f.version()", New: "f.newest < 0",
--- a/gate/feed/feed.go
+++ b/gate/feed/feed.go
@@ -282,7 +282,7 @@
 	backAt time.Time
 	// answeredAt is when the newest answer came.
 	answeredAt time.Time
-	// heard is told when an answer came.
+	// heard is told as of when the newest answer holds.
 	heard func(at time.Time)
 	// current is told when the question was sent whose answer has just been taken whole: what is known now is
 	// no older. An answer that waits for news proves nothing of the time in which it waited.
@@ -340,7 +340,6 @@
 		t.feed.logger.Info("feed: news came late", "topic", t.topic, "age", age)
 	}
 	t.answeredAt = now
-	t.heard(now)
 }
 
 func (t *tail) step(ctx context.Context, start time.Time) error {
@@ -366,7 +365,7 @@
 	for _, rec := range page.Records {
 		t.take(rec, until)
 	}
-	t.current(start.Add(-page.Age))
+	t.shown(start, page.Age)
 	return nil
 }
 
@@ -387,10 +386,16 @@
 		t.take(rec, until)
 	}
 	t.whole(all.Records, until)
-	t.current(start.Add(-all.Age))
+	t.shown(start, all.Age)
 	return nil
 }
 
+// shown notes that an answer to a question sent at start was taken whole, which showed what was true so long before.
+func (t *tail) shown(start time.Time, age time.Duration) {
+	t.heard(time.Now().Add(-age))
+	t.current(start.Add(-age))
+}
+
 // lapses takes the list of replicas. One that went off the list while the log was away is
 // kept for a while: it may come back.
 type lapses struct {
--- a/gate/feed/feed_test.go
+++ b/gate/feed/feed_test.go
@@ -233,6 +233,20 @@
 	})
 }
 
+// TestAgeOfWhatIsTold checks that what another box tells counts as no newer than it says.
+func TestAgeOfWhatIsTold(t *testing.T) {
+	play(t, func(t *testing.T, s *source, f *Feed, _ *list) {
+		const age = 1500 * time.Millisecond
+		s.mu.Lock()
+		s.age = age
+		s.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		if f.ConfigAge() < age || f.ListAge() < age {
+			t.Errorf("the configuration is %v old, the list %v, though they were told %v late", f.ConfigAge(), f.ListAge(), age)
+		}
+	})
+}
+
 // TestNewsThatWakeNobody checks that a change is known in time also where the log does not wake a
 // read that waits for it: calls reached replicas at the very end of the time for which these serve
 // on after they left, sent by boxes that nothing ailed and that had heard of it 2.00 s late, while
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -247,6 +247,7 @@
 	figures.Gauge("node.slots", int64(n.shards.Held()))
 	figures.Gauge("node.boxes", int64(len(n.view.Live())))
 	figures.Gauge("node.ready", flag(n.Ready()))
+	figures.Gauge("node.source", flag(n.mirror.Serving()))
 	figures.Gauge("node.cut_off", flag(n.reach.CutOff()))
 	figures.Gauge("node.log_age_ms", n.view.ReadAge().Milliseconds())
 	figures.Gauge("node.memory_bytes", memory())
