dial: connections rest for as long as the peer names, whatever they carry

A call that may not be repeated uses no connection that has rested for over 1 s, since some replicas close idle ones early; a box of a large fleet makes such a call every two seconds. The bound holds only while boxes make several a second. Replicas that keep connections for a time say so with each answer; that time, less a second, is kept to.

Test: TestRestOfConnections, red before.

--- a/gate/dial/pool.go
+++ b/gate/dial/pool.go
@@ -44,8 +44,9 @@
 	// open counts the connections, idle or in use.
 	open   int
 	closed bool
-	// rest is how long a connection may rest.
+	// rest is how long a connection may rest, and told whether the peer has named that time.
 	rest time.Duration
+	told bool
 	// dials counts the connections that were opened.
 	dials int64
 }
@@ -103,7 +104,7 @@
 	p.idle = nil
 }
 
-// take returns an idle connection that has rested at most maxRest and still looks alive,
+// take returns an idle connection that has rested at most maxRest, or for less than the peer names, and still looks alive,
 // or a new one.
 func (p *Pool) take(ctx context.Context, maxRest time.Duration) (*conn, error) {
 	now := time.Now()
@@ -130,7 +131,10 @@
 	if p.closed {
 		return nil, fault.Refuse(fault.NoTarget, "the target is gone")
 	}
-	rest := min(p.rest, maxRest)
+	rest := p.rest
+	if !p.told {
+		rest = min(rest, maxRest)
+	}
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
@@ -172,7 +176,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if rest > 0 {
-		p.rest = min(maxIdle, max(rest-idleMargin, rest/2))
+		p.rest, p.told = min(maxIdle, max(rest-idleMargin, rest/2)), true
 	}
 	if p.closed || p.open > p.limit {
 		p.open--
