mirror: parts are drawn anew once a list has come to rest

A group that is empty needs no new part, and one that changes has no size to draw by: parts are drawn anew once it has rested for 1.5 s. Test: TestListThatLapses, red before (two to four reloads a box).

--- a/gate/mirror/copy.go
+++ b/gate/mirror/copy.go
@@ -13,6 +13,9 @@
 const (
 	// tapeLength is how many of the log's newest answers that brought records a source keeps: some seconds of them.
 	tapeLength = 64
+	// calmAfter is how long a group must have kept its size before parts of it are drawn anew. A zone's replicas that lapse
+	// with the log and come back within two seconds would have all boxes read their parts several times.
+	calmAfter = 1500 * time.Millisecond
 	// staleAfter is the age from which a source's copy is told to nobody: a read that waits for news in vain, a pause,
 	// and a slow answer.
 	staleAfter = 2500 * time.Millisecond
@@ -36,9 +39,11 @@
 	group func(rec work.Record) string
 
 	mu sync.Mutex
-	// newest holds the newest record of each key, counts the number of replicas by their groups.
+	// newest holds the newest record of each key, counts the number of replicas by their groups, and moved when that
+	// changed last.
 	newest map[string]grouped
 	counts map[string]int
+	moved  map[string]time.Time
 	// tape holds the answers from offset first to next, in order.
 	tape        []segment
 	first, next int64
@@ -50,7 +55,7 @@
 
 func newCopy(group func(work.Record) string, whole work.Whole, asked time.Time) *topicCopy {
 	c := &topicCopy{
-		group: group, newest: map[string]grouped{}, counts: map[string]int{}, first: whole.Next, next: whole.Next, proven: asked,
+		group: group, newest: map[string]grouped{}, counts: map[string]int{}, moved: map[string]time.Time{}, first: whole.Next, next: whole.Next, proven: asked,
 		changed: make(chan struct{}),
 	}
 	for _, rec := range whole.Records {
@@ -61,22 +66,34 @@
 
 // put takes a record and returns it with its group: that which its key had before, if it is dropped.
 func (c *topicCopy) put(rec work.Record) grouped {
-	before, had := c.newest[rec.Key]
-	if had && before.group != "" {
-		c.counts[before.group]--
-	}
+	before := c.newest[rec.Key]
 	if len(rec.Value) == 0 {
 		delete(c.newest, rec.Key)
+		c.count(before.group, "")
 		return grouped{Record: rec, group: before.group}
 	}
 	now := grouped{Record: rec, group: c.group(rec)}
-	if now.group != "" {
-		c.counts[now.group]++
-	}
 	c.newest[rec.Key] = now
+	c.count(before.group, now.group)
 	return now
 }
 
+// count notes that a replica went from one group to another; empty stands for none.
+func (c *topicCopy) count(from, to string) {
+	if from == to {
+		return
+	}
+	now := time.Now()
+	if from != "" {
+		c.counts[from]--
+		c.moved[from] = now
+	}
+	if to != "" {
+		c.counts[to]++
+		c.moved[to] = now
+	}
+}
+
 // At reports whether the copy ends at the offset.
 func (c *topicCopy) At(offset int64) bool {
 	c.mu.Lock()
@@ -116,10 +133,11 @@
 	return levels
 }
 
-// fits reports that parts which were drawn at the levels have a fair size still.
+// fits reports that parts which were drawn at the levels have a fair size still, or may have again in a moment.
 func (c *topicCopy) fits(levels subset.Levels, boxes int) bool {
+	now := time.Now()
 	for group, n := range c.counts {
-		if !subset.Fits(n, boxes, levels[group]) {
+		if n > 0 && now.Sub(c.moved[group]) >= calmAfter && !subset.Fits(n, boxes, levels[group]) {
 			return false
 		}
 	}
--- a/gate/mirror/mirror_test.go
+++ b/gate/mirror/mirror_test.go
@@ -227,6 +227,42 @@
 	})
 }
 
+// TestListThatLapses checks that boxes keep their parts while a list lapses with the log and comes back.
+func TestListThatLapses(t *testing.T) {
+	play(t, func(t *testing.T, w *world, followers map[string]*follower) {
+		before := map[string]int{}
+		for name, f := range followers {
+			f.mu.Lock()
+			before[name] = f.reloads
+			f.mu.Unlock()
+		}
+		for i := range 2000 {
+			w.store.put(work.Replicas, work.Record{Key: fmt.Sprintf("i-%04d", i)})
+		}
+		time.Sleep(5 * time.Second)
+		for part := range 20 {
+			for i := range 100 {
+				w.store.put(work.Replicas, work.Record{Key: fmt.Sprintf("i-%04d", 100*part+i), Value: []byte("s a")})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		for name, f := range followers {
+			f.mu.Lock()
+			reloads, n := f.reloads-before[name], 0
+			for _, listed := range f.known {
+				if listed {
+					n++
+				}
+			}
+			f.mu.Unlock()
+			if reloads > 0 || n < 80 || n > 200 {
+				t.Errorf("%s read its part %d times more, and knows %d replicas", name, reloads, n)
+			}
+		}
+	})
+}
+
 // TestSmallZonesReadForThemselves checks that nothing lies between the log and the boxes of a small zone, which know all.
 func TestSmallZonesReadForThemselves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
