--- a/gate/mirror/copy.go
+++ b/gate/mirror/copy.go
@@ -13,8 +13,9 @@
 const (
 	// tapeLength is how many of the log's newest answers that brought records a source keeps: some seconds of them.
 	tapeLength = 64
-	// calmAfter is how long a group must have kept its size before parts of it are drawn anew. A zone's replicas that lapse
-	// with the log and come back within two seconds would have all boxes read their parts several times.
+	// calmAfter is how long a group must have kept its size before parts of it are drawn anew that have grown too small. A
+	// zone's replicas that lapse with the log and come back within two seconds would have all boxes read their parts several
+	// times. Parts that have grown too large are drawn anew at once: a list that fills would be told whole to all.
 	calmAfter = 1500 * time.Millisecond
 	// staleAfter is the age from which a source's copy is told to nobody: a read that waits for news in vain, a pause,
 	// and a slow answer.
@@ -137,7 +138,11 @@
 func (c *topicCopy) fits(levels subset.Levels, boxes int) bool {
 	now := time.Now()
 	for group, n := range c.counts {
-		if n > 0 && now.Sub(c.moved[group]) >= calmAfter && !subset.Fits(n, boxes, levels[group]) {
+		level := levels[group]
+		if n == 0 || subset.Fits(n, boxes, level) {
+			continue
+		}
+		if level < subset.Level(n, boxes) || now.Sub(c.moved[group]) >= calmAfter {
 			return false
 		}
 	}
--- a/gate/mirror/mirror_test.go
+++ b/gate/mirror/mirror_test.go
@@ -87,10 +87,16 @@
 
 // play has a zone of 200 boxes follow a list of 2,000 replicas.
 func play(t *testing.T, do func(t *testing.T, w *world, followers map[string]*follower)) {
+	t.Helper()
+	playOf(t, 2000, do)
+}
+
+// playOf is the same with a list of so many replicas.
+func playOf(t *testing.T, replicas int, do func(t *testing.T, w *world, followers map[string]*follower)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(200)
-		w.replicas(2000)
+		w.replicas(replicas)
 		w.settle()
 		ctx, stop := context.WithCancel(context.Background())
 		var done sync.WaitGroup
@@ -227,6 +233,28 @@
 	})
 }
 
+// TestListThatFills checks that no box knows most of a list while it grows from some replicas to thousands, as at the start of
+// all.
+func TestListThatFills(t *testing.T) {
+	playOf(t, 60, func(t *testing.T, w *world, followers map[string]*follower) {
+		for i := range 4000 {
+			w.store.put(work.Replicas, work.Record{Key: fmt.Sprintf("n-%04d", i), Value: []byte("s a")})
+			if i%20 == 0 {
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		for name, f := range followers {
+			f.mu.Lock()
+			n := len(f.known)
+			f.mu.Unlock()
+			if n > 1500 {
+				t.Errorf("%s has heard of %d of 4000 replicas", name, n)
+			}
+		}
+	})
+}
+
 // TestListThatLapses checks that boxes keep their parts while a list lapses with the log and comes back.
 func TestListThatLapses(t *testing.T) {
 	play(t, func(t *testing.T, w *world, followers map[string]*follower) {
