mirror: a source draws its own part anew; the longest wait for members is bounded

Now it draws it from the copy that it keeps, without reading the log.

TestSourcesOfMembersDie failed once in four runs: a box that no source tells the members read them with a chance of a third at each heartbeat, so that one in a thousand had not within 6 s. Each reads them after 2.5 s now.

--- a/gate/mirror/copy.go
+++ b/gate/mirror/copy.go
@@ -149,6 +149,13 @@
 	return true
 }
 
+// Fits reports that a part which was drawn at the levels need not be drawn anew.
+func (c *topicCopy) Fits(levels subset.Levels, boxes int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fits(levels, boxes)
+}
+
 // fresh returns how old the copy is, or a fault if that is too old to be told.
 func (c *topicCopy) fresh(now time.Time) (time.Duration, error) {
 	age := now.Sub(c.proven)
--- a/gate/mirror/mirror.go
+++ b/gate/mirror/mirror.go
@@ -31,8 +31,9 @@
 	spread     = 100 * time.Millisecond
 	sourceWait = 150 * time.Millisecond
 	// membersPatience is the same for the members, where sources that have just died are still asked; after it one box in
-	// membersDraw reads them at each of its heartbeats.
+	// membersDraw reads them at each of its heartbeats, and after membersMost each that still waits.
 	membersPatience = 800 * time.Millisecond
+	membersMost     = 2500 * time.Millisecond
 	membersDraw     = 3
 	// sizeWait is how long a box that starts waits to hear how large the fleet is.
 	sizeWait = time.Second
@@ -262,7 +263,8 @@
 	if m.untold.IsZero() {
 		m.untold = time.Now()
 	}
-	return time.Since(m.untold) >= membersPatience && rand.IntN(membersDraw) == 0
+	waited := time.Since(m.untold)
+	return waited >= membersMost || (waited >= membersPatience && rand.IntN(membersDraw) == 0)
 }
 
 // know notes that the members were found.
@@ -409,7 +411,7 @@
 	until := time.Now().Add(patience + rand.N(spread*time.Duration(near+1)))
 	for ctx.Err() == nil {
 		if m.Serving() {
-			return m.load(ctx, topic)
+			return m.serve(ctx, topic)
 		}
 		boxes := m.others()
 		if len(boxes) == 0 || time.Now().After(until) {
@@ -501,6 +503,17 @@
 	}
 }
 
+// serve returns this box's own part as a source: of the copy that it keeps, or of one that it reads now.
+func (m *Mirror) serve(ctx context.Context, topic work.Topic) (work.Whole, error) {
+	m.mu.Lock()
+	whole := m.copies[topic]
+	m.mu.Unlock()
+	if whole == nil {
+		return m.load(ctx, topic)
+	}
+	return m.own(topic, whole)
+}
+
 // load reads a topic as a source, keeps it for others and returns this box's own part.
 func (m *Mirror) load(ctx context.Context, topic work.Topic) (work.Whole, error) {
 	whole, err := m.readAll(ctx, topic)
@@ -511,7 +524,7 @@
 	m.copies[topic] = whole
 	m.mu.Unlock()
 	m.logger.Info("mirror: source of a topic", "topic", topic, "records", len(whole.newest))
-	return m.own(topic, whole)
+	return m.justRead(topic, whole)
 }
 
 // readWhole reads a topic for this box alone.
@@ -520,10 +533,17 @@
 	if err != nil {
 		return work.Whole{}, err
 	}
-	return m.own(topic, whole)
+	return m.justRead(topic, whole)
 }
 
-// own returns this box's part of a copy that was just read.
+// justRead returns this box's part of a copy whose question was sent after the caller asked.
+func (m *Mirror) justRead(topic work.Topic, whole *topicCopy) (work.Whole, error) {
+	part, err := m.own(topic, whole)
+	part.Age = 0
+	return part, err
+}
+
+// own returns this box's part of a copy.
 func (m *Mirror) own(topic work.Topic, whole *topicCopy) (work.Whole, error) {
 	sources, near := m.sources()
 	if len(sources) == 0 {
@@ -536,7 +556,6 @@
 	if topic == work.Replicas {
 		m.draw(levels)
 	}
-	part.Age = 0 // the question was sent after the caller asked
 	return part, nil
 }
 
@@ -581,20 +600,35 @@
 	return page
 }
 
-// readOn reads on as a source. Where its copy does not end at the offset, all is to be read anew.
+// forget drops the copy of a topic, so that all is read anew.
+func (m *Mirror) forget(topic work.Topic) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.copies, topic)
+}
+
+// readOn reads on as a source. Where its copy does not end at the offset, all is to be read anew; where this box's own part
+// has no fair size any more, that is to be drawn anew from the copy.
 func (m *Mirror) readOn(ctx context.Context, topic work.Topic, from int64, wait time.Duration) (work.Page, error) {
 	m.mu.Lock()
 	whole, levels := m.copies[topic], m.levels
 	m.mu.Unlock()
 	if whole == nil || !whole.At(from) {
+		m.forget(topic)
 		return work.Page{}, fault.Refuse(fault.HistoryGone, "a source reads all anew")
 	}
 	asked := time.Now()
 	page, err := m.log.Read(ctx, work.Shard{Topic: topic}, from, wait)
+	if fault.Is(err, fault.HistoryGone) {
+		m.forget(topic)
+	}
 	if err != nil {
 		return page, err
 	}
 	whole.Add(page, asked)
+	if sources, near := m.sources(); topic == work.Replicas && len(sources) > 0 && !whole.Fits(levels, near) {
+		return work.Page{}, fault.Refuse(fault.HistoryGone, "the part is to be drawn anew")
+	}
 	return m.ownPage(topic, levels, page), nil
 }
 
