--- a/gate/dial/send.go
+++ b/gate/dial/send.go
@@ -28,8 +28,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// MaxRest bounds how long a reused connection may have rested; zero means the pool's
-	// own bound. A short one makes it less likely that the request is lost on a connection
+	// MaxRest bounds how long a reused connection may have rested, where the peer does not say how long it keeps
+	// one; zero means the pool's own bound. A short one makes it less likely that the request is lost on a connection
 	// that the peer has just closed.
 	MaxRest time.Duration
 	// Confirm is how long the peer may take to say that it takes the request, before which the body is held
