feed: the test of ages that are told tells them from reads that wait

The mutant told_late_proves was not found: what is known is up to 2.2 s old by reads that wait, more than the 1.5 s that the test told. It tells 4 s now, and finds the mutant.

--- a/gate/feed/feed_test.go
+++ b/gate/feed/feed_test.go
@@ -236,7 +236,7 @@
 // TestAgeOfWhatIsTold checks that what another box tells counts as no newer than it says.
 func TestAgeOfWhatIsTold(t *testing.T) {
 	play(t, func(t *testing.T, s *source, f *Feed, _ *list) {
-		const age = 1500 * time.Millisecond
+		const age = 4 * time.Second // longer than a read and a pause
 		s.mu.Lock()
 		s.age = age
 		s.mu.Unlock()
