--- a/gate/mirror/mirror_test.go
+++ b/gate/mirror/mirror_test.go
@@ -198,7 +198,7 @@
 				for step := range 5 {
 					time.Sleep(time.Duration(step) * 230 * time.Millisecond)
 					id, since := fmt.Sprintf("i-%04d", 100*step), time.Now()
-					w.store.put(work.Replicas, work.Record{Key: id, Value: []byte("s a drains")})
+					w.store.list(work.Record{Key: id, Value: []byte("s a drains")})
 					time.Sleep(bound)
 					if latest, never := lateness(followers, id, "s a drains", since); never > 0 || latest > bound {
 						t.Errorf("step %d: %d boxes have not heard after %v, the others after %v at most", step, never, bound, latest)
@@ -214,7 +214,7 @@
 func TestPartIsDrawnAnew(t *testing.T) {
 	play(t, func(t *testing.T, w *world, followers map[string]*follower) {
 		for i := range 1750 {
-			w.store.put(work.Replicas, work.Record{Key: fmt.Sprintf("i-%04d", i)})
+			w.store.list(work.Record{Key: fmt.Sprintf("i-%04d", i)})
 		}
 		time.Sleep(8 * time.Second)
 		for name, f := range followers {
@@ -238,7 +238,7 @@
 func TestListThatFills(t *testing.T) {
 	playOf(t, 60, func(t *testing.T, w *world, followers map[string]*follower) {
 		for i := range 4000 {
-			w.store.put(work.Replicas, work.Record{Key: fmt.Sprintf("n-%04d", i), Value: []byte("s a")})
+			w.store.list(work.Record{Key: fmt.Sprintf("n-%04d", i), Value: []byte("s a")})
 			if i%20 == 0 {
 				time.Sleep(50 * time.Millisecond)
 			}
@@ -265,12 +265,12 @@
 			f.mu.Unlock()
 		}
 		for i := range 2000 {
-			w.store.put(work.Replicas, work.Record{Key: fmt.Sprintf("i-%04d", i)})
+			w.store.list(work.Record{Key: fmt.Sprintf("i-%04d", i)})
 		}
 		time.Sleep(5 * time.Second)
 		for part := range 20 {
 			for i := range 100 {
-				w.store.put(work.Replicas, work.Record{Key: fmt.Sprintf("i-%04d", 100*part+i), Value: []byte("s a")})
+				w.store.list(work.Record{Key: fmt.Sprintf("i-%04d", 100*part+i), Value: []byte("s a")})
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
--- a/gate/mirror/world_test.go
+++ b/gate/mirror/world_test.go
@@ -30,8 +30,7 @@
 	shards map[work.Shard][]work.Record
 	first  map[work.Shard]int64
 	// members are those of the fleet.
-	members    []string
-	generation int64
+	members []string
 	// calls counts calls by their kind.
 	calls map[string]int
 	// deaf holds boxes whose calls hang, as behind a cut.
@@ -42,10 +41,11 @@
 	return &store{shards: map[work.Shard][]work.Record{}, first: map[work.Shard]int64{}, calls: map[string]int{}, deaf: map[string]bool{}}
 }
 
-func (s *store) put(topic work.Topic, recs ...work.Record) {
+// list writes entries of replicas.
+func (s *store) list(recs ...work.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	shard := work.Shard{Topic: topic}
+	shard := work.Shard{Topic: work.Replicas}
 	s.shards[shard] = append(s.shards[shard], recs...)
 }
 
@@ -261,7 +261,7 @@
 // replicas lists n replicas of a service.
 func (w *world) replicas(n int) {
 	for i := range n {
-		w.store.put(work.Replicas, work.Record{Key: fmt.Sprintf("i-%04d", i), Value: []byte("s a")})
+		w.store.list(work.Record{Key: fmt.Sprintf("i-%04d", i), Value: []byte("s a")})
 	}
 }
 
