--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -145,7 +145,7 @@
 		return err
 	}
 	call.Workspace = space.Name
-	if call.Regions, err = e.bound(call, route, space); err != nil {
+	if call.Regions, err = e.regionsOf(call, route, space); err != nil {
 		return err
 	}
 	if left <= 0 || left > route.Timeout {
@@ -156,15 +156,20 @@
 	return e.counted(ctx, space, call, route, out)
 }
 
-// bound returns the regions in which the call may be served; both its route and its workspace bind.
-func (e *Entry) bound(call *work.Call, route *work.Route, space work.Workspace) ([]string, error) {
+// regionsOf returns the regions in which the call may be served; both its route and its workspace bind.
+func (e *Entry) regionsOf(call *work.Call, route *work.Route, space work.Workspace) ([]string, error) {
 	regions, ok := work.BothRegions(route.Regions, space.Regions)
 	if ok {
 		return regions, nil
 	}
+	return nil, e.noRegion(call, route, "", "the route and the workspace allow no region in common")
+}
+
+// noRegion refuses a call that may be served nowhere. Owner names the box that may not have it, if there is one.
+func (e *Entry) noRegion(call *work.Call, route *work.Route, owner, detail string) error {
 	e.counts.Count("entry.no_region", 1)
-	e.log.Info("entry: no region is allowed", "id", call.ID, "route", route.Name, "workspace", space.Name)
-	return nil, fault.Refuse(fault.NoTarget, "the route and the workspace allow no region in common")
+	e.log.Info("entry: no region is allowed", "id", call.ID, "route", route.Name, "workspace", call.Workspace, "owner", owner)
+	return fault.Refuse(fault.NoTarget, detail)
 }
 
 // leaves reports that the call must not be handed to the box: it lies in another region than this one, to which the
@@ -236,9 +241,7 @@
 	}
 	home := e.layout.Home(call.Own(call.Turn.Program))
 	if box, ok := e.boxes.Owner(e.layout.Name(home)); ok && e.leaves(call, box) {
-		e.counts.Count("entry.no_region", 1)
-		e.log.Info("entry: no region is allowed", "id", call.ID, "route", route.Name, "owner", box.Name)
-		return fault.Refuse(fault.NoTarget, "the owner of the program lies outside of the regions that are allowed")
+		return e.noRegion(call, route, box.Name, "the owner of the program lies outside of the regions that are allowed")
 	}
 	err := e.runAt(ctx, home, call, route, out)
 	if elsewhere(err) {
--- a/gate/mirror/hosts.go
+++ b/gate/mirror/hosts.go
@@ -15,7 +15,7 @@
 type hosts struct {
 	self   work.Box
 	shard  work.Shard
-	log    Log
+	log    work.Log
 	logger *slog.Logger
 
 	mu sync.Mutex
@@ -26,7 +26,7 @@
 	until     time.Time
 }
 
-func newHosts(self work.Box, zones []string, log Log, logger *slog.Logger) *hosts {
+func newHosts(self work.Box, zones []string, log work.Log, logger *slog.Logger) *hosts {
 	number := max(slices.Index(zones, self.Zone), 0)
 	return &hosts{self: self, shard: work.Shard{Topic: work.Sources, Number: number}, log: log, logger: logger}
 }
--- a/gate/mirror/members.go
+++ b/gate/mirror/members.go
@@ -150,34 +150,42 @@
 // askMembers asks the boxes for the members, one after the other.
 func (m *Mirror) askMembers(ctx context.Context, boxes []work.Box, generation int64) ([]string, bool) {
 	for _, box := range boxes {
-		m.mu.Lock()
-		have := m.last[box.Name]
-		m.mu.Unlock()
-		next, err := m.askRoster(ctx, box, RosterAsk{Generation: generation, Have: have.digest}, have)
+		next, err := m.askRoster(ctx, box, generation)
 		if err != nil {
 			m.shuns.Add(box.Name, shunFor)
 			m.logger.Debug("mirror: members not told", "source", box.Name, "cause", err)
 			continue
 		}
 		m.mu.Lock()
-		m.last, m.untold = map[string]list{box.Name: next}, time.Time{}
+		m.last, m.lastFrom, m.untold = next, box.Name, time.Time{}
 		m.mu.Unlock()
 		return next.members, true
 	}
 	return nil, false
 }
 
-func (m *Mirror) askRoster(ctx context.Context, box work.Box, ask RosterAsk, have list) (list, error) {
+// toldBy is the newest list that the box told; empty if another told the last.
+func (m *Mirror) toldBy(box work.Box) list {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lastFrom != box.Name {
+		return list{}
+	}
+	return m.last
+}
+
+func (m *Mirror) askRoster(ctx context.Context, box work.Box, generation int64) (list, error) {
 	ctx, stop := context.WithTimeout(ctx, answerWait)
 	defer stop()
-	answer, err := m.peers.Roster(ctx, box, ask)
+	have := m.toldBy(box)
+	answer, err := m.peers.Roster(ctx, box, RosterAsk{Generation: generation, Have: have.digest})
 	if err != nil {
 		return list{}, err
 	}
 	next, ok := have.apply(answer)
 	if !ok {
 		m.mu.Lock()
-		delete(m.last, box.Name)
+		m.lastFrom = ""
 		m.mu.Unlock()
 		return list{}, fault.Fail(fault.Protocol, "the members do not add up")
 	}
--- a/gate/mirror/mirror.go
+++ b/gate/mirror/mirror.go
@@ -21,16 +21,6 @@
 	servesFor = 10 * time.Second
 )
 
-// Log is the log as this box reaches it.
-type Log interface {
-	Append(ctx context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error
-	Newest(ctx context.Context, shard work.Shard, after string) (work.Batch, error)
-	Read(ctx context.Context, shard work.Shard, from int64, wait time.Duration) (work.Page, error)
-	Join(ctx context.Context, member string, generation int64, ttl time.Duration) (int64, error)
-	Leave(ctx context.Context, member string) error
-	Members(ctx context.Context) ([]string, error)
-}
-
 // Boxes tells who lives.
 type Boxes interface {
 	Live() []work.Box
@@ -52,7 +42,7 @@
 // Mirror is the service. It stands between the log and those who follow what all boxes must know.
 type Mirror struct {
 	self    work.Box
-	log     Log
+	log     work.Log
 	boxes   Boxes
 	peers   Peers
 	decoder Decoder
@@ -78,16 +68,17 @@
 	found bool
 	// untold is since when no source has told the members; zero while one does.
 	untold time.Time
-	// last is the newest list of members from each source, by its name.
-	last map[string]list
+	// last is the newest list of members that a source told, and lastFrom that source's name: differences are to it.
+	last     list
+	lastFrom string
 }
 
 // New makes a mirror of a box. The zones are all availability zones, sorted.
-func New(self work.Box, zones []string, log Log, boxes Boxes, peers Peers, decoder Decoder, logger *slog.Logger) *Mirror {
+func New(self work.Box, zones []string, log work.Log, boxes Boxes, peers Peers, decoder Decoder, logger *slog.Logger) *Mirror {
 	m := &Mirror{
 		self: self, log: log, boxes: boxes, peers: peers, decoder: decoder, logger: logger,
 		drawn: func(subset.Levels) {}, ranks: &ranks{zone: self.Zone}, shuns: &shunned{until: map[string]time.Time{}},
-		sized: make(chan struct{}), copies: map[work.Topic]*topicCopy{}, last: map[string]list{},
+		sized: make(chan struct{}), copies: map[work.Topic]*topicCopy{},
 	}
 	m.hosts = newHosts(self, zones, log, logger)
 	m.roster = newRoster(m.readMembers)
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -201,19 +201,30 @@
 
 // Quota implements quota.Peers.
 func (c *Client) Quota(ctx context.Context, box work.Box, msg quota.Ask) (quota.Answer, error) {
+	var out quota.Answer
+	if err := c.exchange(ctx, box, quotaPath, msg, &out); err != nil {
+		return quota.Answer{}, err
+	}
+	return out, nil
+}
+
+// exchange sends a box a message and reads its answer, both JSON. An answer other than 200 is none.
+func (c *Client) exchange(ctx context.Context, box work.Box, path string, msg, answer any) error {
 	body, err := json.Marshal(msg)
 	if err != nil {
-		return quota.Answer{}, fault.Refuse(fault.Internal, "a question for a quota does not encode").Because(err)
+		return fault.Refuse(fault.Internal, "a message to another box does not encode").Because(err)
 	}
-	status, raw, err := c.ask(ctx, box, http.MethodPost, quotaPath, nil, body)
+	status, raw, err := c.ask(ctx, box, http.MethodPost, path, nil, body)
 	if err != nil {
-		return quota.Answer{}, err
+		return err
 	}
-	var out quota.Answer
-	if status != http.StatusOK || json.Unmarshal(raw, &out) != nil {
-		return quota.Answer{}, fault.Fail(fault.Protocol, "another box's answer on a quota does not decode")
+	if status != http.StatusOK {
+		return fault.Fail(fault.Protocol, "another box does not answer: status "+strconv.Itoa(status))
 	}
-	return out, nil
+	if err := json.Unmarshal(raw, answer); err != nil {
+		return fault.Fail(fault.Protocol, "another box's answer does not decode").Because(err)
+	}
+	return nil
 }
 
 // Ping reports whether the box answers.
--- a/gate/remote/log.go
+++ b/gate/remote/log.go
@@ -97,17 +97,9 @@
 	if end, ok := ctx.Deadline(); ok {
 		msg.LimitMS = time.Until(end).Milliseconds()
 	}
-	raw, err := json.Marshal(msg)
-	if err != nil {
-		return logAnswer{}, fault.Refuse(fault.Internal, "call to the log does not encode").Because(err)
-	}
-	_, raw, err = v.client.ask(ctx, v.box, http.MethodPost, logPath, nil, raw)
-	if err != nil {
-		return logAnswer{}, err
-	}
 	var out logAnswer
-	if err := json.Unmarshal(raw, &out); err != nil {
-		return logAnswer{}, fault.Fail(fault.Protocol, "another box's answer does not decode").Because(err)
+	if err := v.client.exchange(ctx, v.box, logPath, msg, &out); err != nil {
+		return logAnswer{}, err
 	}
 	if out.Problem != nil {
 		return logAnswer{}, out.Problem.Fault()
--- a/gate/remote/mirror.go
+++ b/gate/remote/mirror.go
@@ -42,17 +42,9 @@
 }
 
 func (c *Client) source(ctx context.Context, box work.Box, path string, ask any) (told, error) {
-	raw, err := json.Marshal(ask)
-	if err != nil {
-		return told{}, fault.Refuse(fault.Internal, "a question to a source does not encode").Because(err)
-	}
-	_, raw, err = c.ask(ctx, box, http.MethodPost, path, nil, raw)
-	if err != nil {
-		return told{}, err
-	}
 	var out told
-	if err := json.Unmarshal(raw, &out); err != nil {
-		return told{}, fault.Fail(fault.Protocol, "a source's answer does not decode").Because(err)
+	if err := c.exchange(ctx, box, path, ask, &out); err != nil {
+		return told{}, err
 	}
 	if out.Problem != nil {
 		return told{}, out.Problem.Fault()
@@ -78,15 +70,6 @@
 	s.tell(w, told{Roster: &answer}, err)
 }
 
-// decode reads a short question and refuses one that is none.
-func decode(w http.ResponseWriter, r *http.Request, ask any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxHeader)).Decode(ask); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
 // tell sends a source's answer, or its refusal.
 func (s *Server) tell(w http.ResponseWriter, out told, err error) {
 	if err != nil {
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -141,8 +141,7 @@
 
 func (s *Server) quota(w http.ResponseWriter, r *http.Request) {
 	var msg quota.Ask
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxHeader)).Decode(&msg); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	if !decode(w, r, &msg) {
 		return
 	}
 	if err := json.NewEncoder(w).Encode(s.quotas.Grant(time.Now(), msg)); err != nil {
@@ -150,6 +149,15 @@
 	}
 }
 
+// decode reads a short question, and refuses one that is none.
+func decode(w http.ResponseWriter, r *http.Request, ask any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxHeader)).Decode(ask); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
 func (s *Server) find(w http.ResponseWriter, r *http.Request) {
 	var out findAnswer
 	home, err := strconv.Atoi(r.URL.Query().Get(slotParam))
--- a/gate/target/judge.go
+++ b/gate/target/judge.go
@@ -88,7 +88,7 @@
 
 // model reports whether the replica runs turns.
 func (t *Targets) model(s *state) bool {
-	return t.conf != nil && t.conf.Services[s.Service].Engine != nil
+	return t.service(s.Service).Engine != nil
 }
 
 // tell has the other boxes know of a replica that fails its calls, so that not each of them
