node: bind the warming check after the call senders exist

Cause: New bound the method value n.senders.MayWarm before it set n.senders, so the check ran on a nil receiver. Every call that could go to a cold replica panicked; net/http recovered it, and the caller got 502 or 504. Change: the check is bound after the senders are created. Result: TestCallReachesColdReplica assembles a box with fakes for the log and the replicas and sends a call to a cold replica. On the old code it panics in callSenders.MayWarm (nil pointer dereference); now it is answered 200. go test -race -count=3 ./node passes.

--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -104,9 +104,9 @@
 	n.feed = feed.New(n.mirror, deps.Decoder, n.targets, log)
 	n.view = view.New(deps.Self, n.mirror, deps.Timing, log)
 	n.targets.SetBounds(target.Bounds{Regions: deps.Regions, Cold: deps.Cold})
-	n.targets.SetWarmingCheck(n.senders.MayWarm)
 	n.shards = shard.New(deps.Self, layout, detourLog, n.view, n.peers, deps.Meter, log)
 	n.senders = newCallSenders(deps.Self, n.view, layout.Names())
+	n.targets.SetWarmingCheck(n.senders.MayWarm)
 	n.mirror.OnLevels(func(levels subset.Levels) {
 		n.senders.SetLevels(levels)
 		n.targets.SetLevels(levels)
