serve: report recovered panics as errors with their stack

Cause: net/http recovers panics of handlers and of its own code for a connection, and its message went to the debug level. Change: RunCounting turns net/http's message on a recovered panic into the error line "serve: panic recovered" with cause and stack, and counts it in "panics" (mulleingate_panics_total, 0 from the start). Partial answers are broken off as before. http.ErrAbortHandler is not reported.

--- a/base/serve/serve.go
+++ b/base/serve/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"log/slog"
 	"net"
 	"net/http"
@@ -46,12 +47,17 @@
 	unused map[net.Conn]time.Time
 }
 
-// Run serves the listener in the background and logs the server's own messages at debug level. It
-// calls ended if the server ends other than by Stop. It overwrites the server's ErrorLog and
-// ConnState.
+// Run serves the listener in the background and logs the server's own messages at debug level, except
+// for panics; see RunCounting. It calls ended if the server ends other than by Stop. It overwrites the
+// server's ErrorLog and ConnState.
 func Run(srv *http.Server, ln net.Listener, logger *slog.Logger, ended func(cause error)) *Server {
+	return RunCounting(srv, ln, logger, noCounts{}, ended)
+}
+
+// RunCounting is Run, and reports each panic that net/http recovers; see ReportPanic.
+func RunCounting(srv *http.Server, ln net.Listener, logger *slog.Logger, counts Counts, ended func(cause error)) *Server {
 	s := &Server{http: srv, ln: ln, serveReturned: make(chan struct{}), unused: map[net.Conn]time.Time{}}
-	srv.ErrorLog = slog.NewLogLogger(logger.Handler(), slog.LevelDebug)
+	srv.ErrorLog = log.New(&errorLog{logger: logger, counts: counts}, "", 0)
 	srv.ConnState = s.trackConn
 	srv.RegisterOnShutdown(s.closeUnused)
 	go func() {
@@ -63,6 +69,11 @@
 	return s
 }
 
+// Addr returns the address of the listener.
+func (s *Server) Addr() net.Addr {
+	return s.ln.Addr()
+}
+
 // trackConn updates the unused connections. A connection counts as used once the header of its
 // first request has been read.
 func (s *Server) trackConn(conn net.Conn, state http.ConnState) {
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/base/serve"
 	"mulleingate.dev/gate/access"
 	"mulleingate.dev/gate/detour"
 	"mulleingate.dev/gate/entry"
@@ -118,7 +119,8 @@
 	n.counter = quota.NewCounter(deps.Self, deps.Zones, deps.Quota, n.view)
 	quotas := quota.New(deps.Self, deps.Zones, deps.Quota, n.view, n.counter, n.peers, deps.Meter)
 	n.entry = entry.New(deps.Self, layout, deps.Regions, n.feed, access.New(deps.Access), quotas, n.view, n.detector, n.shards, runner, n.peers, forwarder, deps.Meter, log)
-	n.server = remote.NewServer(deps.Self.Peer, n.entry, n.shards, n.view, n.counter, n.mirror, deps.Log, log)
+	n.server = remote.NewServer(deps.Self.Peer, n.entry, n.shards, n.view, n.counter, n.mirror, deps.Log, deps.Meter, log)
+	deps.Meter.Count(serve.PanicsMetric, 0) // exists from the start, so that alerts see its first increase
 	n.feed.OnConfig(func(conf *work.Config) { n.counter.Update(time.Now(), conf) })
 	n.view.OnChange(n.onBoxesChanged)
 	n.targets.OnFailing(n.watch.SendFailureRate)
@@ -289,6 +291,11 @@
 	return &conf.Limits
 }
 
+// Count adds by to a counter of the metrics.
+func (n *Node) Count(name string, by int64) {
+	n.deps.Meter.Count(name, by)
+}
+
 // Handle serves one call; see entry.Entry.Handle.
 func (n *Node) Handle(ctx context.Context, call *work.Call, left time.Duration, out work.Answer) error {
 	if n.feed.Config() != nil && !n.feed.Ready() {
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -65,6 +65,7 @@
 	quotas    Quotas
 	sources   Sources
 	directLog work.Log
+	counts    serve.Counts
 	logger    *slog.Logger
 	http      *http.Server
 	// running is nil before Start.
@@ -73,8 +74,8 @@
 
 // NewServer returns a server that does not listen yet. It performs operations on direct, the log, for boxes
 // that can't reach the log themselves.
-func NewServer(addr netip.AddrPort, turns Turns, slots Slots, boxes Boxes, quotas Quotas, sources Sources, direct work.Log, logger *slog.Logger) *Server {
-	s := &Server{addr: addr, turns: turns, slots: slots, boxes: boxes, quotas: quotas, sources: sources, directLog: direct, logger: logger}
+func NewServer(addr netip.AddrPort, turns Turns, slots Slots, boxes Boxes, quotas Quotas, sources Sources, direct work.Log, counts serve.Counts, logger *slog.Logger) *Server {
+	s := &Server{addr: addr, turns: turns, slots: slots, boxes: boxes, quotas: quotas, sources: sources, directLog: direct, counts: counts, logger: logger}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+turnPath, s.turn)
 	mux.HandleFunc("POST "+handoverPath, s.handover)
@@ -96,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	s.running = serve.Run(s.http, ln, s.logger, func(cause error) { s.logger.Error("remote: listener failed", "cause", cause) })
+	s.running = serve.RunCounting(s.http, ln, s.logger, s.counts, func(cause error) { s.logger.Error("remote: listener failed", "cause", cause) })
 	return nil
 }
 
@@ -174,6 +175,7 @@
 
 func (s *Server) turn(w http.ResponseWriter, r *http.Request) {
 	out := &turnWriter{w: w, flush: http.NewResponseController(w)}
+	defer s.answerPanic(out)
 	msg, err := readTurn(http.MaxBytesReader(w, r.Body, maxBody))
 	if err == nil {
 		err = s.turns.RunHere(r.Context(), msg.Slot, msg.Call, msg.Route, out)
@@ -184,12 +186,31 @@
 	if out.begun {
 		panic(http.ErrAbortHandler) // the response must not look complete
 	}
-	problem := fault.From(err).Problem("")
+	s.sendFault(out, err)
+}
+
+func (s *Server) sendFault(out *turnWriter, cause error) {
+	problem := fault.From(cause).Problem("")
 	if err := out.send(turnResponse{Problem: &problem}); err != nil {
 		s.logger.Debug("remote: cannot send fault of a forwarded turn", "cause", err)
 	}
 }
 
+// answerPanic responds to a turn whose handler has panicked: the turn may have run. Without a response, the
+// other box would mark this one unreachable. A partial response is ended by panicking again, which the server
+// reports.
+func (s *Server) answerPanic(out *turnWriter) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	if out.begun || serve.IsAbort(value) {
+		panic(value)
+	}
+	serve.ReportPanic(s.logger, s.counts, value)
+	s.sendFault(out, fault.Fail(fault.Internal, "the owner of the slot failed the turn"))
+}
+
 func readTurn(body io.Reader) (turnRequest, error) {
 	var msg turnRequest
 	if err := unframe(body, &msg); err != nil {
