front: apply the configured limits of headers and idle connections

Cause: max_header_bytes, header_timeout_ms and idle_timeout_ms of the configuration were decoded into work.Limits but never used: the server for callers had constants, and a http.Server can't change them once it runs. A connection may be idle for the whole idle timeout also before its first request, where the header timeout used to apply, and one that is idle while the timeout becomes longer is kept for the longer time. The header timeout counts from the first byte of a request. Both timeouts are used as configured; the constants remain for the time without a configuration.

--- a/base/serve/serve.go
+++ b/base/serve/serve.go
@@ -77,6 +77,9 @@
 // trackConn updates the unused connections. A connection counts as used once the header of its
 // first request has been read.
 func (s *Server) trackConn(conn net.Conn, state http.ConnState) {
+	if timed, ok := conn.(*timedConn); ok && state == http.StateIdle {
+		timed.responded()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateNew {
--- /dev/null
+++ b/base/serve/timeouts.go
@@ -0,0 +1,114 @@
+package serve
+
+import (
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Timeouts are the timeouts of a connection with callers.
+type Timeouts struct {
+	// Header is the time within which the header of a request must arrive, from its first byte.
+	Header time.Duration
+	// Idle is the time for which a connection may be idle, before its first request or after a response.
+	Idle time.Duration
+}
+
+// WithTimeouts returns a listener whose connections apply the timeouts that current returns, in place of
+// ReadHeaderTimeout and IdleTimeout of the http.Server that serves it. These can't change once the server runs;
+// they must be positive. current is called for each request and must not block.
+func WithTimeouts(ln net.Listener, current func() Timeouts) net.Listener {
+	return &timedListener{Listener: ln, current: current}
+}
+
+type timedListener struct {
+	net.Listener
+	current func() Timeouts
+}
+
+// Accept implements net.Listener.
+func (l *timedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return conn, nil
+	}
+	return &timedConn{TCPConn: tcp, current: l.current, awaitsIdle: true}, nil
+}
+
+// timedConn replaces the deadlines that http.Server sets for an idle connection and for the header of a request.
+// It embeds the TCP connection since the server also uses methods that net.Conn lacks.
+type timedConn struct {
+	*net.TCPConn
+	current func() Timeouts
+
+	mu sync.Mutex
+	// awaitsIdle is set from the accept, or from the end of a response, until the server sets the next deadline.
+	awaitsIdle bool
+	// idle is set while the server waits for the first byte of a request; idleSince is the time since when.
+	idle      bool
+	idleSince time.Time
+}
+
+// responded is called when the server has completed a response.
+func (c *timedConn) responded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaitsIdle = true
+}
+
+// SetReadDeadline implements net.Conn. A zero deadline, and one that has passed and interrupts a read, is set as
+// it is. Of the others, the server sets the first one after the accept or after a response for the idle
+// connection, and the next one for the header of a request.
+func (c *timedConn) SetReadDeadline(deadline time.Time) error {
+	now := time.Now()
+	if !deadline.After(now) {
+		return c.TCPConn.SetReadDeadline(deadline)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.awaitsIdle = c.awaitsIdle, false
+	if !c.idle {
+		return c.TCPConn.SetReadDeadline(now.Add(c.current().Header))
+	}
+	c.idleSince = now
+	return c.TCPConn.SetReadDeadline(now.Add(c.current().Idle))
+}
+
+// Read implements net.Conn.
+func (c *timedConn) Read(buf []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(buf)
+		if !c.extendIdle(n, err) {
+			return n, err
+		}
+	}
+}
+
+// extendIdle handles the result of a read while the connection is idle. It sets the deadline of the header if
+// the first byte has arrived. It returns true if the read must be repeated, since the timeout of idle connections
+// has become longer after the deadline was set.
+func (c *timedConn) extendIdle(n int, err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle {
+		return false
+	}
+	now, timeouts := time.Now(), c.current()
+	if n > 0 {
+		c.idle = false
+		_ = c.TCPConn.SetReadDeadline(now.Add(timeouts.Header)) // the next read fails if the connection is closed
+		return false
+	}
+	until := c.idleSince.Add(timeouts.Idle)
+	if !errors.Is(err, os.ErrDeadlineExceeded) || !until.After(now) {
+		return false
+	}
+	return c.TCPConn.SetReadDeadline(until) == nil
+}
