quota: drop the state of removed workspaces

Cause: Counter.Update went over the workspaces of the new configuration only, so one that it no longer contained kept its part and its counting start for ever, and so did its state at the boxes that ask (Quotas). Change: workspaces of the previous configuration that are missing from the new one are dropped. The time of the removal is kept for a window and 2 s, in which other boxes may still grant calls: a workspace that comes back within it starts with an empty part, so that no window exceeds its limit; later it starts with a full one, as a new workspace does. Quotas.Update, called with each configuration, drops prefetched calls of removed workspaces and the pauses of lost counters that are over. Result: TestRemovedWorkspaceIsDropped (old code: 1 part and 2 counting starts instead of 0 and 1), TestReturningWorkspace (old: 11 calls at once 1 s after the removal instead of 0) and TestQuotasDropRemovedWorkspace (Quotas.Update is new) pass; go test -race ./quota ./node passes.

--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -121,7 +121,10 @@
 	n.entry = entry.New(deps.Self, layout, deps.Regions, n.feed, access.New(deps.Access), quotas, n.view, n.detector, n.shards, runner, n.peers, forwarder, deps.Meter, log)
 	n.server = remote.NewServer(deps.Self.Peer, n.entry, n.shards, n.view, n.counter, n.mirror, deps.Log, deps.Meter, log)
 	deps.Meter.Count(serve.PanicsMetric, 0) // exists from the start, so that alerts see its first increase
-	n.feed.OnConfig(func(conf *work.Config) { n.counter.Update(time.Now(), conf) })
+	n.feed.OnConfig(func(conf *work.Config) {
+		n.counter.Update(time.Now(), conf)
+		quotas.Update(time.Now(), conf)
+	})
 	n.view.OnChange(n.onBoxesChanged)
 	n.targets.OnFailing(n.watch.SendFailureRate)
 	return n
--- a/gate/quota/counter.go
+++ b/gate/quota/counter.go
@@ -54,13 +54,16 @@
 	conf       *work.Config
 	parts      map[string]*part
 	// countingSince holds the time from which this box counts each workspace. It is zero for a workspace that
-	// was not in the previous configuration, for which no other box can have granted calls.
+	// was not in the previous configuration and was not removed shortly before, since no box can have granted
+	// calls that count.
 	countingSince map[string]time.Time
+	// removedAt holds when workspaces were removed from the configuration; see recentlyRemoved.
+	removedAt map[string]time.Time
 }
 
 // NewCounter returns the Counter of the box self; zones are all availability zones.
 func NewCounter(self work.Box, zones []string, bounds Bounds, locator CounterLocator) *Counter {
-	return &Counter{self: self, zones: zones, bounds: bounds, locator: locator, parts: map[string]*part{}, countingSince: map[string]time.Time{}}
+	return &Counter{self: self, zones: zones, bounds: bounds, locator: locator, parts: map[string]*part{}, countingSince: map[string]time.Time{}, removedAt: map[string]time.Time{}}
 }
 
 const (
@@ -72,6 +75,9 @@
 	// handoverOverlap is how long the previous counter may continue after another box has taken over: one
 	// heartbeat, within which all boxes learn of the change.
 	handoverOverlap = 300 * time.Millisecond
+	// removalLag is how long other boxes may continue to grant calls of a workspace that is removed: the time
+	// within which a new configuration is in force on all boxes.
+	removalLag = 2 * time.Second
 )
 
 // Start starts the periodic check for freezes of the process.
@@ -120,39 +126,57 @@
 func (c *Counter) Update(now time.Time, conf *work.Config) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	before := c.conf
+	before := workspacesOf(c.conf)
+	started := c.conf == nil
 	c.conf = conf
-	if conf == nil || conf.Callers == nil {
-		clear(c.countingSince)
-		clear(c.parts)
-		return
-	}
-	for _, space := range conf.Callers.All() {
-		counter, ok := c.locator.QuotaCounter(space.Name, c.self.Zone)
+	spaces := workspacesOf(conf)
+	c.dropRemoved(now, before, spaces)
+	for name := range spaces {
+		counter, ok := c.locator.QuotaCounter(name, c.self.Zone)
 		if !ok || counter.Name != c.self.Name {
-			delete(c.countingSince, space.Name)
-			delete(c.parts, space.Name)
+			delete(c.countingSince, name)
+			delete(c.parts, name)
 			continue
 		}
-		if _, already := c.countingSince[space.Name]; !already {
-			c.countingSince[space.Name] = c.countingStart(now, before, space.Name)
+		if _, already := c.countingSince[name]; already {
+			continue
+		}
+		c.countingSince[name] = time.Time{}
+		if _, known := before[name]; started || known || c.recentlyRemoved(now, name) {
+			c.countingSince[name] = now.Add(handoverOverlap)
 		}
 	}
 }
 
-// countingStart returns the time from which no other box grants calls of a workspace that this box begins to
-// count.
-func (c *Counter) countingStart(now time.Time, before *work.Config, name string) time.Time {
-	if before == nil {
-		return now.Add(handoverOverlap) // the box has just started
+// workspacesOf returns the workspaces of a configuration, which may be nil.
+func workspacesOf(conf *work.Config) map[string]work.Workspace {
+	if conf == nil || conf.Callers == nil {
+		return nil
 	}
-	if before.Callers == nil {
-		return time.Time{}
+	return conf.Callers.All()
+}
+
+// dropRemoved drops the state of workspaces that were in the previous configuration and are not in the new one.
+func (c *Counter) dropRemoved(now time.Time, before, spaces map[string]work.Workspace) {
+	for name := range before {
+		if _, kept := spaces[name]; !kept {
+			c.removedAt[name] = now
+			delete(c.countingSince, name)
+			delete(c.parts, name)
+		}
 	}
-	if _, known := before.Callers.WorkspaceByName(name); known {
-		return now.Add(handoverOverlap)
+	for name := range c.removedAt {
+		if !c.recentlyRemoved(now, name) {
+			delete(c.removedAt, name)
+		}
 	}
-	return time.Time{}
+}
+
+// recentlyRemoved reports whether a window may still contain calls that were granted before the workspace was
+// removed.
+func (c *Counter) recentlyRemoved(now time.Time, name string) bool {
+	at, ok := c.removedAt[name]
+	return ok && now.Sub(at) < c.bounds.Window+removalLag
 }
 
 // Grant answers a request for calls.
--- a/gate/quota/counter_test.go
+++ b/gate/quota/counter_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"mulleingate.dev/gate/work"
 )
 
@@ -92,3 +94,79 @@
 		}
 	})
 }
+
+// withWorkspaces returns a configuration with the named workspaces.
+func withWorkspaces(version int64, names ...string) *work.Config {
+	var spaces []work.Workspace
+	for _, name := range names {
+		spaces = append(spaces, work.Workspace{Name: name, Rate: 10, Burst: 10})
+	}
+	conf := work.NewConfig(version, nil, nil, work.Limits{})
+	conf.Callers = work.NewWorkspaceIndex(spaces)
+	return conf
+}
+
+// TestRemovedWorkspaceIsDropped checks that a workspace which a configuration no longer contains leaves no state,
+// whether other workspaces remain or not. Its part and the start of its counting were kept for ever.
+func TestRemovedWorkspaceIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, rest := range [][]string{{"other"}, nil} {
+			c := newFullCounter(t)
+			grantAll(c)
+			c.Update(time.Now(), withWorkspaces(2, rest...))
+			if diff := cmp.Diff([]int{0, len(rest)}, []int{len(c.parts), len(c.countingSince)}); diff != "" {
+				t.Errorf("%v remain: parts and counting starts (-want +got):\n%s", rest, diff)
+			}
+			time.Sleep(bounds.Window + removalLag)
+			c.Update(time.Now(), withWorkspaces(2, rest...))
+			if len(c.removedAt) > 0 {
+				t.Errorf("%v remain: removals after a window: %v", rest, c.removedAt)
+			}
+			_ = c.Stop(context.Background()) // never fails
+		}
+	})
+}
+
+// TestReturningWorkspace checks that a workspace which is removed and soon comes back starts with an empty part,
+// since the window still contains its earlier calls, and later with a full one.
+func TestReturningWorkspace(t *testing.T) {
+	for _, away := range []time.Duration{time.Second, bounds.Window + removalLag} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newFullCounter(t)
+			defer func() { _ = c.Stop(context.Background()) }()
+			full := grantAll(c)
+			c.Update(time.Now(), withWorkspaces(2))
+			time.Sleep(away)
+			c.Update(time.Now(), withWorkspaces(3, "w"))
+			want := 0
+			if away >= bounds.Window+removalLag {
+				want = full
+			}
+			if diff := cmp.Diff(want, grantAll(c)); diff != "" {
+				t.Errorf("calls granted at once after %v (-want +got):\n%s", away, diff)
+			}
+		})
+	}
+}
+
+// TestQuotasDropRemovedWorkspace checks that a box drops its state of a removed workspace and of lost counters.
+func TestQuotasDropRemovedWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New(work.Box{Name: "b", Zone: "a"}, zones[:1], bounds, nil, nil, nil, nil)
+		q.addPrefetched("w", 1)
+		q.addPrefetched("other", 1)
+		q.lostUntil["c"] = time.Now().Add(lostPause)
+		q.Update(time.Now(), withWorkspaces(2, "other"))
+		if diff := cmp.Diff([]int{1, 1}, []int{len(q.workspaces), len(q.lostUntil)}); diff != "" {
+			t.Errorf("workspaces and lost counters (-want +got):\n%s", diff)
+		}
+		if !q.usePrefetched("other") {
+			t.Error("the state of the remaining workspace was dropped")
+		}
+		time.Sleep(lostPause)
+		q.Update(time.Now(), withWorkspaces(2, "other"))
+		if len(q.lostUntil) > 0 {
+			t.Errorf("lost counters: %v", q.lostUntil)
+		}
+	})
+}
--- a/gate/quota/quota.go
+++ b/gate/quota/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -86,6 +87,19 @@
 	}
 }
 
+// Update drops the state of workspaces that a configuration does not contain, and of counters that may be asked
+// again.
+func (q *Quotas) Update(now time.Time, conf *work.Config) {
+	spaces := workspacesOf(conf)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	maps.DeleteFunc(q.workspaces, func(name string, _ *workspaceState) bool {
+		_, kept := spaces[name]
+		return !kept
+	})
+	maps.DeleteFunc(q.lostUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
+
 // Permit is a call that was counted against a quota.
 type Permit struct {
 	quotas *Quotas
