sched: drop idle entries of TurnStats and FairShare

Cause: TurnStats kept every program that was not reported as ended and every kind that callers ever named, and FairShare every workspace that was ever charged. Change: TurnStats drops programs 10 minutes after the start and the end of their last turn (several times the longest pause for which a prefix is held) and kinds an hour after their last turn, once a minute and without counting the programs as ended.

--- a/gate/sched/pauses.go
+++ b/gate/sched/pauses.go
@@ -1,25 +1,30 @@
 package sched
 
 import (
+	"maps"
 	"math"
 	"time"
 )
 
 // TurnStats estimates, by kind of program, the pause between turns, the probability of another turn
-// and the length of answers.
+// and the length of answers. It drops programs and kinds that are idle for long.
 type TurnStats struct {
 	kinds map[string]*kindStats
 	// last holds the last turn of each program.
 	last map[string]lastTurn
+	// sweptAt is when idle programs and kinds were last dropped.
+	sweptAt time.Time
 }
 
 // lastTurn is the last turn of a program; endedAt is zero until its answer is complete.
 type lastTurn struct {
-	endedAt time.Time
-	kind    string
+	startedAt, endedAt time.Time
+	kind               string
 }
 
 type kindStats struct {
+	// usedAt is when the last turn of the kind started.
+	usedAt    time.Time
 	meanPause time.Duration
 	// turns and ends are decayed counts of turns and of ended programs. Their ratio gives the
 	// probability of another turn.
@@ -35,6 +40,14 @@
 	// countDecay multiplies a count before each increment, so that it covers about the last thousand
 	// events.
 	countDecay = 0.999
+	// programTTL is how long a program is kept after the start and the end of its last turn, since not every
+	// program is reported as ended. It is several times the longest pause for which a prefix is held, 100 s by
+	// holdCost and minHoldPressure. kindTTL is how long a kind is kept after its last turn, since callers may
+	// name any number of kinds; it covers gaps in the load of a kind that is in use.
+	programTTL = 10 * time.Minute
+	kindTTL    = time.Hour
+	// sweepInterval is the time between two searches for idle programs and kinds.
+	sweepInterval = time.Minute
 )
 
 // NewTurnStats returns a TurnStats without any history.
@@ -57,15 +70,30 @@
 	Probability float64
 }
 
+// sweep drops programs and kinds that have been idle for long. Dropped programs don't count as ended, since they
+// may only pause.
+func (s *TurnStats) sweep(now time.Time) {
+	if now.Sub(s.sweptAt) < sweepInterval {
+		return
+	}
+	s.sweptAt = now
+	maps.DeleteFunc(s.last, func(_ string, last lastTurn) bool {
+		return now.Sub(last.startedAt) > programTTL && now.Sub(last.endedAt) > programTTL
+	})
+	maps.DeleteFunc(s.kinds, func(_ string, k *kindStats) bool { return now.Sub(k.usedAt) > kindTTL })
+}
+
 // TurnStarted records the start of a turn and returns what is expected after it.
 func (s *TurnStats) TurnStarted(now time.Time, program, kind string) NextTurn {
+	s.sweep(now)
 	k := s.kind(kind)
+	k.usedAt = now
 	if last, ok := s.last[program]; ok && !last.endedAt.IsZero() {
 		pause := now.Sub(last.endedAt)
 		k.meanPause += time.Duration(turnStatsWeight * float64(pause-k.meanPause))
 	}
 	k.turns = k.turns*countDecay + 1
-	s.last[program] = lastTurn{kind: kind}
+	s.last[program] = lastTurn{startedAt: now, kind: kind}
 	return NextTurn{Pause: k.meanPause, Probability: 1 - k.ends/math.Max(k.turns, 1)}
 }
 
@@ -115,7 +143,8 @@
 // fair queueing.
 type FairShare struct {
 	shares Shares
-	used   map[string]float64
+	// used holds the use of workspaces above floor; all others count as having floor.
+	used map[string]float64
 	// floor is the least use that any workspace counts as having, so that an idle workspace can't
 	// accumulate credit without limit.
 	floor float64
@@ -141,6 +170,7 @@
 		highest = math.Max(highest, used)
 	}
 	f.floor = math.Max(f.floor, highest-maxCredit)
+	maps.DeleteFunc(f.used, func(_ string, used float64) bool { return used <= f.floor })
 }
 
 // Level returns the workspace's weighted use in quanta; the lowest is served first.
