limit: count an ejected target once against the limit

Cause: Ejector.Failure added one to the number of ejected targets also if the target that failed was among them. Change: the target is counted once. Result: TestEjectedTargetIsEjectedAgain fails on the old code for pools of 2 and 3 (the ejection was not extended) and passes now; a second target is still ejected only from 4 targets on. go test -race passes for limit, target, plain, pool and admit.

--- a/gate/limit/eject.go
+++ b/gate/limit/eject.go
@@ -34,7 +34,11 @@
 // of targets in the pool.
 func (e *Ejector) Failure(now time.Time, name string, poolSize int) bool {
 	e.failures[name]++
-	if e.failures[name] < failuresToEject || 2*(e.EjectedCount(now)+1) > poolSize {
+	ejected := e.EjectedCount(now)
+	if !e.Ejected(now, name) {
+		ejected++
+	}
+	if e.failures[name] < failuresToEject || 2*ejected > poolSize {
 		return false
 	}
 	duration := min(minEjection<<e.ejections[name], maxEjection)
--- a/gate/limit/limit_test.go
+++ b/gate/limit/limit_test.go
@@ -64,3 +64,26 @@
 		t.Error("target is still ejected an hour later")
 	}
 }
+
+// TestEjectedTargetIsEjectedAgain checks that a target which fails while it is ejected, as the last resort, is
+// ejected for longer, and that the limit of half of the pool still holds for others. The target itself was counted
+// twice against that limit.
+func TestEjectedTargetIsEjectedAgain(t *testing.T) {
+	now := time.Unix(0, 0)
+	for _, poolSize := range []int{2, 3, 4} {
+		e := NewEjector()
+		for range failuresToEject {
+			e.Failure(now, "a", poolSize)
+		}
+		if !e.Failure(now, "a", poolSize) || !e.Ejected(now.Add(minEjection), "a") {
+			t.Errorf("pool of %d: the ejection was not extended", poolSize)
+		}
+		ejected := false
+		for range failuresToEject {
+			ejected = e.Failure(now, "b", poolSize)
+		}
+		if want := poolSize >= 4; ejected != want {
+			t.Errorf("pool of %d: second target ejected %v, want %v", poolSize, ejected, want)
+		}
+	}
+}
