target: give a full connection pool an outcome of its own

Cause: a call for which this box had no free connection to the replica ended with the outcome Unreached, so that the replica was avoided for a second although the pool says nothing about it. A refused connection still makes the replica avoided.

--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -38,7 +38,8 @@
 // Sender sends a call to a replica.
 type Sender interface {
 	// Send returns once the head of the answer has arrived. left is how long the replica may take. A fault
-	// with NotRun means that the replica has not received the call.
+	// with NotRun means that the replica has not received the call; its kind is Overloaded if no connection
+	// to the replica was free.
 	Send(ctx context.Context, lease *target.Lease, call *work.Call, left time.Duration) (work.Reply, error)
 }
 
@@ -196,7 +197,7 @@
 // endFailed ends an attempt that got no answer or an incomplete one, and returns err.
 func (a *attempts) endFailed(ctx context.Context, lease *target.Lease, start time.Time, err error) error {
 	if fault.From(err).NotRun {
-		lease.Done(target.Unreached, 0)
+		lease.Done(target.NotSentOutcome(err), 0)
 		return err
 	}
 	a.runs++
--- a/gate/target/judge.go
+++ b/gate/target/judge.go
@@ -67,6 +67,8 @@
 	case Unreached:
 		s.suspectUntil = now.Add(suspectFor)
 		t.log.Warn("target: call did not reach replica", "replica", s.ID, "service", s.Service)
+	case PoolFull:
+		t.log.Info("target: no connection to replica free", "replica", s.ID, "service", s.Service)
 	case Unresponsive:
 		if !s.hasQueue(now) {
 			s.recordOutcome(now, 1)
--- a/gate/target/lease.go
+++ b/gate/target/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/work"
 )
 
@@ -56,8 +57,11 @@
 	Answered Outcome = iota
 	// Refused means that the replica reported that it did not run the call.
 	Refused
-	// Unreached means that the call did not reach the replica, usually for lack of a connection.
+	// Unreached means that the call did not reach the replica, usually since no connection could be opened.
 	Unreached
+	// PoolFull means that the call was not sent, since this box had no connection to the replica free and
+	// could open no more. It says nothing about the replica.
+	PoolFull
 	// Incomplete means that the answer did not arrive or was incomplete.
 	Incomplete
 	// Failed means that a whole answer reported that the replica failed the call.
@@ -68,6 +72,14 @@
 	Abandoned
 )
 
+// NotSentOutcome returns the outcome of a call that a sender did not get to the replica.
+func NotSentOutcome(err error) Outcome {
+	if fault.Is(err, fault.Overloaded) {
+		return PoolFull
+	}
+	return Unreached
+}
+
 // Done releases the place and records how the call ended. took is the time of a unit of work, zero if it
 // is unknown.
 func (l *Lease) Done(out Outcome, took time.Duration) {
--- a/gate/target/target_test.go
+++ b/gate/target/target_test.go
@@ -240,6 +240,26 @@
 	}
 }
 
+// TestFullPoolDoesNotAvoidReplica checks that a full connection pool does not count against the replica. The replica
+// was avoided for a second, as if it had not been reached.
+func TestFullPoolDoesNotAvoidReplica(t *testing.T) {
+	targets, _ := newTargets(3, false)
+	full := take(t, targets, CallRequest{})
+	full.Done(NotSentOutcome(fault.Refuse(fault.Overloaded, "no connection to the target is free")), 0)
+	var replicas []string
+	for range 3 {
+		lease := take(t, targets, CallRequest{Exclude: replicas})
+		replicas = append(replicas, lease.Replica.ID)
+		defer lease.Done(Answered, time.Millisecond)
+	}
+	if !slices.Contains(replicas, full.Replica.ID) {
+		t.Errorf("calls placed at %v, want one at %s", replicas, full.Replica.ID)
+	}
+	if state := targets.byID[full.Replica.ID]; state.lastFailureRate != 0 || !state.suspectUntil.IsZero() {
+		t.Errorf("failure rate %v, suspect until %v", state.lastFailureRate, state.suspectUntil)
+	}
+}
+
 // TestDroppedReplicaFinishesCalls checks that the pool of a dropped replica stays open until its last
 // call ends.
 func TestDroppedReplicaFinishesCalls(t *testing.T) {
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -315,7 +315,7 @@
 func (t *turn) errorOutcome(ctx context.Context, err error) target.Outcome {
 	switch {
 	case fault.From(err).NotRun:
-		return target.Unreached
+		return target.NotSentOutcome(err)
 	case fault.Is(err, fault.CallerGone):
 		return target.Abandoned
 	case ctx.Err() == nil:
--- a/gate/turns/turns_test.go
+++ b/gate/turns/turns_test.go
@@ -37,7 +37,7 @@
 }
 
 // TestErrorOutcome checks that a caller that left does not count against a replica, unless the replica was
-// silent.
+// silent, and that a full connection pool does not either. That counted as a replica that was not reached.
 func TestErrorOutcome(t *testing.T) {
 	left, stop := context.WithCancel(context.Background())
 	stop()
@@ -50,6 +50,7 @@
 		want   target.Outcome
 	}{
 		{"no connection", false, 0, context.Background(), fault.Refuse(fault.NoTarget, ""), target.Unreached},
+		{"no connection free", false, 0, context.Background(), fault.Refuse(fault.Overloaded, ""), target.PoolFull},
 		{"broke off", true, 0, context.Background(), fault.Fail(fault.TargetFailed, ""), target.Incomplete},
 		{"caller does not take the answer", true, time.Minute, left, fault.Fail(fault.CallerGone, ""), target.Abandoned},
 		{"caller left early", true, silenceThreshold / 2, left, fault.Fail(fault.TimedOut, ""), target.Abandoned},
