sched, target: prefer the same replicas for a shared prompt prefix on all boxes

Cause: a box knows only which prefixes it sent where itself, so different boxes fill different engines with the same prefix, and prefixes evict each other. Change: where the configuration gives the engine's memory (kv_cache_tokens) and the shared prefixes in use exceed a quarter of it, each prefix gets preferred replicas by a weighted rendezvous ranking, as many as its share of the demand needs, with a bound on the tokens assigned to a replica. Preferred replicas count as caching the prefix, others only for 3 s after this box sent it there, and calls that overflow follow the ranking. The gauges node.shared_prefixes and node.preferred_replicas show the assignment. Boxes do not exchange their counts yet, except in the tests.

--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -256,6 +256,9 @@
 	gauges.Gauge("node.configs_refused", n.feed.RejectedConfigs())
 	gauges.Gauge("node.entries_refused", n.feed.RejectedEntries())
 	gauges.Gauge("node.replicas", int64(len(n.targets.ListedIDs())))
+	prefixes, preferred := n.targets.PrefixTotals()
+	gauges.Gauge("node.shared_prefixes", int64(prefixes))
+	gauges.Gauge("node.preferred_replicas", int64(preferred))
 	if conf := n.feed.Config(); conf != nil {
 		gauges.Gauge("node.config_version", conf.Version)
 	}
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -134,7 +134,8 @@
 	return float64(totals.usedSlots) / float64(max(totals.slots, 1))
 }
 
-// cachedTokens estimates how many tokens of the prompt are in the replica's cache.
+// cachedTokens estimates how many tokens of the prompt are in the replica's cache, as the cost counts them:
+// fewer where the shared parts should not stay.
 func (t *Targets) cachedTokens(now time.Time, ask CallRequest, s *state) int {
-	return min(max(ask.CachedTokens[s.RunID()], s.cachedPartTokens(now, ask.Prompt.Parts)), ask.Prompt.Tokens)
+	return min(max(ask.CachedTokens[s.RunID()], t.cachedPrefixAt(now, ask, s).ranked), ask.Prompt.Tokens)
 }
--- a/gate/target/parts.go
+++ b/gate/target/parts.go
@@ -46,14 +46,21 @@
 func (s *state) cachedPartTokens(now time.Time, parts []work.Part) int {
 	sum := 0
 	for _, p := range parts {
-		cached, ok := s.promptParts[p.ID]
-		if !ok || now.Sub(cached.sentAt) >= promptPartTTL {
-			break
-		}
-		sum += min(cached.tokens, p.Tokens)
-		if cached.tokens < p.Tokens {
+		tokens, ok := s.sentPartTokens(now, p, promptPartTTL)
+		sum += tokens
+		if !ok {
 			break
 		}
 	}
 	return sum
 }
+
+// sentPartTokens returns how many tokens of the part were sent to the replica within ttl, and whether that
+// is all of it.
+func (s *state) sentPartTokens(now time.Time, part work.Part, ttl time.Duration) (tokens int, all bool) {
+	cached, ok := s.promptParts[part.ID]
+	if !ok || now.Sub(cached.sentAt) >= ttl {
+		return 0, false
+	}
+	return min(cached.tokens, part.Tokens), cached.tokens >= part.Tokens
+}
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -113,6 +113,9 @@
 	costs      []time.Duration
 	// placers is the number of boxes that place calls at the same replicas, including this one.
 	placers int
+	// prefixes holds the assignment of shared prompt prefixes of each service whose configuration gives the
+	// memory of its replicas.
+	prefixes map[string]*sched.Prefixes
 	// boxes is the number of boxes that share the replicas' connections.
 	boxes int
 	rng   *rand.Rand
@@ -126,7 +129,7 @@
 		zone: zone, opener: opener, log: log, boxes: 1, placers: 1,
 		byID: map[string]*state{}, services: map[string][]*state{}, ejectors: map[string]*limit.Ejector{},
 		meanUnitTime: map[string]time.Duration{},
-		admissions:   map[string]*sched.Admission{},
+		admissions:   map[string]*sched.Admission{}, prefixes: map[string]*sched.Prefixes{},
 		rng:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		onFailing:    func(work.Replica, float64) {},
 		warmsReplica: func(work.Replica, bool) bool { return true },
@@ -358,7 +361,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	best, candidates := t.choose(now, ask, t.pickService(ask.Services))
+	service := t.pickService(ask.Services)
+	if ask.Prompt != nil {
+		t.updatePrefixes(now, service)
+	}
+	best, candidates := t.choose(now, ask, service)
 	if best.state == nil {
 		return nil, fault.Refuse(fault.NoTarget, "no replica can take the call")
 	}
@@ -375,14 +382,17 @@
 	if s.cold(now, t.serviceConfig(s.Service)) {
 		s.coldCalls.Record(now)
 	}
+	cached, known := best.estimate.CachedTokens, true
 	if ask.Prompt != nil {
+		cached, known = t.expectedCached(now, ask, s)
+		t.observePrefixes(now, ask, s)
 		s.lastTurnAt = now
 		s.rememberParts(now, ask.Prompt.Parts)
 		t.admissionFor(s.Service).TurnStarted(now, ask.Turn)
 	}
 	return &Lease{
-		Replica: s.Replica, CachedTokens: best.estimate.CachedTokens, ExpectedCost: best.cost, Candidates: candidates,
-		targets: t, state: s, ask: ask, startedAt: now, lightLoad: best.estimate.LightlyLoaded(),
+		Replica: s.Replica, CachedTokens: cached, ExpectedCost: best.cost, Candidates: candidates,
+		targets: t, state: s, ask: ask, startedAt: now, lightLoad: known && best.estimate.LightlyLoaded(),
 	}
 }
 
--- a/gate/work/config.go
+++ b/gate/work/config.go
@@ -80,6 +80,8 @@
 	Slots int
 	// Stride is the number of tokens in one event of an answer.
 	Stride int
+	// CacheTokens is the size of the replica's memory for prompts, in tokens; 0 if it is not known.
+	CacheTokens int
 }
 
 // Limits bounds the size of requests and how long clients may take.
