sched, target, load: exchange demand for shared prefixes and doubt late replicas

Cause: a box that counts only its own calls estimates the share of a prefix too roughly, so that boxes assign different numbers of replicas; and a belief that a preferred replica has a prefix was never checked. Change: placing boxes of a zone send their demand for each prefix about once a second in the datagrams of gate/load, largest first, in one packet of at most 1,400 bytes, and nothing where the shared prefixes fit into the memory. First events that come late at a lightly loaded replica make its prefix count for less for some seconds. A preferred replica of another zone counts for 0.8 of the prefix, so that programs leave their zone only in bursts. The hysteresis of the number of preferred replicas follows the noise of its estimate.

--- a/gate/load/load.go
+++ b/gate/load/load.go
@@ -13,6 +13,7 @@
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/base/ident"
 	"mulleingate.dev/gate/kernel"
+	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/gate/work"
 )
 
@@ -26,8 +27,12 @@
 	busyShare = 0.2
 	// pollTimeout bounds one poll.
 	pollTimeout = 250 * time.Millisecond
-	// maxDatagram is the size of the receive buffer for a message, in bytes.
-	maxDatagram = 512
+	// demandInterval is the minimum time between two messages about demand. The demand is sent at a tick, so
+	// this gives about one message a second.
+	demandInterval = 800 * time.Millisecond
+	// maxDatagram is the maximum size of a message, in bytes. With the headers of IP and UDP it fits into one
+	// packet.
+	maxDatagram = 1400
 )
 
 // Reporter gets a replica's load from the replica.
@@ -44,6 +49,11 @@
 	UpdateLoad(id string, load work.Load)
 	// UpdateFailureRate updates the share of calls that fail at a replica, as reported by another box.
 	UpdateFailureRate(id string, share float64)
+	// PrefixDemand returns this box's demand for shared prompt prefixes, the largest first, for each service
+	// that needs it at the other boxes.
+	PrefixDemand() []sched.PrefixDemand
+	// UpdatePrefixDemand updates the demand for shared prompt prefixes at another box.
+	UpdatePrefixDemand(from string, demand sched.PrefixDemand)
 }
 
 // Boxes tells which boxes need reports on a replica.
@@ -58,13 +68,17 @@
 	KnownToAll(rep work.Replica) bool
 }
 
-// message is a report on a replica from one box to another.
+// message is a report from one box to another, on a replica or on demand.
 type message struct {
-	Replica string `json:"replica"`
+	// Replica is empty in a report on demand.
+	Replica string `json:"replica,omitempty"`
 	// Load is nil in a report on failures.
 	Load *work.Load `json:"load,omitempty"`
 	// Failing is the share of the sending box's recent calls that failed at the replica.
 	Failing float64 `json:"failing,omitempty"`
+	// From is the name of the sending box in a report on its demand for shared prompt prefixes.
+	From   string              `json:"from,omitempty"`
+	Demand *sched.PrefixDemand `json:"demand,omitempty"`
 }
 
 // Watch polls replicas for their load and exchanges reports with other boxes.
@@ -81,6 +95,9 @@
 	mu sync.Mutex
 	// polls holds the last poll of each replica in the availability zone, by replica ID.
 	polls map[string]poll
+
+	// demandSentAt is when the demand was last sent; only pollDue uses it.
+	demandSentAt time.Time
 }
 
 // poll describes the last poll of a replica.
@@ -128,6 +145,7 @@
 	if !slices.ContainsFunc(placing, func(box work.Box) bool { return box.Name == w.self.Name }) {
 		return
 	}
+	w.sendDemand(placing)
 	models := w.targets.ModelsToPoll()
 	w.forgetRemoved(models)
 	for _, rep := range models {
@@ -217,8 +235,32 @@
 	go w.sendAll(w.boxesKnowing(w.boxes.Live(), rep), message{Replica: rep.ID, Failing: share})
 }
 
-func (w *Watch) sendAll(boxes []work.Box, msg message) {
+// sendDemand sends the demand for shared prompt prefixes to the other boxes, if it is due.
+func (w *Watch) sendDemand(boxes []work.Box) {
+	if len(boxes) < 2 || time.Since(w.demandSentAt) < demandInterval {
+		return
+	}
+	for _, demand := range w.targets.PrefixDemand() {
+		w.demandSentAt = time.Now()
+		w.sendAll(boxes, message{From: w.self.Name, Demand: &demand})
+	}
+}
+
+// encode returns the message in at most maxDatagram bytes. It leaves out the parts with the least demand if
+// not all fit.
+func encode(msg message) ([]byte, error) {
 	raw, err := json.Marshal(msg)
+	for err == nil && len(raw) > maxDatagram && msg.Demand != nil && len(msg.Demand.Parts) > 0 {
+		cut := *msg.Demand
+		cut.Parts = cut.Parts[:min(len(cut.Parts)-1, len(cut.Parts)*maxDatagram/len(raw))]
+		msg.Demand = &cut
+		raw, err = json.Marshal(msg)
+	}
+	return raw, err
+}
+
+func (w *Watch) sendAll(boxes []work.Box, msg message) {
+	raw, err := encode(msg)
 	if err != nil {
 		w.log.Error("load: cannot encode report", "cause", err)
 		return
@@ -248,10 +290,13 @@
 			w.log.Warn("load: malformed report", "from", from.String())
 			continue
 		}
-		if msg.Load != nil {
+		switch {
+		case msg.Demand != nil:
+			w.targets.UpdatePrefixDemand(msg.From, *msg.Demand)
+		case msg.Load != nil:
 			w.targets.UpdateLoad(msg.Replica, *msg.Load)
-			continue
+		default:
+			w.targets.UpdateFailureRate(msg.Replica, msg.Failing)
 		}
-		w.targets.UpdateFailureRate(msg.Replica, msg.Failing)
 	}
 }
--- a/gate/load/load_test.go
+++ b/gate/load/load_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -14,6 +17,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/gate/work"
 )
 
@@ -23,6 +27,9 @@
 	models  []work.Replica
 	loads   map[string]work.Load
 	failing map[string]float64
+	// demand is this box's demand, and demands what was received, by sender.
+	demand  []sched.PrefixDemand
+	demands map[string]sched.PrefixDemand
 }
 
 func (f *fakeTargets) ModelsToPoll() []work.Replica { return f.models }
@@ -37,6 +44,17 @@
 	f.failing[id] = share
 }
 
+func (f *fakeTargets) PrefixDemand() []sched.PrefixDemand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.demand
+}
+func (f *fakeTargets) UpdatePrefixDemand(from string, demand sched.PrefixDemand) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.demands[from] = demand
+}
+
 // fleet is a list of live boxes, of which those in zone z place turns.
 type fleet []work.Box
 
@@ -122,3 +140,66 @@
 	}
 	return text
 }
+
+// TestDemandReachesPlacingBoxes guards against demand that stays unknown to the other placing boxes of the
+// zone, and against messages to boxes that do not need it.
+func TestDemandReachesPlacingBoxes(t *testing.T) {
+	boxes := fleet{{Name: "a", Zone: "z", Peer: freePort(t)}, {Name: "b", Zone: "z", Peer: freePort(t)}, {Name: "c", Zone: "y", Peer: freePort(t)}}
+	demand := sched.PrefixDemand{Service: "s", Calls: 12.5, Parts: []sched.PartDemand{{ID: "p", Tokens: 12_600, Calls: 3.25, Programs: 4}}}
+	all := map[string]*fakeTargets{}
+	for _, box := range boxes {
+		targets := &fakeTargets{demands: map[string]sched.PrefixDemand{}}
+		if box.Name != "b" {
+			targets.demand = []sched.PrefixDemand{demand}
+		}
+		w := New(box, reporter{}, targets, boxes, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if err := w.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = w.Stop(context.Background()) }() // it only closes a socket
+		all[box.Name] = targets
+	}
+	wants := map[string]map[string]sched.PrefixDemand{"a": {}, "b": {"a": demand}, "c": {}}
+	var got map[string]map[string]sched.PrefixDemand
+	for range 40 {
+		time.Sleep(50 * time.Millisecond)
+		got = map[string]map[string]sched.PrefixDemand{}
+		for name, targets := range all {
+			targets.mu.Lock()
+			got[name] = maps.Clone(targets.demands)
+			targets.mu.Unlock()
+		}
+		if cmp.Equal(wants, got) {
+			return
+		}
+	}
+	t.Errorf("demand received (-want +got):\n%s", cmp.Diff(wants, got))
+}
+
+// TestDemandFitsOnePacket guards against messages that are cut off on the way: the parts with the least
+// demand are left out.
+func TestDemandFitsOnePacket(t *testing.T) {
+	demand := sched.PrefixDemand{Service: "s", Calls: 1000}
+	for i := range 64 {
+		demand.Parts = append(demand.Parts, sched.PartDemand{ID: fmt.Sprintf("%064d", i), Tokens: 12_600, Calls: float64(100 - i), Programs: 4})
+	}
+	raw, err := encode(message{From: "box", Demand: &demand})
+	if err != nil || len(raw) > maxDatagram {
+		t.Fatalf("%d bytes, %v", len(raw), err)
+	}
+	var got message
+	if err := json.Unmarshal(raw, &got); err != nil {
+		t.Fatal(err)
+	}
+	n := len(got.Demand.Parts)
+	if diff := cmp.Diff(demand.Parts[:n], got.Demand.Parts); diff != "" || n < 8 {
+		t.Errorf("%d parts (-want +got):\n%s", n, diff)
+	}
+	demand.Parts = demand.Parts[:0]
+	for i := range 16 {
+		demand.Parts = append(demand.Parts, sched.PartDemand{ID: fmt.Sprintf("%016d", i), Tokens: 12_600, Calls: 123.45, Programs: 4})
+	}
+	if raw, err = encode(message{From: "box", Demand: &demand}); err != nil || json.Unmarshal(raw, &got) != nil || len(got.Demand.Parts) != 16 {
+		t.Errorf("%d of 16 parts with IDs of 16 characters fit, %v", len(got.Demand.Parts), err)
+	}
+}
--- a/gate/sched/prefix.go
+++ b/gate/sched/prefix.go
@@ -146,11 +146,11 @@
 	// maxPeers and maxPeerParts bound what is kept of messages.
 	maxPeers     = 256
 	maxPeerParts = 64
-	// countMargin and countMarginShare are the hysteresis of the number of preferred replicas: by how much
-	// the need must leave its range, in replicas and as a share of the number. They exceed most of the
-	// noise of the rates, which is a quarter for a prefix with 8 calls a second.
-	countMargin      = 0.3
-	countMarginShare = 0.05
+	// countMargin is the hysteresis of the number of preferred replicas: by how much the need must leave its
+	// range, in replicas, in addition to the standard deviation of its estimate. That is taken as at least
+	// minNoiseRate calls a second would give.
+	countMargin  = 0.3
+	minNoiseRate = 0.5
 	// maxRankedReplicas bounds the replicas of a zone that are ranked for a part.
 	maxRankedReplicas = 64
 	// speedWindow is the time constant of the smoothed speed. speedStep is the number of classes for each
@@ -228,12 +228,12 @@
 }
 
 // Demand returns the demand that this box has seen itself, the largest first. It returns false while the
-// parts in use, whether known to be shared or not, are too few for an assignment.
+// parts in use, whether known to be shared or not, are too few for an assignment, and if there are no calls.
 func (p *Prefixes) Demand(now time.Time) (PrefixDemand, bool) {
-	if !p.mayActivate {
+	demand := PrefixDemand{Calls: roundRate(p.calls.perSecond(now))}
+	if !p.mayActivate || demand.Calls == 0 {
 		return PrefixDemand{}, false
 	}
-	demand := PrefixDemand{Calls: roundRate(p.calls.perSecond(now))}
 	for id, part := range p.parts {
 		if len(part.programs) > 0 && (part.first || part.shared()) {
 			demand.Parts = append(demand.Parts, PartDemand{ID: id, Tokens: part.tokens, Calls: roundRate(part.calls.perSecond(now)), Programs: len(part.programs)})
@@ -267,9 +267,9 @@
 }
 
 // Totals returns the number of shared prefixes in use and the number of preferred replicas, summed over
-// the prefixes. Both are 0 while the assignment is not active.
-func (p *Prefixes) Totals() (shared, preferred int) {
-	if !p.active {
+// the prefixes. Both are 0 while the assignment is not active, and once there have been no calls for long.
+func (p *Prefixes) Totals(now time.Time) (shared, preferred int) {
+	if !p.active || now.Sub(p.assignedAt) > partIdleTimeout {
 		return 0, 0
 	}
 	return p.shared, p.preferred
@@ -404,11 +404,12 @@
 	todo := make([]*open, 0, len(ids))
 	for _, id := range ids {
 		part := p.parts[id]
-		share := (part.calls.perSecond(now) + part.heardCalls) / max(calls, 1e-9)
+		rate := part.calls.perSecond(now) + part.heardCalls
+		share := rate / max(calls, 1e-9)
 		if part.counts == nil {
 			part.counts = map[string]int{}
 		}
-		part.counts[zone] = preferredCount(part.counts[zone], share*prefixHeadroom*float64(len(replicas)), len(replicas))
+		part.counts[zone] = preferredCount(part.counts[zone], share*prefixHeadroom*float64(len(replicas)), rate, len(replicas))
 		ranked := ident.WeightedRendezvousTop(id, len(replicas), func(i int) (string, float64) {
 			return replicas[i].ID, p.speeds[replicas[i].ID].share()
 		}, min(len(replicas), maxRankedReplicas))
@@ -452,9 +453,10 @@
 }
 
 // preferredCount returns the number of preferred replicas for a part that needs the given number of
-// average ones. It stays at old while the need is in its range or close to it.
-func preferredCount(old int, need float64, replicas int) int {
-	margin := countMargin + countMarginShare*float64(old)
+// average ones, as estimated from calls at the rate. It stays at old while the need is in its range or close to
+// it.
+func preferredCount(old int, need, rate float64, replicas int) int {
+	margin := countMargin + need/math.Sqrt(2*demandWindow.Seconds()*max(rate, minNoiseRate))
 	if old < 1 || need > float64(old)+margin || need < float64(old-1)-margin {
 		old = int(math.Ceil(need))
 	}
--- a/gate/sched/prefix_test.go
+++ b/gate/sched/prefix_test.go
@@ -230,7 +230,7 @@
 	now := testStart.Add(4 * time.Second)
 	lone := newPrefixBox(4)
 	lone.see(testStart, now, 100, skewed(16), replicas)
-	if shared, preferred := lone.Totals(); shared < 14 || preferred < shared {
+	if shared, preferred := lone.Totals(now); shared < 14 || preferred < shared {
 		t.Errorf("%d shared prefixes with %d preferred replicas", shared, preferred)
 	}
 	other := PrefixDemand{Calls: 1000, Parts: []PartDemand{{ID: "other", Tokens: testPrefix, Calls: 1000, Programs: firstPartPrograms}}}
@@ -280,7 +280,7 @@
 		p.Observe(testStart, "same", []work.Part{{ID: "own", Tokens: 50_000}, {ID: "own end", Tokens: 100}})
 	}
 	p.Assign(testStart, 100_000, prefixReplicas("a", 4))
-	if shared, _ := p.Totals(); shared != 1 {
+	if shared, _ := p.Totals(testStart); shared != 1 {
 		t.Errorf("%d shared parts", shared)
 	}
 	for _, id := range []string{"first", "session0", "last", "own"} {
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -137,5 +137,13 @@
 // cachedTokens estimates how many tokens of the prompt are in the replica's cache, as the cost counts them:
 // fewer where the shared parts should not stay.
 func (t *Targets) cachedTokens(now time.Time, ask CallRequest, s *state) int {
-	return min(max(ask.CachedTokens[s.RunID()], t.cachedPrefixAt(now, ask, s).ranked), ask.Prompt.Tokens)
+	own := ask.CachedTokens[s.RunID()]
+	var cached int
+	if prefixes := t.assignedPrefixes(s.Service); prefixes != nil {
+		moves := own == 0 && len(ask.CachedTokens) > 0
+		cached = s.cachedPrefixAt(now, prefixes, ask.Prompt.Parts).ranked(s.Zone != t.zone, moves)
+	} else {
+		cached = s.cachedPartTokens(now, ask.Prompt.Parts)
+	}
+	return min(max(own, cached), ask.Prompt.Tokens)
 }
--- a/gate/target/prefix.go
+++ b/gate/target/prefix.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"mulleingate.dev/gate/sched"
+	"mulleingate.dev/gate/work"
 )
 
 const (
 	// unpreferredShare is the share of a prefix that counts as cached at a replica which is not preferred
-	// although this box sent the prefix there recently. It keeps calls at the preferred replicas while
-	// these have room, so that the others evict the prefix.
+	// although this box sent the prefix there recently, and at one that is preferred in another zone. It keeps
+	// calls at the preferred replicas of the box's zone while these have room, so that the others evict the
+	// prefix and programs do not depend on two zones.
 	unpreferredShare = 0.8
 	// unpreferredTTL is how long a replica that is not preferred is assumed to keep a shared part that this
 	// box sent there. With prompts prefilled at a fifth of an engine's rate, its memory is replaced within
@@ -52,78 +54,164 @@
 	prefixes.Assign(now, svc.Engine.CacheTokens, replicas)
 }
 
-// observePrefixes records the demand of a call that is placed.
-func (t *Targets) observePrefixes(now time.Time, ask CallRequest, s *state) {
-	if prefixes := t.prefixes[s.Service]; prefixes != nil {
-		prefixes.Observe(now, ask.Turn.Program, ask.Prompt.Parts)
-	}
+// cachedPrefix is what a replica is assumed to cache of a prompt's parts, in tokens.
+type cachedPrefix struct {
+	// claimed is what should be cached, and tokens that less what observations contradict.
+	claimed, tokens int
+	// sent is what this box sent there recently.
+	sent int
+	// shared is the length of the shared parts, up to the end of the one with ID lastShared.
+	shared     int
+	lastShared string
+	rank       sched.PrefixRank
 }
 
-// cachedPrefix is what a replica is assumed to cache of a prompt's parts.
-type cachedPrefix struct {
-	// tokens is the number of tokens, and sent how many of them this box sent there recently.
-	tokens, sent int
-	// ranked is tokens as the cost counts them, so that calls go to preferred replicas first.
-	ranked int
+// assignedPrefixes returns the assignment of the service's prefixes, or nil if they are not assigned.
+func (t *Targets) assignedPrefixes(service string) *sched.Prefixes {
+	if prefixes, ok := t.prefixes[service]; ok && prefixes.Active() {
+		return prefixes
+	}
+	return nil
 }
 
 // cachedPrefixAt estimates how many leading tokens of a prompt the replica caches. A preferred replica is
 // assumed to cache a shared part and all parts before it.
-func (t *Targets) cachedPrefixAt(now time.Time, ask CallRequest, s *state) cachedPrefix {
-	prefixes := t.prefixes[s.Service]
-	if prefixes == nil || !prefixes.Active() {
-		sent := s.cachedPartTokens(now, ask.Prompt.Parts)
-		return cachedPrefix{tokens: sent, sent: sent, ranked: sent}
-	}
+func (s *state) cachedPrefixAt(now time.Time, prefixes *sched.Prefixes, parts []work.Part) cachedPrefix {
 	var cached cachedPrefix
-	// shared is the length of the leading shared parts, assumed that up to the last one for which the
-	// replica is preferred, and rank the position for the last shared part.
-	shared, assumed := 0, 0
-	var rank sched.PrefixRank
-	leadingShared, leadingSent := true, true
-	for _, part := range ask.Prompt.Parts {
-		ttl := promptPartTTL
-		if leadingShared {
-			var partRank sched.PrefixRank
-			if partRank, leadingShared = prefixes.Rank(part.ID, s.ID); leadingShared {
-				shared, rank = shared+part.Tokens, partRank
-			}
+	leading := 0
+	for ; leading < len(parts); leading++ {
+		rank, ok := prefixes.Rank(parts[leading].ID, s.ID)
+		if !ok {
+			break
 		}
-		switch {
-		case leadingShared && rank.Preferred:
-			assumed = shared
-		case leadingShared:
-			ttl = unpreferredTTL
+		cached.shared += parts[leading].Tokens
+		cached.lastShared, cached.rank = parts[leading].ID, rank
+		if rank.Preferred {
+			cached.claimed = cached.shared
 		}
-		if leadingSent {
-			var tokens int
-			tokens, leadingSent = s.sentPartTokens(now, part, ttl)
-			cached.sent += tokens
+	}
+	for i, part := range parts {
+		ttl := promptPartTTL
+		if i < leading && !cached.rank.Preferred {
+			ttl = unpreferredTTL
 		}
-		if !leadingShared && !leadingSent {
+		tokens, all := s.sentPartTokens(now, part, ttl)
+		cached.sent += tokens
+		if !all {
 			break
 		}
 	}
-	cached.tokens = max(cached.sent, assumed)
-	cached.ranked = cached.tokens
-	if len(ask.CachedTokens) > 0 && ask.CachedTokens[s.RunID()] == 0 {
-		cached.ranked = int(movedShare * float64(cached.ranked))
+	cached.claimed = max(cached.claimed, cached.sent)
+	cached.tokens = cached.claimed
+	if use, ok := s.prefixUses[cached.lastShared]; ok {
+		use.judge()
+		cached.tokens -= int(use.currentDoubt(now) * float64(min(cached.claimed, cached.shared)))
 	}
-	if shared == 0 || rank.Preferred {
-		return cached
-	}
-	overflow := overflowShare * math.Exp2(-float64(rank.Overflow))
-	ranked := unpreferredShare*float64(min(cached.tokens, shared)) + overflow*float64(shared)
-	cached.ranked = min(cached.ranked, max(0, cached.tokens-shared)+int(ranked))
 	return cached
 }
 
-// expectedCached returns how much of the prompt the replica is expected to cache. known is set if that
-// follows from calls of this box alone.
-func (t *Targets) expectedCached(now time.Time, ask CallRequest, s *state) (tokens int, known bool) {
-	cached := t.cachedPrefixAt(now, ask, s)
-	own := ask.CachedTokens[s.RunID()]
-	return min(max(own, cached.tokens), ask.Prompt.Tokens), cached.tokens <= max(own, cached.sent)
+// ranked returns the cached tokens as the cost counts them, so that calls go to the preferred replicas of the
+// box's own zone first. moves is set if another replica caches the program's earlier turns.
+func (c cachedPrefix) ranked(otherZone, moves bool) int {
+	cached := float64(min(c.tokens, c.shared))
+	if otherZone || !c.rank.Preferred {
+		cached *= unpreferredShare
+	}
+	if !c.rank.Preferred {
+		cached += overflowShare * math.Exp2(-float64(c.rank.Overflow)) * float64(c.shared)
+	}
+	if moves {
+		cached *= movedShare
+	}
+	return max(0, c.tokens-c.shared) + int(cached)
+}
+
+// prefixUse is what this box observed of the use of a shared part at a replica.
+type prefixUse struct {
+	// last is the last call that should find the part cached, nil once its first event has been judged. The
+	// event is late if it takes longer than limit.
+	last  *Lease
+	limit time.Duration
+	// doubt is the share of the part that does not count as cached, as of doubtAt.
+	doubt   float64
+	doubtAt time.Time
+}
+
+const (
+	// doubtStep is added to the doubt by a late first event, up to maxDoubt; a timely one removes it. It
+	// halves in doubtHalfLife, so that a replica that gets no calls for it is tried again.
+	doubtStep     = 0.25
+	maxDoubt      = 0.75
+	doubtHalfLife = 2 * time.Second
+	// maxPrefixUses bounds the parts of which the use is remembered for a replica.
+	maxPrefixUses = 256
+)
+
+// currentDoubt returns the doubt, decayed to now.
+func (u *prefixUse) currentDoubt(now time.Time) float64 {
+	if u.doubt == 0 {
+		return 0
+	}
+	return u.doubt * math.Exp2(-now.Sub(u.doubtAt).Seconds()/doubtHalfLife.Seconds())
+}
+
+// judge evaluates the last call if its first event has arrived.
+func (u *prefixUse) judge() {
+	if u.last == nil || u.last.firstEventAfter == 0 {
+		return
+	}
+	at := u.last.startedAt.Add(u.last.firstEventAfter)
+	if u.last.firstEventAfter > u.limit {
+		u.doubt = min(u.currentDoubt(at)+doubtStep, maxDoubt)
+	} else {
+		u.doubt = 0
+	}
+	u.doubtAt, u.last = at, nil
+}
+
+// recordPrefixUse records a call that is placed: its demand, and what its first event will show. It must be
+// called before the parts are recorded as sent.
+func (t *Targets) recordPrefixUse(now time.Time, l *Lease, est sched.ReplicaState) {
+	s, ask := l.state, l.ask
+	prefixes := t.prefixes[s.Service]
+	if prefixes == nil {
+		return
+	}
+	prefixes.Observe(now, ask.Turn.Program, ask.Prompt.Parts)
+	if !prefixes.Active() {
+		return
+	}
+	cached, own := s.cachedPrefixAt(now, prefixes, ask.Prompt.Parts), ask.CachedTokens[s.RunID()]
+	l.CachedTokens = min(max(own, cached.tokens), ask.Prompt.Tokens)
+	if cached.tokens > max(own, cached.sent) || cached.tokens < cached.claimed {
+		l.lightLoad = false // how much is prefilled is too uncertain to estimate the engine's speed by
+	}
+	if cached.shared > 0 && cached.claimed >= cached.shared && own < cached.shared {
+		t.watchFirstEvent(l, est, cached)
+	}
+}
+
+// watchFirstEvent records a call whose first event shows whether the replica had the shared parts in its
+// cache. A replica under load shows nothing, since calls wait there for other reasons.
+func (t *Targets) watchFirstEvent(l *Lease, est sched.ReplicaState, cached cachedPrefix) {
+	s := l.state
+	use, ok := s.prefixUses[cached.lastShared]
+	if !ok {
+		if s.prefixUses == nil || len(s.prefixUses) >= maxPrefixUses {
+			s.prefixUses = map[string]*prefixUse{}
+		}
+		use = &prefixUse{}
+		s.prefixUses[cached.lastShared] = use
+	}
+	if !est.Reported || est.Waiting > 0 || 2*(est.Running+est.InFlight-est.InFlightAtReport) >= est.Slots {
+		return
+	}
+	estimates := &t.admissionFor(s.Service).Estimates
+	missing := max(0, l.ask.Prompt.Tokens-cached.claimed)
+	cachedTime, prefillTime := estimates.UnloadedTurnTime(missing, 1), estimates.UnloadedTurnTime(missing+cached.shared, 1)
+	if cachedTime > 0 {
+		use.last, use.limit = l, (cachedTime+prefillTime)/2
+	}
 }
 
 // PrefixDemand returns the demand for shared prompt prefixes that this box has seen, for each service whose
@@ -156,7 +244,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, prefixes := range t.prefixes {
-		s, p := prefixes.Totals()
+		s, p := prefixes.Totals(time.Now())
 		shared, preferred = shared+s, preferred+p
 	}
 	return shared, preferred
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -53,7 +53,9 @@
 	level int
 	// promptParts holds the prompt parts that were recently sent to the replica, by ID.
 	promptParts map[string]cachedPart
-	pool        Pool
+	// prefixUses holds what was observed of the use of shared parts, by ID.
+	prefixUses map[string]*prefixUse
+	pool       Pool
 	// ctx is cancelled by cancel once the replica is known to have restarted, since earlier calls then
 	// get no answer.
 	ctx    context.Context
@@ -382,18 +384,17 @@
 	if s.cold(now, t.serviceConfig(s.Service)) {
 		s.coldCalls.Record(now)
 	}
-	cached, known := best.estimate.CachedTokens, true
+	l := &Lease{
+		Replica: s.Replica, CachedTokens: best.estimate.CachedTokens, ExpectedCost: best.cost, Candidates: candidates,
+		targets: t, state: s, ask: ask, startedAt: now, lightLoad: best.estimate.LightlyLoaded(),
+	}
 	if ask.Prompt != nil {
-		cached, known = t.expectedCached(now, ask, s)
-		t.observePrefixes(now, ask, s)
+		t.recordPrefixUse(now, l, best.estimate)
 		s.lastTurnAt = now
 		s.rememberParts(now, ask.Prompt.Parts)
 		t.admissionFor(s.Service).TurnStarted(now, ask.Turn)
 	}
-	return &Lease{
-		Replica: s.Replica, CachedTokens: cached, ExpectedCost: best.cost, Candidates: candidates,
-		targets: t, state: s, ask: ask, startedAt: now, lightLoad: known && best.estimate.LightlyLoaded(),
-	}
+	return l
 }
 
 // SetLevels sets the subset levels by which this box's replicas were selected. The fewer boxes use a
