sched, target: activate prefixes sooner, bound the cost of assignments, more tests

Cause: a first part counted as shared from 4 programs on, which delayed the assignment of rare prefixes; each assignment allocated the ranks anew. Change: 3 programs suffice for the first part of prompts, still more than a program with one sub-agent, and the maps of ranks are reused.

--- a/gate/sched/prefix.go
+++ b/gate/sched/prefix.go
@@ -84,8 +84,10 @@
 	heardPrograms int
 	// counts holds the number of preferred replicas by zone.
 	counts map[string]int
-	// ranks holds the position of each ranked replica, by its ID.
-	ranks map[string]PrefixRank
+	// assigned is set while the part is assigned to replicas. ranks holds the position of each ranked one then,
+	// by its ID.
+	assigned bool
+	ranks    map[string]PrefixRank
 }
 
 // peerDemand is the demand heard from another box.
@@ -132,7 +134,7 @@
 	deactivationShare = 0.2
 	// firstPartPrograms is the number of programs from which the first part of prompts is shared, and
 	// laterPartPrograms that for other parts, which sub-agents share with the program that started them.
-	firstPartPrograms = 4
+	firstPartPrograms = 3
 	laterPartPrograms = 8
 	// partIdleTimeout is how long an unused first part stays in use, and laterPartIdleTimeout that for
 	// another part that is not shared, since most of these belong to one program.
@@ -281,7 +283,7 @@
 		return PrefixRank{}, false
 	}
 	known, ok := p.parts[part]
-	if !ok || known.ranks == nil {
+	if !ok || !known.assigned {
 		return PrefixRank{}, false
 	}
 	rank, ok := known.ranks[replica]
@@ -301,7 +303,7 @@
 	p.activate(memory, ids)
 	p.shared, p.preferred = len(ids), 0
 	for _, part := range p.parts {
-		part.ranks = nil
+		part.assigned = false
 	}
 	if !p.active {
 		return
@@ -316,7 +318,12 @@
 	}
 	p.updateSpeeds(now, replicas)
 	for _, id := range ids {
-		p.parts[id].ranks = make(map[string]PrefixRank, len(replicas))
+		part := p.parts[id]
+		part.assigned = true
+		if part.ranks == nil {
+			part.ranks = make(map[string]PrefixRank, len(replicas))
+		}
+		clear(part.ranks)
 	}
 	for zone, reps := range byZone {
 		p.assignZone(now, zone, reps, ids, calls, int(assignedShare*float64(memory)))
--- a/gate/sched/prefix_test.go
+++ b/gate/sched/prefix_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 
 	"mulleingate.dev/gate/work"
 )
@@ -385,3 +386,62 @@
 		t.Errorf("the next replica has rank %+v once the preferred ones are away", rank)
 	}
 }
+
+// TestPrefixInvariants applies random demand, messages and changes of replicas, and guards against assignments
+// beyond the bound, to replicas that are not usable, or without limits on what is kept.
+func TestPrefixInvariants(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p, now := NewPrefixes(), testStart
+		memory := rapid.SampledFrom([]int{1, 50_000, testMemory}).Draw(rt, "memory")
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(rt, "pause")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(rt, "step") {
+			case 0:
+				for i := range rapid.IntRange(0, 200).Draw(rt, "calls") {
+					id := fmt.Sprintf("part%d", i%rapid.IntRange(1, 50).Draw(rt, "parts"))
+					p.Observe(now, fmt.Sprintf("program%d", i), []work.Part{{ID: id, Tokens: 1000 * i}, {ID: "later" + id, Tokens: 100}, {ID: "last"}})
+				}
+			case 1:
+				demand := PrefixDemand{Calls: rapid.Float64Range(-1, 1e9).Draw(rt, "calls")}
+				for i := range rapid.IntRange(0, 100).Draw(rt, "heard") {
+					demand.Parts = append(demand.Parts, PartDemand{ID: fmt.Sprintf("part%d", i), Tokens: rapid.IntRange(-10, 1e6).Draw(rt, "tokens"), Calls: rapid.Float64Range(-1, 1e9).Draw(rt, "rate"), Programs: rapid.IntRange(-1, 9).Draw(rt, "programs")})
+				}
+				p.Merge(now, fmt.Sprintf("box%d", rapid.IntRange(0, 400).Draw(rt, "box")), demand)
+			default:
+			}
+			replicas := append(prefixReplicas("a", rapid.IntRange(0, 9).Draw(rt, "replicas")), prefixReplicas("b", 2)...)
+			for i := range replicas {
+				replicas[i].Slowdown = rapid.Float64Range(0, 100).Draw(rt, "slowdown")
+			}
+			p.Assign(now, memory, replicas)
+			checkAssignment(rt, p, memory, replicas)
+		}
+	})
+}
+
+// checkAssignment checks the bounds on an assignment.
+func checkAssignment(rt *rapid.T, p *Prefixes, memory int, replicas []PrefixReplica) {
+	known := map[string]bool{}
+	for _, rep := range replicas {
+		known[rep.ID] = true
+	}
+	assigned := map[string]int{}
+	for id, part := range p.parts {
+		for name, rank := range part.ranks {
+			if got, ok := p.Rank(id, name); ok && rank.Preferred && got == rank {
+				assigned[name] += part.tokens
+				if !known[name] {
+					rt.Fatalf("%s is preferred for %s although it is not usable", name, id)
+				}
+			}
+		}
+	}
+	for name, tokens := range assigned {
+		if float64(tokens) > assignedShare*float64(memory) {
+			rt.Fatalf("%s has %d tokens of prefixes, its memory is %d", name, tokens, memory)
+		}
+	}
+	if len(p.parts) > maxTrackedParts || len(p.peers) > maxPeers {
+		rt.Fatalf("%d parts and %d boxes are kept", len(p.parts), len(p.peers))
+	}
+}
--- a/gate/target/bench_test.go
+++ b/gate/target/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"mulleingate.dev/gate/work"
 )
@@ -24,3 +25,27 @@
 		lease.Done(Answered, 0)
 	}
 }
+
+// BenchmarkTakeAssigned places model calls among 45 replicas of three zones with assigned prefixes. The time
+// between two calls is that of a box that places 50 calls a second, so it includes the assignments.
+func BenchmarkTakeAssigned(b *testing.B) {
+	t, _ := newTargets(0, true)
+	for i := range 45 {
+		t.Put(replica(i, string(rune('a'+i%3))))
+	}
+	configureMemory(t, testMemory)
+	now := time.Now()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(20 * time.Millisecond)
+		t.mu.Lock()
+		t.updatePrefixes(now, "s")
+		ask := prefixAsk(i%16, "program")
+		ask.Turn.Program = programNames[i%len(programNames)]
+		best, candidates := t.choose(now, ask, "s")
+		lease := t.lease(now, ask, best, candidates)
+		t.mu.Unlock()
+		lease.Done(Answered, 0)
+	}
+}
+
+var programNames = []string{"one", "two", "three", "four", "five"}
--- a/gate/target/prefix_sim_test.go
+++ b/gate/target/prefix_sim_test.go
@@ -190,7 +190,7 @@
 		}
 		s.after(0, s.report)
 		for i := range s.boxes {
-			s.after(time.Duration(s.rng.IntN(1000))*time.Millisecond, func() { s.exchange(i) })
+			s.after(time.Duration(s.rng.IntN(300))*time.Millisecond, func() { s.exchange(i, time.Time{}) })
 		}
 		for s.events.Len() > 0 && time.Since(s.start) < load.duration {
 			next := heap.Pop(&s.events).(simEvent)
@@ -222,16 +222,22 @@
 	s.after(300*time.Millisecond, s.report)
 }
 
-// exchange sends the demand that a box has seen to the others, and repeats that.
-func (s *prefixSim) exchange(from int) {
-	for _, demand := range s.boxes[from].PrefixDemand() {
+// exchange sends the demand that a box has seen to the others, if it was last sent 800 ms ago, and repeats that
+// every 300 ms.
+func (s *prefixSim) exchange(from int, sentAt time.Time) {
+	var demands []sched.PrefixDemand
+	if time.Since(sentAt) >= 800*time.Millisecond {
+		demands = s.boxes[from].PrefixDemand()
+	}
+	for _, demand := range demands {
+		sentAt = time.Now()
 		for to, box := range s.boxes {
 			if to != from && s.rng.Float64() >= s.loss {
 				box.UpdatePrefixDemand(fmt.Sprintf("box%d", from), demand)
 			}
 		}
 	}
-	s.after(time.Second, func() { s.exchange(from) })
+	s.after(300*time.Millisecond, func() { s.exchange(from, sentAt) })
 }
 
 // arrivals starts the programs of a kind.
@@ -327,15 +333,15 @@
 }
 
 // TestPrefixesStayCached guards against boxes that make replicas evict each other's shared prefixes. It
-// compares the placement with and without the assignment of prefixes, in a usual load and in one with bursts
-// of one kind of program.
+// compares the placement with and without the assignment of prefixes, in a usual load, in one with bursts of one
+// kind of program, and in the usual load with a third of the messages between boxes lost.
 func TestPrefixesStayCached(t *testing.T) {
 	for _, c := range []struct {
-		name  string
-		burst float64
+		name        string
+		burst, loss float64
 		// most is the largest share of prefixes that are prefilled again in all prefilled tokens.
 		most float64
-	}{{"usual", 1, 0.03}, {"bursts", 1.8, 0.05}} {
+	}{{"usual", 1, 0, 0.03}, {"bursts", 1.8, 0, 0.05}, {"lost messages", 1, 0.3, 0.04}} {
 		for seed := range uint64(2) {
 			load := zoneA()
 			load.load = func(at time.Duration, kind int) float64 {
@@ -345,7 +351,7 @@
 				return 1
 			}
 			before := runPrefixLoad(t, load, seed)
-			load.assigned = true
+			load.assigned, load.loss = true, c.loss
 			after := runPrefixLoad(t, load, seed)
 			t.Logf("%s, seed %d, before: %d prefixes prefilled again (%.3f of %d tokens), busiest %.2f, first event %v", c.name, seed, before.again,
 				before.againShare(load.prefix), before.prefilled, before.busiest, before.firstEvent())
