sched, target: ignore negative demand of other boxes, check the totals

Cause: a message with a negative rate of all calls would have inflated every share, and no test read the figures that the gauges show while prefixes are assigned.

--- a/gate/sched/prefix.go
+++ b/gate/sched/prefix.go
@@ -132,8 +132,9 @@
 	// it each replica can hold all of them. They stay active down to deactivationShare.
 	activationShare   = 0.25
 	deactivationShare = 0.2
-	// firstPartPrograms is the number of programs from which the first part of prompts is shared, and
-	// laterPartPrograms that for other parts, which sub-agents share with the program that started them.
+	// firstPartPrograms is the number of programs from which the first part of prompts is shared; a program
+	// with one sub-agent makes two. laterPartPrograms is that for other parts, which more sub-agents share with
+	// the program that started them.
 	firstPartPrograms = 3
 	laterPartPrograms = 8
 	// partIdleTimeout is how long an unused first part stays in use, and laterPartIdleTimeout that for
@@ -310,7 +311,7 @@
 	}
 	calls := p.calls.perSecond(now)
 	for _, peer := range p.peers {
-		calls += peer.demand.Calls
+		calls += max(0, peer.demand.Calls)
 	}
 	byZone := map[string][]PrefixReplica{}
 	for _, rep := range replicas {
--- a/gate/target/prefix_test.go
+++ b/gate/target/prefix_test.go
@@ -127,6 +127,9 @@
 			if len(preferred) == 0 || len(preferredFor(targets, n, "b")) == 0 {
 				t.Fatalf("prefix %d: preferred replicas %v in zone a, %v in zone b", n, preferred, preferredFor(targets, n, "b"))
 			}
+			if shared, all := targets.PrefixTotals(); shared != 16 || all < 32 {
+				t.Errorf("%d shared prefixes, %d preferred replicas in both zones", shared, all)
+			}
 			lease := take(t, targets, prefixAsk(n, "new"))
 			if !slices.Contains(preferred, lease.Replica.ID) || lease.CachedTokens != testPrefix {
 				t.Errorf("prefix %d, preferred replicas %v: call placed at %s with %d cached tokens", n, preferred, lease.Replica.ID, lease.CachedTokens)
