--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -53,7 +53,9 @@
 	level int
 	// promptParts holds the prompt parts that were recently sent to the replica, by ID.
 	promptParts map[string]cachedPart
-	pool        Pool
+	// prefixUses holds what was observed of the use of shared parts, by ID.
+	prefixUses map[string]*prefixUse
+	pool       Pool
 	// ctx is cancelled by cancel once the replica is known to have restarted, since earlier calls then
 	// get no answer.
 	ctx    context.Context
@@ -113,6 +115,9 @@
 	costs      []time.Duration
 	// placers is the number of boxes that place calls at the same replicas, including this one.
 	placers int
+	// prefixes holds the assignment of shared prompt prefixes of each service whose configuration gives the
+	// memory of its replicas.
+	prefixes map[string]*sched.Prefixes
 	// boxes is the number of boxes that share the replicas' connections.
 	boxes int
 	rng   *rand.Rand
@@ -126,7 +131,7 @@
 		zone: zone, opener: opener, log: log, boxes: 1, placers: 1,
 		byID: map[string]*state{}, services: map[string][]*state{}, ejectors: map[string]*limit.Ejector{},
 		meanUnitTime: map[string]time.Duration{},
-		admissions:   map[string]*sched.Admission{},
+		admissions:   map[string]*sched.Admission{}, prefixes: map[string]*sched.Prefixes{},
 		rng:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		onFailing:    func(work.Replica, float64) {},
 		warmsReplica: func(work.Replica, bool) bool { return true },
@@ -358,7 +363,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	best, candidates := t.choose(now, ask, t.pickService(ask.Services))
+	service := t.pickService(ask.Services)
+	if ask.Prompt != nil {
+		t.updatePrefixes(now, service)
+	}
+	best, candidates := t.choose(now, ask, service)
 	if best.state == nil {
 		return nil, fault.Refuse(fault.NoTarget, "no replica can take the call")
 	}
@@ -375,15 +384,17 @@
 	if s.cold(now, t.serviceConfig(s.Service)) {
 		s.coldCalls.Record(now)
 	}
+	l := &Lease{
+		Replica: s.Replica, CachedTokens: best.estimate.CachedTokens, ExpectedCost: best.cost, Candidates: candidates,
+		targets: t, state: s, ask: ask, startedAt: now, lightLoad: best.estimate.LightlyLoaded(),
+	}
 	if ask.Prompt != nil {
+		t.recordPrefixUse(now, l, best.estimate)
 		s.lastTurnAt = now
 		s.rememberParts(now, ask.Prompt.Parts)
 		t.admissionFor(s.Service).TurnStarted(now, ask.Turn)
 	}
-	return &Lease{
-		Replica: s.Replica, CachedTokens: best.estimate.CachedTokens, ExpectedCost: best.cost, Candidates: candidates,
-		targets: t, state: s, ask: ask, startedAt: now, lightLoad: best.estimate.LightlyLoaded(),
-	}
+	return l
 }
 
 // SetLevels sets the subset levels by which this box's replicas were selected. The fewer boxes use a
