sched: remove a comment that stood twice

Cause: the comment of prefixHeadroom stood twice after two edits of the same constant. Change: one of them is removed. Result: no change of behavior; tests of gate/sched pass.

--- a/gate/sched/prefix.go
+++ b/gate/sched/prefix.go
@@ -119,8 +119,6 @@
 	assignInterval = 250 * time.Millisecond
 	// prefixHeadroom multiplies the replicas that a prefix needs by its share of the calls, so that bursts
 	// on one kind of program still find preferred replicas with room.
-	// prefixHeadroom multiplies the replicas that a prefix needs by its share of the calls, so that bursts
-	// on one kind of program still find preferred replicas with room.
 	prefixHeadroom = 2
 	// assignedShare bounds the tokens assigned to a replica, as a share of its memory. The rest is for
 	// running calls and for what programs hold between turns.
