--- a/gate/dial/confirm.go
+++ b/gate/dial/confirm.go
@@ -16,7 +16,7 @@
 // does not respond in time, no other connection is tried, since it would not respond there either.
 func (p *Pool) sendExpectContinue(ctx context.Context, req Request) (*Response, error) {
 	for {
-		c, err := p.acquire(ctx, req.MaxIdle)
+		c, err := p.acquireWithin(ctx, req)
 		if err != nil {
 			return nil, err
 		}
@@ -37,6 +37,16 @@
 	}
 }
 
+// acquireWithin is acquire with the connect timeout of the request.
+func (p *Pool) acquireWithin(ctx context.Context, req Request) (*conn, error) {
+	if req.ConnectTimeout > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, req.ConnectTimeout)
+		defer stop()
+	}
+	return p.acquire(ctx, req.MaxIdle)
+}
+
 // writeExpectContinue writes the head of the request and, if the peer asks for it, the body. Any other
 // response is left unread.
 func (r *Response) writeExpectContinue(ctx context.Context, req Request) error {
@@ -44,6 +54,9 @@
 		return err
 	}
 	wantsBody, err := r.awaitContinue(ctx, req.ContinueTimeout)
+	if errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil && req.Alive != nil && req.Alive() {
+		wantsBody, err = r.awaitContinue(ctx, req.ContinueGrace)
+	}
 	if err != nil || !wantsBody {
 		return err
 	}
--- a/gate/dial/send.go
+++ b/gate/dial/send.go
@@ -36,6 +36,13 @@
 	// back until then, so that a request which fails on a dead connection has not run. Zero sends
 	// everything at once.
 	ContinueTimeout time.Duration
+	// Alive, if not nil, is called if the peer has not responded within ContinueTimeout. If it returns true, the
+	// peer gets ContinueGrace more, since it is only slow.
+	Alive         func() bool
+	ContinueGrace time.Duration
+	// ConnectTimeout bounds the opening of a connection for a request with ContinueTimeout; zero means the
+	// pool's own bound.
+	ConnectTimeout time.Duration
 	// Matches reports whether a response belongs to this request; nil accepts any.
 	Matches func(header http.Header) bool
 }
--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -49,6 +49,9 @@
 	TakeoverIn(box work.Box) time.Duration
 	// RecentlyUnreachable reports whether a recent attempt to reach the box failed.
 	RecentlyUnreachable(box work.Box) bool
+	// Confirm asks other boxes whether the given ones have failed, and returns once it is known which of
+	// their slots this box may take over.
+	Confirm(ctx context.Context, boxes []work.Box)
 }
 
 // Connectivity reports whether this box is cut off from the other boxes and from the log.
@@ -75,10 +78,10 @@
 
 // Peers forwards turns to other boxes.
 type Peers interface {
-	// Turn runs a turn on the box if that box owns the slot.
-	Turn(ctx context.Context, box work.Box, slot int, call *work.Call, route *work.Route, out work.Answer) error
+	// Turn runs a turn on the box if that box owns the slot, or can take it over from the unreached boxes.
+	Turn(ctx context.Context, box work.Box, slot int, unreached []work.Box, call *work.Call, route *work.Route, out work.Answer) error
 	// Find searches the slots of a box for a turn; see Entry.Find.
-	Find(ctx context.Context, box work.Box, turn string, home int) (text []byte, slots []int, err error)
+	Find(ctx context.Context, box work.Box, turn string, confirm bool) (text []byte, slots []int, err error)
 }
 
 // Quotas limits the calls of workspaces.
@@ -249,7 +252,7 @@
 	}
 	err := e.runOnSlot(ctx, home, call, route, out)
 	if previousNotKept(err) {
-		if call.Turn.Base, err = e.findPrevious(ctx, call, home); err == nil {
+		if call.Turn.Base, err = e.findPrevious(ctx, call); err == nil {
 			err = e.runOnSlot(ctx, home, call, route, out)
 		}
 	}
@@ -302,16 +305,20 @@
 func (e *Entry) tryOwners(ctx context.Context, slot int, call *work.Call, route *work.Route, out work.Answer) error {
 	// A box that is about to lose its slots holds them until their next owner asks for them.
 	if e.slots.Holds(slot) {
-		if err := e.RunHere(ctx, slot, call, route, out); !ownerNotReached(err) {
+		if err := e.RunHere(ctx, slot, nil, call, route, out); !ownerNotReached(err) {
 			return err
 		}
 	}
 	var first error
+	var unreached []work.Box
 	for rank, box := range e.boxes.Owners(e.layout.Name(slot), ownerCandidates) {
-		err := e.runOnBox(ctx, box, rank, slot, call, route, out)
+		err := e.runOnBox(ctx, box, rank, unreached, slot, call, route, out)
 		if !ownerNotReached(err) {
 			return err
 		}
+		if fault.Is(err, fault.PeerUnreachable) {
+			unreached = append(unreached, box)
+		}
 		if first == nil {
 			first = err
 		}
@@ -322,10 +329,11 @@
 	return first
 }
 
-// runOnBox runs the turn on the given box if that box holds the slot.
-func (e *Entry) runOnBox(ctx context.Context, box work.Box, rank, slot int, call *work.Call, route *work.Route, out work.Answer) error {
+// runOnBox runs the turn on the given box if that box holds the slot or can take it over from the unreached boxes,
+// which precede it in the ranking.
+func (e *Entry) runOnBox(ctx context.Context, box work.Box, rank int, unreached []work.Box, slot int, call *work.Call, route *work.Route, out work.Answer) error {
 	if box.Name == e.self.Name {
-		return e.RunHere(ctx, slot, call, route, out)
+		return e.RunHere(ctx, slot, unreached, call, route, out)
 	}
 	if e.leavesRegions(call, box) {
 		return fault.Refuse(fault.OwnerUnavailable, "the box is outside of the allowed regions")
@@ -333,8 +341,8 @@
 	if e.boxes.RecentlyUnreachable(box) {
 		return fault.Refuse(fault.PeerUnreachable, "a recent attempt to reach the owner of the slot failed")
 	}
-	e.log.Info("entry: turn forwarded", "id", call.ID, "program", call.Turn.Program, "slot", slot, "owner", box.Name, "rank", rank)
-	err := e.peers.Turn(ctx, box, slot, call, route, out)
+	e.log.Info("entry: turn forwarded", "id", call.ID, "program", call.Turn.Program, "slot", slot, "owner", box.Name, "rank", rank, "unreached", len(unreached))
+	err := e.peers.Turn(ctx, box, slot, unreached, call, route, out)
 	if fault.Is(err, fault.PeerUnreachable) && ctx.Err() == nil {
 		e.boxes.MarkUnreachable(box)
 	}
@@ -351,8 +359,12 @@
 	}
 }
 
-// RunHere runs the turn if this box owns the slot.
-func (e *Entry) RunHere(ctx context.Context, number int, call *work.Call, route *work.Route, out work.Answer) error {
+// RunHere runs the turn if this box owns the slot. If it does not, but other boxes confirm that the unreached ones,
+// which precede it in the slot's ranking, have failed, it takes the slot over first.
+func (e *Entry) RunHere(ctx context.Context, number int, unreached []work.Box, call *work.Call, route *work.Route, out work.Answer) error {
+	if len(unreached) > 0 && !e.slots.Holds(number) {
+		e.boxes.Confirm(ctx, unreached)
+	}
 	slot, err := e.slots.Get(ctx, number)
 	if err != nil {
 		return err
--- a/gate/entry/entry_test.go
+++ b/gate/entry/entry_test.go
@@ -85,11 +85,25 @@
 	return f.next()
 }
 
-func (f *fakeBox) Turn(_ context.Context, box work.Box, _ int, _ *work.Call, _ *work.Route, _ work.Answer) error {
-	f.calls = append(f.calls, "to "+box.Name)
+func (f *fakeBox) Turn(_ context.Context, box work.Box, _ int, unreached []work.Box, _ *work.Call, _ *work.Route, _ work.Answer) error {
+	f.calls = append(f.calls, "to "+box.Name+withoutBoxes(unreached))
 	return f.next()
 }
 
+// Confirm records the boxes whose failure is to be confirmed.
+func (f *fakeBox) Confirm(_ context.Context, unreached []work.Box) {
+	f.calls = append(f.calls, "confirm"+withoutBoxes(unreached))
+}
+
+// withoutBoxes returns the names of the boxes that a turn is sent on without.
+func withoutBoxes(unreached []work.Box) string {
+	text := ""
+	for _, box := range unreached {
+		text += " without " + box.Name
+	}
+	return text
+}
+
 func (f *fakeBox) next() error {
 	err := f.turnResults[0]
 	if len(f.turnResults) > 1 {
@@ -98,9 +112,13 @@
 	return err
 }
 
-func (f *fakeBox) Find(_ context.Context, box work.Box, _ string, _ int) ([]byte, []int, error) {
+func (f *fakeBox) Find(_ context.Context, box work.Box, _ string, confirm bool) ([]byte, []int, error) {
+	name := box.Name
+	if confirm {
+		name += " confirmed"
+	}
 	f.mu.Lock()
-	f.searched = append(f.searched, box.Name)
+	f.searched = append(f.searched, name)
 	f.mu.Unlock()
 	got := f.findReplies[box.Name]
 	return got.text, got.slots, got.err
@@ -152,7 +170,16 @@
 		{"to the holder while the owner joins", func(f *fakeBox) { f.nextOwners, f.turnResults = boxes("c"), []error{notOwner, nil} }, "", 0, []string{"to b", "to c"}},
 		{"the owner's fault is returned if no box holds the slot", func(f *fakeBox) {
 			f.nextOwners, f.turnResults, f.takeoverDelay = boxes("c"), []error{gone, notOwner}, 300*time.Millisecond
-		}, fault.TurnNotKnownYet, 300 * time.Millisecond, []string{"to b", "unreached", "to c", "to b", "to c"}},
+		}, fault.TurnNotKnownYet, 300 * time.Millisecond, []string{"to b", "unreached", "to c without b", "to b", "to c"}},
+		{"the next box takes over from unreachable ones", func(f *fakeBox) {
+			f.nextOwners, f.turnResults = boxes("c", "d"), []error{gone, gone, nil}
+		}, "", 0, []string{"to b", "unreached", "to c without b", "unreached", "to d without b without c"}},
+		{"a box that answers is not named", func(f *fakeBox) {
+			f.nextOwners, f.turnResults = boxes("c", "d"), []error{notOwner, gone, nil}
+		}, "", 0, []string{"to b", "to c", "unreached", "to d without c"}},
+		{"this box is the next and asks for confirmation", func(f *fakeBox) {
+			f.nextOwners, f.turnResults = boxes("a", "c"), []error{gone, nil}
+		}, "", 0, []string{"to b", "unreached", "confirm without b", "here", "to c without b"}},
 		{"at most ownerCandidates boxes are asked", func(f *fakeBox) {
 			f.nextOwners, f.turnResults = boxes("c", "d", "e", "f", "g"), []error{notOwner, notOwner, notOwner, notOwner, nil}
 		}, "", 0, []string{"to b", "to c", "to d", "to e", "to b"}},
@@ -225,8 +252,8 @@
 	}
 }
 
-// TestTurnSearchAsksOwnersOnly checks that a search asks only the expected owners if these hold all slots,
-// and at most ownerCandidates boxes for each slot otherwise.
+// TestTurnSearchAsksOwnersOnly checks that a search asks only the expected owners if these hold all slots, and
+// asks them to confirm that before it fails, and at most ownerCandidates boxes for each slot otherwise.
 func TestTurnSearchAsksOwnersOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeBox()
@@ -236,7 +263,7 @@
 		if err := f.handle(turnCall("before")); !fault.Is(err, fault.NoTurn) {
 			t.Errorf("fault %v", err)
 		}
-		if diff := cmp.Diff([]string{"b"}, f.searched); diff != "" {
+		if diff := cmp.Diff([]string{"b", "b confirmed"}, f.searched); diff != "" {
 			t.Errorf("asked (-want +got):\n%s", diff)
 		}
 		f.findReplies, f.searched = map[string]findReply{}, nil
--- a/gate/entry/find.go
+++ b/gate/entry/find.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/chain"
@@ -17,31 +18,36 @@
 }
 
 // findPrevious asks the owners of all slots for the turn that the call continues, which may belong to another
-// program; home is the slot of the call's program. findPrevious returns a NoTurn fault only if the owners of
-// all slots have confirmed that they do not keep the turn.
-func (e *Entry) findPrevious(ctx context.Context, call *work.Call, home int) ([]byte, error) {
+// program. findPrevious returns a NoTurn fault only if the owners of all slots have confirmed with the log that
+// they do not keep the turn. As nearly all searches succeed, they first search without that confirmation.
+func (e *Entry) findPrevious(ctx context.Context, call *work.Call) ([]byte, error) {
 	ctx, stop := context.WithTimeout(ctx, findTimeout)
 	defer stop()
-	s := &turnSearch{Entry: e, call: call, home: home, asked: map[string]bool{}, ruledOut: map[int]bool{}}
-	for _, ranks := range []int{1, ownerCandidates} {
-		if text := s.askOwners(ctx, ranks); text != nil {
-			return text, nil
+	for _, confirm := range []bool{false, true} {
+		s := &turnSearch{Entry: e, call: call, confirm: confirm, asked: map[string]bool{}, ruledOut: map[int]bool{}}
+		for _, ranks := range []int{1, ownerCandidates} {
+			if text := s.askOwners(ctx, ranks); text != nil {
+				return text, nil
+			}
+			if len(s.ruledOut) == e.layout.Slots() {
+				break
+			}
 		}
-		if len(s.ruledOut) == e.layout.Slots() {
-			e.log.Info("entry: no such turn", "id", call.ID, "program", call.Turn.Program, "previous", call.Turn.Previous)
-			return nil, fault.Refuse(fault.NoTurn, "the turn to go on from is not kept")
+		if len(s.ruledOut) < e.layout.Slots() {
+			return nil, fault.Refuse(fault.OwnerUnavailable, "not all slot owners could be asked for the turn")
 		}
 	}
-	return nil, fault.Refuse(fault.OwnerUnavailable, "not all slot owners could be asked for the turn")
+	e.log.Info("entry: no such turn", "id", call.ID, "program", call.Turn.Program, "previous", call.Turn.Previous)
+	return nil, fault.Refuse(fault.NoTurn, "the turn to go on from is not kept")
 }
 
 // turnSearch is the state of one search for a turn.
 type turnSearch struct {
 	*Entry
 	call *work.Call
-	home int
-	// asked holds the names of the boxes that were asked, ruledOut the slots whose owners have confirmed that
-	// they do not keep the turn.
+	// confirm says that owners must confirm with the log that they still own a slot before they rule it out.
+	confirm bool
+	// asked holds the names of the boxes that were asked, ruledOut the slots whose owners do not keep the turn.
 	asked    map[string]bool
 	ruledOut map[int]bool
 }
@@ -52,7 +58,7 @@
 	boxes := s.nextBoxes(ranks)
 	answers := make(chan findResult, len(boxes))
 	for _, box := range boxes {
-		go func() { answers <- s.askBox(ctx, box, s.call.QualifiedName(s.call.Turn.Previous), s.home) }()
+		go func() { answers <- s.askBox(ctx, box, s.call.QualifiedName(s.call.Turn.Previous), s.confirm) }()
 	}
 	for range boxes {
 		got := <-answers
@@ -90,34 +96,46 @@
 }
 
 // askBox searches one box, which may be this one, for the turn.
-func (e *Entry) askBox(ctx context.Context, box work.Box, turn string, home int) findResult {
+func (e *Entry) askBox(ctx context.Context, box work.Box, turn string, confirm bool) findResult {
 	got := findResult{box: box.Name}
 	if box.Name == e.self.Name {
-		got.text, got.slots = e.Find(ctx, turn, home)
+		got.text, got.slots = e.Find(ctx, turn, confirm)
 		return got
 	}
-	got.text, got.slots, got.err = e.peers.Find(ctx, box, turn, home)
+	if e.boxes.RecentlyUnreachable(box) {
+		got.err = fault.Refuse(fault.PeerUnreachable, "a recent attempt to reach the box failed")
+		return got
+	}
+	got.text, got.slots, got.err = e.peers.Find(ctx, box, turn, confirm)
 	return got
 }
 
 // Find returns the text of the chain that ends with the turn if a slot of this box keeps it, and otherwise
-// the slots that are known not to keep it. home is the slot of the program that looks for the turn. This box
-// must confirm with the log that it still owns home, and any other slot that another box may have claimed.
-func (e *Entry) Find(ctx context.Context, turn string, home int) (text []byte, ruledOut []int) {
-	for _, slot := range e.slots.All() {
+// the slots that do not keep it. If confirm is set, these are only the slots that the log confirms to be owned by
+// this box: another box may have taken a slot over while this one was not reachable for a moment.
+func (e *Entry) Find(ctx context.Context, turn string, confirm bool) (text []byte, ruledOut []int) {
+	held := e.slots.All()
+	for _, slot := range held {
 		slot.Update(func(state *chain.State) { text, _ = state.ChainText(turn) })
 		if text != nil {
 			return text, nil
 		}
-		if slot.Number() != home && slot.OwnershipFresh() {
+	}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for _, slot := range held {
+		all.Go(func() {
+			if confirm {
+				if err := slot.ConfirmOwnership(ctx); err != nil {
+					e.log.Info("entry: slot ownership not confirmed", "slot", slot.Number(), "cause", err)
+					return
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
 			ruledOut = append(ruledOut, slot.Number())
-			continue
-		}
-		if err := slot.ConfirmOwnership(ctx); err != nil {
-			e.log.Info("entry: slot ownership not confirmed", "slot", slot.Number(), "cause", err)
-			continue
-		}
-		ruledOut = append(ruledOut, slot.Number())
+		})
 	}
+	all.Wait()
 	return nil, ruledOut
 }
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -88,6 +88,7 @@
 	senders  *callSenders
 	server   *remote.Server
 	detector *cutOffDetector
+	failover *view.Failover
 	watch    *load.Watch
 	counter  *quota.Counter
 	leaving  atomic.Bool
@@ -96,7 +97,8 @@
 // New returns a box whose services are not started.
 func New(deps Deps) *Node {
 	layout := shard.NewLayout(deps.Slots)
-	n := &Node{deps: deps, layout: layout, kern: kernel.New(deps.Logger), peers: remote.NewClient()}
+	n := &Node{deps: deps, layout: layout, kern: kernel.New(deps.Logger)}
+	n.peers = remote.NewClient(func(box work.Box) bool { return deps.Regions[box.Zone] == deps.Regions[deps.Self.Zone] })
 	log := deps.Logger
 	n.targets = target.New(deps.Self.Zone, deps.Replicas, log)
 	detourLog := detour.New(deps.Log, logProxies{n}, log)
@@ -105,20 +107,21 @@
 	n.view = view.New(deps.Self, n.mirror, deps.Timing, log)
 	n.targets.SetBounds(target.Bounds{Regions: deps.Regions, Cold: deps.Cold})
 	n.targets.SetWarmingCheck(n.senders.MayWarm)
-	n.shards = shard.New(deps.Self, layout, detourLog, n.view, n.peers, deps.Meter, log)
+	n.detector = newCutOffDetector(deps.Self.Name, n.view, n.peers, log)
+	n.failover = view.NewFailover(n.view, deps.Regions, n.peers, n.detector, deps.Meter)
+	n.shards = shard.New(deps.Self, layout, detourLog, n.failover, n.peers, deps.Meter, log)
 	n.senders = newCallSenders(deps.Self, n.view, layout.Names())
 	n.mirror.OnLevels(func(levels subset.Levels) {
 		n.senders.SetLevels(levels)
 		n.targets.SetLevels(levels)
 	})
 	n.watch = load.New(deps.Self, deps.Replicas, n.targets, n.senders, log)
-	n.detector = newCutOffDetector(deps.Self.Name, n.view, n.peers, log)
 	runner := turns.New(n.targets, deps.Replicas, deps.RecordBytes, deps.Meter, log)
 	forwarder := relay.New(n.targets, deps.Replicas, deps.Meter, log)
 	n.counter = quota.NewCounter(deps.Self, deps.Zones, deps.Quota, n.view)
 	quotas := quota.New(deps.Self, deps.Zones, deps.Quota, n.view, n.counter, n.peers, deps.Meter)
-	n.entry = entry.New(deps.Self, layout, deps.Regions, n.feed, access.New(deps.Access), quotas, n.view, n.detector, n.shards, runner, n.peers, forwarder, deps.Meter, log)
-	n.server = remote.NewServer(deps.Self.Peer, n.entry, n.shards, n.view, n.counter, n.mirror, deps.Log, log)
+	n.entry = entry.New(deps.Self, layout, deps.Regions, n.feed, access.New(deps.Access), quotas, n.failover, n.detector, n.shards, runner, n.peers, forwarder, deps.Meter, log)
+	n.server = remote.NewServer(deps.Self, n.entry, n.shards, n.failover, n.counter, n.mirror, deps.Log, log)
 	n.feed.OnConfig(func(conf *work.Config) { n.counter.Update(time.Now(), conf) })
 	n.view.OnChange(n.onBoxesChanged)
 	n.targets.OnFailing(n.watch.SendFailureRate)
@@ -184,7 +187,8 @@
 		{Name: "load", DependsOn: []string{"view", "feed"}, Make: factoryFor(n.watch)},
 		{Name: "quota", DependsOn: []string{"view", "feed"}, Make: factoryFor(n.counter)},
 		{Name: "reach", DependsOn: []string{"view"}, Make: factoryFor(n.detector)},
-		{Name: "peers", DependsOn: []string{"view", "feed", "quota"}, Make: factoryFor(n.server)},
+		{Name: "failover", DependsOn: []string{"view", "reach"}, Make: factoryFor(n.failover)},
+		{Name: "peers", DependsOn: []string{"view", "feed", "quota", "failover"}, Make: factoryFor(n.server)},
 		{Name: "shards", DependsOn: []string{"peers"}, Make: factoryFor(n.shards), StopReserve: shardsReserve},
 		{Name: "front", DependsOn: []string{"shards"}, Make: factoryFor(front), StopReserve: frontReserve},
 	}
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -11,9 +12,12 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/dial"
 	"mulleingate.dev/gate/quota"
+	"mulleingate.dev/gate/view"
 	"mulleingate.dev/gate/work"
 )
 
@@ -25,6 +29,8 @@
 	// deliverPath accepts records of turns that began at a previous owner of the slot.
 	deliverPath = "/deliver"
 	pingPath    = "/ping"
+	// reachPath accepts requests to check whether another box can be reached.
+	reachPath = "/reach"
 	// leavingPath accepts the announcement that a box leaves the fleet.
 	leavingPath = "/left"
 	// copyPath and rosterPath accept requests to a source.
@@ -37,23 +43,32 @@
 	// continueTimeout bounds the wait for 100 Continue from the box that gets a turn. The body is held back
 	// until then, so that a turn for an unreachable box has certainly not run and its caller may retry.
 	continueTimeout = 400 * time.Millisecond
+	// suspectAfter is how long a near box may take to accept a connection and to respond with 100 Continue
+	// before a check tells whether it is alive. Within a region that takes 2 ms, so that a longer wait is a sign
+	// of a loss or of a slow box.
+	suspectAfter = 60 * time.Millisecond
 	// fullPoolRetryDelay is the Retry-After delay if no connection to the box is free.
 	fullPoolRetryDelay = 200 * time.Millisecond
 
-	slotParam   = "slot"
-	turnParam   = "turn"
-	memberParam = "member"
+	slotParam = "slot"
+	turnParam = "turn"
+	// confirmParam says whether a box must confirm with the log that it owns the slots which it rules out.
+	confirmParam = "confirm"
+	memberParam  = "member"
 )
 
 // Client sends requests to other boxes. It keeps a pool of connections to each.
 type Client struct {
+	// near reports whether a box is so close that a round trip takes far less than suspectAfter.
+	near func(box work.Box) bool
+
 	mu    sync.Mutex
 	pools map[netip.AddrPort]*dial.Pool
 }
 
-// NewClient returns a client without connections.
-func NewClient() *Client {
-	return &Client{pools: map[netip.AddrPort]*dial.Pool{}}
+// NewClient returns a client without connections. near reports whether a box is in the region of this one.
+func NewClient(near func(box work.Box) bool) *Client {
+	return &Client{near: near, pools: map[netip.AddrPort]*dial.Pool{}}
 }
 
 func (c *Client) pool(addr netip.AddrPort) *dial.Pool {
@@ -83,23 +98,22 @@
 	}
 }
 
-// Turn forwards a turn to the box, which runs it if it owns the slot, and copies the response to out. A fault
-// with NotRun means that the turn has not run and won't.
-func (c *Client) Turn(ctx context.Context, box work.Box, slot int, call *work.Call, route *work.Route, out work.Answer) error {
+// Turn forwards a turn to the box, which runs it if it owns the slot, and copies the response to out. unreached
+// lists the boxes that should rather own the slot, but could not be reached. A fault with NotRun means that the
+// turn has not run and won't.
+func (c *Client) Turn(ctx context.Context, box work.Box, slot int, unreached []work.Box, call *work.Call, route *work.Route, out work.Answer) error {
 	ctx, stop := context.WithDeadline(ctx, call.Deadline)
 	defer stop()
 	meta := *call
 	meta.Body = nil
 	raw, err := frame(turnRequest{
-		Slot: slot, Call: &meta, Route: route, LeftMillis: time.Until(call.Deadline).Milliseconds(),
+		Slot: slot, Unreached: unreached, Call: &meta, Route: route, LeftMillis: time.Until(call.Deadline).Milliseconds(),
 		WaitedMillis: time.Since(call.Arrived).Milliseconds(),
 	})
 	if err != nil {
 		return err
 	}
-	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{
-		Method: http.MethodPost, Target: turnPath, Host: box.Peer.String(), Body: append(raw, call.Body...), ContinueTimeout: continueTimeout,
-	})
+	resp, err := c.sendTurn(ctx, box, append(raw, call.Body...))
 	if err != nil {
 		return turnFault(err)
 	}
@@ -121,6 +135,36 @@
 	return work.CopyBody(resp, out, fault.PeerUnreachable)
 }
 
+// sendTurn sends a turn to the box. A near box that does not respond within suspectAfter is checked: if it does
+// not accept connections, sendTurn fails at once, otherwise it waits up to continueTimeout.
+func (c *Client) sendTurn(ctx context.Context, box work.Box, body []byte) (*dial.Response, error) {
+	req := dial.Request{
+		Method: http.MethodPost, Target: turnPath, Host: box.Peer.String(), Body: body, ContinueTimeout: continueTimeout,
+	}
+	if !c.near(box) {
+		return c.pool(box.Peer).Send(ctx, req)
+	}
+	checked := false
+	alive := func() bool {
+		checked = true
+		return c.Contact(ctx, box) == view.Answered
+	}
+	req.ConnectTimeout, req.ContinueTimeout, req.Alive, req.ContinueGrace = suspectAfter, suspectAfter, alive, continueTimeout-suspectAfter
+	resp, err := c.pool(box.Peer).Send(ctx, req)
+	if err == nil || checked || ctx.Err() != nil || !fault.From(err).NotRun || !isTimeout(err) || !alive() {
+		return resp, err
+	}
+	// Only the connection could not be opened in time, as after a lost SYN.
+	req.ConnectTimeout = 0
+	return c.pool(box.Peer).Send(ctx, req)
+}
+
+// isTimeout reports whether the error was caused by a timeout.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // peerLost converts a transport fault into PeerUnreachable, which distinguishes a box's failure from a
 // target's.
 func peerLost(err error) error {
@@ -171,8 +215,8 @@
 }
 
 // Find implements entry.Peers.
-func (c *Client) Find(ctx context.Context, box work.Box, turn string, home int) ([]byte, []int, error) {
-	query := url.Values{turnParam: {turn}, slotParam: {strconv.Itoa(home)}}
+func (c *Client) Find(ctx context.Context, box work.Box, turn string, confirm bool) ([]byte, []int, error) {
+	query := url.Values{turnParam: {turn}, confirmParam: {strconv.FormatBool(confirm)}}
 	_, raw, err := c.send(ctx, box, http.MethodGet, findPath, query, nil)
 	if err != nil {
 		return nil, nil, err
--- a/gate/remote/client_test.go
+++ b/gate/remote/client_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	now := time.Now()
 	call := &work.Call{ID: "r", Arrived: now, Deadline: now.Add(5 * time.Second)}
-	err := c.Turn(context.Background(), box, 1, call, &work.Route{}, unexpectedAnswer{t})
+	err := c.Turn(context.Background(), box, 1, nil, call, &work.Route{}, unexpectedAnswer{t})
 	if err == nil {
 		t.Fatal("the turn succeeds, want a fault")
 	}
@@ -43,7 +43,7 @@
 	defer srv.Close()
 	defer close(release)
 	box := work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())}
-	c := NewClient()
+	c := NewClient(allNear)
 	c.pools[box.Peer] = dial.New(box.Peer, 1)
 	go func() { _ = c.Ping(context.Background(), box) }() // occupies the only connection
 	for end := time.Now().Add(5 * time.Second); !c.pool(box.Peer).Full(); time.Sleep(time.Millisecond) {
@@ -83,7 +83,7 @@
 				}
 			}()
 			start := time.Now()
-			f := turnTo(t, NewClient(), work.Box{Name: "b", Peer: netip.MustParseAddrPort(ln.Addr().String())})
+			f := turnTo(t, NewClient(allNear), work.Box{Name: "b", Peer: netip.MustParseAddrPort(ln.Addr().String())})
 			if f.Kind != fault.PeerUnreachable || !f.NotRun || time.Since(start) > 2*continueTimeout {
 				t.Errorf("%v, not run %v, after %v", f, f.NotRun, time.Since(start))
 			}
@@ -103,3 +103,5 @@
 	}
 	return ln.Addr().String()
 }
+
+func allNear(work.Box) bool { return true }
--- a/gate/remote/frame.go
+++ b/gate/remote/frame.go
@@ -14,8 +14,10 @@
 
 // turnRequest is the header of a forwarded turn, followed by the body of the call.
 type turnRequest struct {
-	Slot int        `json:"slot"`
-	Call *work.Call `json:"call"`
+	Slot int `json:"slot"`
+	// Unreached lists the boxes that should rather own the slot, but that the forwarding box can't reach.
+	Unreached []work.Box `json:"unreached,omitempty"`
+	Call      *work.Call `json:"call"`
 	// Route comes from the configuration of the forwarding box, which may differ from the receiving box's.
 	Route *work.Route `json:"route"`
 	// LeftMillis is the time until the call's deadline. It is relative because the clocks of boxes differ.
--- /dev/null
+++ b/gate/remote/reach.go
@@ -0,0 +1,139 @@
+package remote
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mulleingate.dev/gate/view"
+	"mulleingate.dev/gate/work"
+)
+
+const (
+	// contactTries is the number of connections that one check opens, contactInterval apart, since a link may
+	// lose packets: with 5% of the packets lost, one try fails in 10% of cases and three in 0.1%.
+	contactTries    = 3
+	contactInterval = 20 * time.Millisecond
+	// contactTimeout is how long a check waits for a connection, in time during which this process runs.
+	contactTimeout = 75 * time.Millisecond
+	// contactTick is the interval at which that time is counted, and maxCountedTick the most that counts for one
+	// interval. If this box is not given the processor for a while, an answer may have come meanwhile.
+	contactTick    = 5 * time.Millisecond
+	maxCountedTick = 10 * time.Millisecond
+	// identifyTimeout bounds the wait for the incarnation of a box that accepted a connection. A slow box does
+	// not answer in time and counts as alive.
+	identifyTimeout = 30 * time.Millisecond
+	// incarnationHeader is the response header of a ping with the incarnation of the box.
+	incarnationHeader = "Incarnation"
+)
+
+// reachResponse is the response to a request to check a box.
+type reachResponse struct {
+	Contact view.Contact `json:"contact"`
+}
+
+// Contact implements view.Prober. It opens a connection of its own, since those of the pool may be dead without
+// notice.
+func (c *Client) Contact(ctx context.Context, box work.Box) view.Contact {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	results := make(chan view.Contact, contactTries)
+	var connected atomic.Bool
+	started := 0
+	tick := time.NewTicker(contactTick)
+	defer tick.Stop()
+	last := time.Now()
+	for counted := time.Duration(0); counted < contactTimeout; {
+		if started < contactTries && counted >= time.Duration(started)*contactInterval {
+			started++
+			go func() { results <- contactOnce(ctx, box, &connected) }()
+		}
+		select {
+		case got := <-results:
+			if got != view.Silent {
+				return got
+			}
+		case now := <-tick.C:
+			counted += min(now.Sub(last), maxCountedTick)
+			last = now
+		case <-ctx.Done():
+			return view.Unknown
+		}
+	}
+	if connected.Load() {
+		return view.Answered // the incarnation is still awaited
+	}
+	return view.Silent
+}
+
+// contactOnce opens one connection to the box and returns the result. It sets connected as soon as the box has
+// accepted the connection, and returns Silent if ctx ends before that.
+func contactOnce(ctx context.Context, box work.Box, connected *atomic.Bool) view.Contact {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", box.Peer.String())
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return view.Gone
+	}
+	if err != nil {
+		return view.Silent
+	}
+	defer func() { _ = conn.Close() }()
+	connected.Store(true)
+	if got := incarnationOf(conn, box); got != "" && got != box.Incarnation {
+		return view.Gone
+	}
+	return view.Answered
+}
+
+// incarnationOf asks for the incarnation of the box at the other end of the connection. It returns an empty
+// string if there is no answer in time.
+func incarnationOf(conn net.Conn, box work.Box) string {
+	if conn.SetDeadline(time.Now().Add(identifyTimeout)) != nil {
+		return ""
+	}
+	req, err := http.NewRequest(http.MethodGet, "http://"+box.Peer.String()+pingPath, nil)
+	if err != nil || req.Write(conn) != nil {
+		return ""
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if err != nil {
+		return ""
+	}
+	_ = resp.Body.Close() // it is empty
+	return resp.Header.Get(incarnationHeader)
+}
+
+// AskContact implements view.Prober.
+func (c *Client) AskContact(ctx context.Context, witness, box work.Box) view.Contact {
+	_, raw, err := c.send(ctx, witness, http.MethodGet, reachPath, url.Values{memberParam: {box.Member()}}, nil)
+	var out reachResponse
+	if err != nil || json.Unmarshal(raw, &out) != nil {
+		return view.Unknown
+	}
+	return out.Contact
+}
+
+// reach checks whether this box reaches another one.
+func (s *Server) reach(w http.ResponseWriter, r *http.Request) {
+	box, err := work.ParseMember(r.URL.Query().Get(memberParam))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if err := json.NewEncoder(w).Encode(reachResponse{Contact: s.boxes.Witness(r.Context(), box)}); err != nil {
+		s.logger.Debug("remote: cannot send result of a check", "cause", err)
+	}
+}
+
+// ping responds with the incarnation of this box.
+func (s *Server) ping(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(incarnationHeader, s.self.Incarnation)
+}
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -1,12 +1,12 @@
 package remote
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
 	"log/slog"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"time"
 
@@ -14,6 +14,7 @@
 	"mulleingate.dev/base/serve"
 	"mulleingate.dev/gate/mirror"
 	"mulleingate.dev/gate/quota"
+	"mulleingate.dev/gate/view"
 	"mulleingate.dev/gate/work"
 )
 
@@ -25,11 +26,13 @@
 
 // Turns runs the turns that other boxes forward.
 type Turns interface {
-	// RunHere runs the turn if this box owns the slot.
-	RunHere(ctx context.Context, slot int, call *work.Call, route *work.Route, out work.Answer) error
+	// RunHere runs the turn if this box owns the slot, or can take it over since the unreached boxes, which
+	// should rather own it, are confirmed to have failed.
+	RunHere(ctx context.Context, slot int, unreached []work.Box, call *work.Call, route *work.Route, out work.Answer) error
 	// Find returns the text of the chain that ends with the turn if a slot of this box stores it, and
-	// otherwise the slots that are known not to.
-	Find(ctx context.Context, turn string, home int) (text []byte, absent []int)
+	// otherwise the slots that do not. If confirm is set, these are only slots that the log confirms to be
+	// owned by this box.
+	Find(ctx context.Context, turn string, confirm bool) (text []byte, absent []int)
 }
 
 // Slots releases slots and writes records to them.
@@ -51,14 +54,17 @@
 	Roster(ctx context.Context, req mirror.RosterRequest) (mirror.RosterResponse, error)
 }
 
-// Boxes is notified of boxes that announce that they leave.
+// Boxes is the view of the other boxes.
 type Boxes interface {
+	// MarkLeaving records that the box announced that it leaves.
 	MarkLeaving(box work.Box)
+	// Witness tries to connect to the box on behalf of another one.
+	Witness(ctx context.Context, box work.Box) view.Contact
 }
 
 // Server serves the requests of other boxes.
 type Server struct {
-	addr      netip.AddrPort
+	self      work.Box
 	turns     Turns
 	slots     Slots
 	boxes     Boxes
@@ -71,10 +77,10 @@
 	running *serve.Server
 }
 
-// NewServer returns a server that does not listen yet. It performs operations on direct, the log, for boxes
+// NewServer returns the server of the box self, which does not listen yet. It performs operations on direct, the log, for boxes
 // that can't reach the log themselves.
-func NewServer(addr netip.AddrPort, turns Turns, slots Slots, boxes Boxes, quotas Quotas, sources Sources, direct work.Log, logger *slog.Logger) *Server {
-	s := &Server{addr: addr, turns: turns, slots: slots, boxes: boxes, quotas: quotas, sources: sources, directLog: direct, logger: logger}
+func NewServer(self work.Box, turns Turns, slots Slots, boxes Boxes, quotas Quotas, sources Sources, direct work.Log, logger *slog.Logger) *Server {
+	s := &Server{self: self, turns: turns, slots: slots, boxes: boxes, quotas: quotas, sources: sources, directLog: direct, logger: logger}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+turnPath, s.turn)
 	mux.HandleFunc("POST "+handoverPath, s.handover)
@@ -85,14 +91,15 @@
 	mux.HandleFunc("POST "+quotaPath, s.quota)
 	mux.HandleFunc("POST "+copyPath, s.copy)
 	mux.HandleFunc("POST "+rosterPath, s.roster)
-	mux.HandleFunc("GET "+pingPath, func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET "+reachPath, s.reach)
+	mux.HandleFunc("GET "+pingPath, s.ping)
 	s.http = &http.Server{Handler: mux, IdleTimeout: idleTimeout}
 	return s
 }
 
 // Start implements kernel.Service.
 func (s *Server) Start(context.Context) error {
-	ln, err := serve.Listen(s.addr)
+	ln, err := serve.Listen(s.self.Peer)
 	if err != nil {
 		return err
 	}
@@ -161,12 +168,12 @@
 
 func (s *Server) find(w http.ResponseWriter, r *http.Request) {
 	var out findResponse
-	home, err := strconv.Atoi(r.URL.Query().Get(slotParam))
+	confirm, err := strconv.ParseBool(cmp.Or(r.URL.Query().Get(confirmParam), "true"))
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	out.Text, out.Slots = s.turns.Find(r.Context(), r.URL.Query().Get(turnParam), home)
+	out.Text, out.Slots = s.turns.Find(r.Context(), r.URL.Query().Get(turnParam), confirm)
 	if err := json.NewEncoder(w).Encode(out); err != nil {
 		s.logger.Debug("remote: cannot send result of a search", "cause", err)
 	}
@@ -176,7 +183,7 @@
 	out := &turnWriter{w: w, flush: http.NewResponseController(w)}
 	msg, err := readTurn(http.MaxBytesReader(w, r.Body, maxBody))
 	if err == nil {
-		err = s.turns.RunHere(r.Context(), msg.Slot, msg.Call, msg.Route, out)
+		err = s.turns.RunHere(r.Context(), msg.Slot, msg.Unreached, msg.Call, msg.Route, out)
 	}
 	if err == nil {
 		return
--- a/gate/shard/claim.go
+++ b/gate/shard/claim.go
@@ -51,6 +51,9 @@
 		// The previous owner may have written many records after the load; catchUp reads them.
 		m.logger.Info("shard: slot handed over", "slot", number, "from", loader.owner.Box)
 	}
+	if m.isStopping() {
+		return nil, fault.Refuse(fault.Stopping, "this box stops")
+	}
 	epoch, err := m.fence(ctx, shard, loader.owner.Epoch>>claimantBits)
 	if err != nil {
 		return nil, err
--- a/gate/shard/fakes_test.go
+++ b/gate/shard/fakes_test.go
@@ -187,7 +187,9 @@
 	mu sync.Mutex
 	// ownerByBox is the box that each box considers the owner of all slots.
 	ownerByBox map[string]string
-	managers   map[string]*Manager
+	// failedByBox is the box whose failure each box has confirmed.
+	failedByBox map[string]string
+	managers    map[string]*Manager
 	// unreachable holds the boxes that cannot contact others or be contacted, hung those that never answer a
 	// delivery.
 	unreachable, hung map[string]bool
@@ -234,7 +236,11 @@
 }
 func (v boxView) Find(name, _ string) (work.Box, bool) { return work.Box{Name: name}, true }
 func (v boxView) Settled() bool                        { return true }
-func (v boxView) Fresh() bool                          { return true }
+func (v boxView) Failed(box work.Box) bool {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	return v.fleet.failedByBox[v.self] == box.Name
+}
 
 func (v boxView) Handover(ctx context.Context, box work.Box, slot int) error {
 	to, err := v.connect(box)
@@ -275,7 +281,7 @@
 func (noCounts) Time(string, time.Duration) {}
 
 func newFleet(log Log, names ...string) *fleet {
-	f := &fleet{ownerByBox: map[string]string{}, managers: map[string]*Manager{}, unreachable: map[string]bool{}, hung: map[string]bool{}}
+	f := &fleet{ownerByBox: map[string]string{}, failedByBox: map[string]string{}, managers: map[string]*Manager{}, unreachable: map[string]bool{}, hung: map[string]bool{}}
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
 	for _, name := range names {
 		f.ownerByBox[name] = names[0]
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +27,12 @@
 	// reclaimDelay is how long a box does not claim a slot again after handing it over, so that the
 	// views of both boxes can converge.
 	reclaimDelay = 1500 * time.Millisecond
+	// takeoverDelay is how long a box does not take over a slot again from a box whose failure was confirmed. It
+	// doubles with each takeover up to maxTakeoverDelay, and starts anew after takeoverReset without one. A box
+	// that some others reach and some don't would otherwise exchange the slot with its successor all the time.
+	takeoverDelay    = 3 * time.Second
+	maxTakeoverDelay = 24 * time.Second
+	takeoverReset    = time.Minute
 	// expireInterval is the time between two searches for expired programs, and expireLimit the number
 	// of records that one search drops from a slot.
 	expireInterval = 5 * time.Second
@@ -56,8 +64,8 @@
 	Find(name, incarnation string) (work.Box, bool)
 	// Settled reports whether the view is complete enough to claim slots by it.
 	Settled() bool
-	// Fresh reports whether the view is so recent that no other box can consider this one dead.
-	Fresh() bool
+	// Failed reports whether other boxes have confirmed that the box, which is still listed, can't be reached.
+	Failed(box work.Box) bool
 }
 
 // Peers sends requests to other boxes.
@@ -93,7 +101,15 @@
 	claiming map[int]chan struct{}
 	// handedOverAt holds the time at which each slot was handed over to a box that asked for it.
 	handedOverAt map[int]time.Time
-	stopping     bool
+	// takeovers holds the recent takeovers of each slot from a box that is still listed.
+	takeovers map[int]takeoverStreak
+	stopping  bool
+}
+
+// takeoverStreak is a number of takeovers of a slot and the time of the last.
+type takeoverStreak struct {
+	last  time.Time
+	count int
 }
 
 // New returns a Manager that owns no slots.
@@ -102,6 +118,7 @@
 	return &Manager{
 		self: self, layout: layout, log: log, boxes: boxes, peers: peers, counts: counts, logger: logger,
 		ctx: ctx, cancel: cancel, slots: make([]*Slot, layout.Slots()), claiming: map[int]chan struct{}{}, handedOverAt: map[int]time.Time{},
+		takeovers: map[int]takeoverStreak{},
 	}
 }
 
@@ -121,11 +138,28 @@
 		wg.Go(func() { m.Release(ctx, number) })
 	}
 	wg.Wait()
+	m.awaitClaims(ctx)
 	m.cancel()
 	m.background.Wait()
 	return nil
 }
 
+// awaitClaims waits at most drainTimeout for the claims in progress, so that what they win is released.
+func (m *Manager) awaitClaims(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, drainTimeout)
+	defer stop()
+	m.mu.Lock()
+	claims := slices.Collect(maps.Values(m.claiming))
+	m.mu.Unlock()
+	for _, done := range claims {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Holds reports whether this box holds the slot now.
 func (m *Manager) Holds(number int) bool {
 	slot, _ := m.lookup(number)
@@ -169,14 +203,27 @@
 	return ok && box.Name == m.self.Name
 }
 
+// mayTakeOver reports whether this box should own the slot but for boxes whose failure has been confirmed.
+func (m *Manager) mayTakeOver(number int) bool {
+	for _, box := range m.boxes.Owners(m.layout.Name(number), maxCandidates) {
+		if box.Name == m.self.Name {
+			return true
+		}
+		if !m.boxes.Failed(box) {
+			return false
+		}
+	}
+	return false
+}
+
 // Get returns the slot if this box holds it, waiting up to claimTimeout for a claim in progress.
 func (m *Manager) Get(ctx context.Context, number int) (*Slot, error) {
 	if number < 0 || number >= len(m.slots) {
 		return nil, fault.Refuse(fault.BadRequest, "no such slot")
 	}
 	slot, wait := m.lookup(number)
-	if slot == nil && wait == nil && m.shouldOwn(number) && m.boxes.Settled() {
-		wait = m.startClaim(number)
+	if slot == nil && wait == nil && m.boxes.Settled() {
+		wait = m.claimIfDue(number)
 	}
 	// While the view is not settled, a claim is unlikely to end soon, and the caller should try another box.
 	if slot == nil && wait != nil && m.boxes.Settled() {
@@ -200,11 +247,49 @@
 	return m.slots[number], m.claiming[number]
 }
 
+// claimIfDue starts a claim if this box should own the slot or take it over. It returns nil if no claim is in
+// progress then.
+func (m *Manager) claimIfDue(number int) chan struct{} {
+	if m.shouldOwn(number) {
+		return m.startClaim(number)
+	}
+	if m.mayTakeOver(number) {
+		return m.startTakeover(number)
+	}
+	return nil
+}
+
+// startTakeover starts a claim as startClaim does, unless the last takeover of the slot is too recent.
+func (m *Manager) startTakeover(number int) chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	streak := m.takeovers[number]
+	since := time.Since(streak.last)
+	if since >= takeoverReset {
+		streak.count = 0
+	}
+	if streak.count > 0 && since < min(takeoverDelay<<(streak.count-1), maxTakeoverDelay) {
+		return nil
+	}
+	wait := m.startClaimLocked(number)
+	if wait != nil {
+		m.takeovers[number] = takeoverStreak{last: time.Now(), count: streak.count + 1}
+		m.counts.Count("shard.takeovers", 1)
+		m.logger.Warn("shard: taking over slot of a failed box", "slot", number, "takeovers", streak.count+1)
+	}
+	return wait
+}
+
 // startClaim starts a claim unless one is in progress. It returns a channel that is closed when the
 // claim ends, or nil if the slot is held or must not be claimed now.
 func (m *Manager) startClaim(number int) chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.startClaimLocked(number)
+}
+
+// startClaimLocked is startClaim for callers that hold mu.
+func (m *Manager) startClaimLocked(number int) chan struct{} {
 	if m.slots[number] != nil || m.stopping || m.ctx.Err() != nil || time.Since(m.handedOverAt[number]) < reclaimDelay {
 		return nil
 	}
@@ -218,11 +303,11 @@
 }
 
 // claimUntilHeld retries the claim until it succeeds, another box should own the slot, or the service
-// stops.
+// stops. A slot that is won while the service stops is released.
 func (m *Manager) claimUntilHeld(number int, done chan struct{}) {
 	start := time.Now()
 	var slot *Slot
-	for m.ctx.Err() == nil && m.shouldOwn(number) {
+	for m.ctx.Err() == nil && !m.isStopping() && m.mayTakeOver(number) {
 		got, err := m.acquire(number)
 		if err == nil {
 			slot = got
@@ -234,18 +319,37 @@
 		case <-m.ctx.Done():
 		}
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.claiming, number)
-	close(done)
-	if slot == nil || m.stopping {
+	defer close(done)
+	if !m.endClaim(number, slot) {
 		return
 	}
-	m.slots[number] = slot
 	m.counts.Time("shard.claim_time", time.Since(start))
 	m.logger.Info("shard: claimed slot", "slot", number, "epoch", slot.epoch, "programs", slot.state.ProgramCount(), "took", time.Since(start))
 }
 
+// endClaim records the end of a claim that won the slot, or failed if slot is nil. It returns false if this box
+// does not hold the slot then.
+func (m *Manager) endClaim(number int, slot *Slot) bool {
+	m.mu.Lock()
+	delete(m.claiming, number)
+	stopping := m.stopping
+	if slot != nil && !stopping {
+		m.slots[number] = slot
+	}
+	m.mu.Unlock()
+	if slot != nil && stopping {
+		slot.release(m.ctx)
+	}
+	return slot != nil && !stopping
+}
+
+// isStopping reports whether Stop has been called.
+func (m *Manager) isStopping() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stopping
+}
+
 // Handover releases the slot to a box that asks for it.
 func (m *Manager) Handover(ctx context.Context, number int) error {
 	if number < 0 || number >= len(m.slots) {
@@ -275,10 +379,7 @@
 	if slot == nil {
 		return
 	}
-	start := time.Now()
-	drained := slot.drain(ctx)
-	m.remove(slot)
-	m.logger.Info("shard: released slot", "slot", number, "whole", drained, "took", time.Since(start))
+	slot.release(ctx)
 }
 
 // remove closes the slot and removes it from the held slots, unless it has been claimed anew since.
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -77,14 +77,8 @@
 // it leaves nothing in the log.
 const confirmKey = "confirm"
 
-// OwnershipFresh reports whether this box's view of the other boxes is current, so that none of them can have
-// claimed the slot.
-func (s *Slot) OwnershipFresh() bool {
-	return s.manager.boxes.Fresh() && s.manager.boxes.Settled()
-}
-
-// ConfirmOwnership returns nil once an append has shown that this box still owns the slot. An owner behind a
-// partition may have missed that another box claimed the slot and wrote to it.
+// ConfirmOwnership returns nil once an append has shown that this box still owns the slot. An owner that others
+// could not reach for a moment may have missed that another box claimed the slot and wrote to it.
 func (s *Slot) ConfirmOwnership(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, confirmTimeout)
 	defer stop()
@@ -310,6 +304,14 @@
 	return last.Wait(ctx) == nil
 }
 
+// release gives up the slot once its queued records are written, or after drainTimeout.
+func (s *Slot) release(ctx context.Context) {
+	start := time.Now()
+	drained := s.drain(ctx)
+	s.manager.remove(s)
+	s.manager.logger.Info("shard: released slot", "slot", s.number, "whole", drained, "took", time.Since(start))
+}
+
 // expire drops programs that have outlived their retention.
 func (s *Slot) expire(now time.Time) {
 	s.mu.Lock()
--- /dev/null
+++ b/gate/view/failover_test.go
@@ -0,0 +1,365 @@
+package view
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mulleingate.dev/gate/work"
+)
+
+// silence is how long a fakeLinks takes to find a box silent, as remote.Client does.
+const silence = 75 * time.Millisecond
+
+// fakeLinks is a network between boxes, whose links can be cut silently.
+type fakeLinks struct {
+	mu        sync.Mutex
+	failovers map[string]*Failover
+	// cutZones holds zones that are cut off from the others, cutLinks pairs of boxes that do not reach each other.
+	cutZones map[string]bool
+	cutLinks map[[2]string]bool
+	// killed holds boxes whose process is gone, slow those that take longer than any timeout to respond to a
+	// request, but whose kernel accepts connections.
+	killed, slow map[string]bool
+	// contacts counts the attempts to connect.
+	contacts int
+}
+
+// linkEnd is the fakeLinks as seen by one box.
+type linkEnd struct {
+	*fakeLinks
+	self work.Box
+}
+
+func (n *fakeLinks) set(change func(n *fakeLinks)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(n)
+}
+
+// cut reports whether packets between the two boxes vanish.
+func (n *fakeLinks) cut(a, b work.Box) bool {
+	zoneCut := a.Zone != b.Zone && (n.cutZones[a.Zone] || n.cutZones[b.Zone])
+	return zoneCut || n.cutLinks[[2]string{a.Name, b.Name}] || n.cutLinks[[2]string{b.Name, a.Name}]
+}
+
+func (e linkEnd) Contact(ctx context.Context, box work.Box) Contact {
+	e.mu.Lock()
+	e.contacts++
+	cut, killed := e.cut(e.self, box), e.killed[box.Name]
+	e.mu.Unlock()
+	switch {
+	case cut:
+		select {
+		case <-time.After(silence):
+			return Silent
+		case <-ctx.Done():
+			return Unknown
+		}
+	case killed:
+		time.Sleep(time.Millisecond)
+		return Gone
+	}
+	time.Sleep(time.Millisecond)
+	return Answered
+}
+
+func (e linkEnd) AskContact(ctx context.Context, witness, box work.Box) Contact {
+	time.Sleep(time.Millisecond)
+	e.mu.Lock()
+	answers := !e.cut(e.self, witness) && !e.killed[witness.Name] && !e.slow[witness.Name]
+	to := e.failovers[witness.Name]
+	e.mu.Unlock()
+	if !answers {
+		<-ctx.Done()
+		return Unknown
+	}
+	return to.Witness(ctx, box)
+}
+
+type cutOffFlag struct{ on *bool }
+
+func (c cutOffFlag) CutOff() bool { return *c.on }
+
+type noCounts struct{}
+
+func (noCounts) Count(string, int64) {}
+
+// failoverWorld is a fleet of three boxes in each of three zones: a1 to a3, b1 to b3 and c1 to c3.
+type failoverWorld struct {
+	log    *fakeLog
+	links  *fakeLinks
+	cutOff map[string]*bool
+	boxes  map[string]*Failover
+}
+
+// runFailover runs a test on a settled fleet.
+func runFailover(t *testing.T, test func(t *testing.T, w *failoverWorld)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &failoverWorld{log: newFakeLog(), cutOff: map[string]*bool{}, boxes: map[string]*Failover{}, links: &fakeLinks{
+			cutZones: map[string]bool{}, cutLinks: map[[2]string]bool{}, killed: map[string]bool{}, slow: map[string]bool{},
+		}}
+		w.links.failovers = w.boxes
+		for _, zone := range []string{"a", "b", "c"} {
+			for n := range 3 {
+				w.add(t, work.Box{Name: fmt.Sprintf("%s%d", zone, n+1), Zone: zone, Peer: netip.MustParseAddrPort("10.0.0.1:80"), Incarnation: "1"})
+			}
+		}
+		time.Sleep(3 * time.Second)
+		test(t, w)
+		for _, f := range w.boxes {
+			_ = f.Stop(context.Background())      // it always returns nil
+			_ = f.View.Stop(context.Background()) // it always returns nil
+		}
+		time.Sleep(time.Second) // requests to witnesses end
+	})
+}
+
+func (w *failoverWorld) add(t *testing.T, self work.Box) {
+	t.Helper()
+	v := New(self, boxLog{fake: w.log, box: self.Name}, DefaultTiming(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err := v.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	w.cutOff[self.Name] = new(bool)
+	w.boxes[self.Name] = NewFailover(v, nil, linkEnd{w.links, self}, cutOffFlag{w.cutOff[self.Name]}, noCounts{})
+}
+
+// cutZone cuts a zone off from the other zones and from the log.
+func (w *failoverWorld) cutZone(zone string, cut bool) {
+	w.links.set(func(n *fakeLinks) { n.cutZones[zone] = cut })
+	for name, f := range w.boxes {
+		if f.self.Zone == zone {
+			w.log.setCutOff(name, cut)
+		}
+	}
+}
+
+// confirm has b1 confirm the failure of a1, and returns the result and the time taken.
+func (w *failoverWorld) confirm() (bool, time.Duration) {
+	start := time.Now()
+	judge, suspect := w.boxes["b1"], w.boxes["a1"].self
+	judge.Confirm(context.Background(), []work.Box{suspect})
+	return judge.Failed(suspect), time.Since(start)
+}
+
+// TestFailureIsConfirmed checks that each kind of loss is confirmed well before the log notices it, and guards
+// against boxes that wait for the membership of a lost owner to expire.
+func TestFailureIsConfirmed(t *testing.T) {
+	cases := []struct {
+		name   string
+		lose   func(w *failoverWorld)
+		within time.Duration
+	}{
+		{"killed", func(w *failoverWorld) { w.links.killed["a1"] = true }, 10 * time.Millisecond},
+		{"zone cut off", func(w *failoverWorld) { w.cutZone("a", true) }, confirmTimeout},
+		{"no power", func(w *failoverWorld) {
+			for name := range w.boxes {
+				w.links.cutLinks[[2]string{"a1", name}] = true
+			}
+		}, confirmTimeout},
+		{"zone cut off, one witness is slow", func(w *failoverWorld) {
+			w.cutZone("a", true)
+			w.links.slow["c1"] = true
+		}, confirmTimeout},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			runFailover(t, func(t *testing.T, w *failoverWorld) {
+				c.lose(w)
+				if failed, took := w.confirm(); !failed || took > c.within {
+					t.Errorf("confirmed %v after %v", failed, took)
+				}
+			})
+		})
+	}
+}
+
+// TestFailureIsNotConfirmed checks the cases in which a box must not confirm a failure: the suspect is alive, or
+// the box itself is in no position to judge.
+func TestFailureIsNotConfirmed(t *testing.T) {
+	cases := []struct {
+		name string
+		set  func(w *failoverWorld)
+	}{
+		{"alive", func(*failoverWorld) {}},
+		{"slow, but its kernel answers", func(w *failoverWorld) { w.links.slow["a1"] = true }},
+		{"only the link between both is broken", func(w *failoverWorld) { w.links.cutLinks[[2]string{"b1", "a1"}] = true }},
+		{"the links between two zones are broken", func(w *failoverWorld) {
+			for _, from := range []string{"b1", "b2", "b3"} {
+				for _, to := range []string{"a1", "a2", "a3"} {
+					w.links.cutLinks[[2]string{from, to}] = true
+				}
+			}
+		}},
+		{"the judge's zone is cut off", func(w *failoverWorld) { w.cutZone("b", true) }},
+		{"the judge reaches nobody", func(w *failoverWorld) {
+			for name := range w.boxes {
+				w.links.cutLinks[[2]string{"b1", name}] = true
+			}
+		}},
+		{"the judge is cut off as the detector sees it", func(w *failoverWorld) {
+			w.links.killed["a1"] = true
+			*w.cutOff["b1"] = true
+		}},
+		{"the judge is without the log", func(w *failoverWorld) {
+			w.links.killed["a1"] = true
+			w.log.setCutOff("b1", true)
+			time.Sleep(time.Second)
+		}},
+		{"the judge has not settled again after an outage of the log", func(w *failoverWorld) {
+			w.links.killed["a1"] = true
+			w.log.setCutOff("b1", true)
+			time.Sleep(3 * time.Second)
+			w.log.setCutOff("b1", false)
+			time.Sleep(500 * time.Millisecond)
+		}},
+		{"too few witnesses answer", func(w *failoverWorld) {
+			w.links.killed["a1"] = true
+			for _, name := range []string{"b2", "b3", "c1", "c2", "c3"} {
+				w.links.slow[name] = true
+			}
+		}},
+		{"the witnesses are without the log", func(w *failoverWorld) {
+			w.links.killed["a1"] = true
+			for name := range w.boxes {
+				w.log.setCutOff(name, name != "b1")
+			}
+			time.Sleep(time.Second)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			runFailover(t, func(t *testing.T, w *failoverWorld) {
+				c.set(w)
+				if failed, took := w.confirm(); failed || took > confirmTimeout {
+					t.Errorf("confirmed %v after %v", failed, took)
+				}
+			})
+		})
+	}
+}
+
+// TestLonelyBoxConfirmsOnlyRefusal checks that without a third box only a refused connection counts as a failure:
+// silence may come from a broken link.
+func TestLonelyBoxConfirmsOnlyRefusal(t *testing.T) {
+	for got, want := range map[Contact]bool{Gone: true, Silent: false, Answered: false, Unknown: false} {
+		if confirmsFailure(got, 0, 0) != want {
+			t.Errorf("%s counts as a failure: %v", got, !want)
+		}
+	}
+}
+
+// TestFailureEndsWithAnswer checks that a confirmed failure ends soon after the box answers again, and that
+// callers are not sent to it before.
+func TestFailureEndsWithAnswer(t *testing.T) {
+	runFailover(t, func(t *testing.T, w *failoverWorld) {
+		a1 := w.boxes["a1"].self
+		w.links.set(func(n *fakeLinks) { n.cutZones["a"] = true })
+		if failed, _ := w.confirm(); !failed {
+			t.Fatal("the failure is not confirmed")
+		}
+		for range 100 {
+			time.Sleep(7 * time.Millisecond)
+			if !w.boxes["b1"].Failed(a1) || !w.boxes["b1"].RecentlyUnreachable(a1) {
+				t.Fatal("the box counts as reachable while it is silent")
+			}
+		}
+		w.links.set(func(n *fakeLinks) { n.cutZones["a"] = false })
+		time.Sleep(recheckInterval + silence + time.Millisecond)
+		if w.boxes["b1"].Failed(a1) {
+			t.Error("the failure outlasts the answer of the box")
+		}
+		time.Sleep(unreachableBackoff)
+		if w.boxes["b1"].RecentlyUnreachable(a1) {
+			t.Error("the box that answers again is still skipped")
+		}
+	})
+}
+
+// TestFailureDoesNotExtendToNextIncarnation checks that a box restarted under the same name does not inherit the
+// failure, and that checks of the old incarnation end.
+func TestFailureDoesNotExtendToNextIncarnation(t *testing.T) {
+	runFailover(t, func(t *testing.T, w *failoverWorld) {
+		old := w.boxes["a1"].self
+		_ = w.boxes["a1"].View.Stop(context.Background()) // it always returns nil
+		w.links.set(func(n *fakeLinks) { n.killed["a1"] = true })
+		if failed, _ := w.confirm(); !failed {
+			t.Fatal("the failure is not confirmed")
+		}
+		w.links.set(func(n *fakeLinks) { n.killed["a1"] = false })
+		restarted := old
+		restarted.Incarnation = "2"
+		w.add(t, restarted)
+		time.Sleep(time.Second)
+		if w.boxes["b1"].Failed(restarted) || w.boxes["b1"].Failed(old) {
+			t.Error("the failure outlasts the incarnation")
+		}
+		before := w.links.contacts
+		time.Sleep(2 * time.Second)
+		if w.links.contacts != before {
+			t.Errorf("%d more checks of a replaced box", w.links.contacts-before)
+		}
+	})
+}
+
+// TestConfirmationsAreShared checks that many turns for a silent or a slow owner cause few checks, since a fleet
+// under load would otherwise spend its time on them.
+func TestConfirmationsAreShared(t *testing.T) {
+	for name, lose := range map[string]func(n *fakeLinks){
+		"silent": func(n *fakeLinks) { n.cutZones["a"] = true },
+		"slow":   func(n *fakeLinks) { n.slow["a1"] = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFailover(t, func(t *testing.T, w *failoverWorld) {
+				w.links.set(lose)
+				before := w.links.contacts
+				var all sync.WaitGroup
+				for range 200 {
+					all.Go(func() { w.confirm() })
+				}
+				all.Wait()
+				w.confirm()
+				if got := w.links.contacts - before; got > maxWitnesses+1 {
+					t.Errorf("%d attempts to connect", got)
+				}
+			})
+		})
+	}
+}
+
+// TestWitnessesAreSpread checks that the boxes asked about a failure lie in several zones, that few of them are in
+// the suspect's zone, which may be cut off with it, and that no other region is asked.
+func TestWitnessesAreSpread(t *testing.T) {
+	regions := work.Regions{"a": "north", "b": "north", "c": "north", "d": "south"}
+	var live []work.Box
+	for _, zone := range []string{"a", "b", "c", "d"} {
+		for n := range 20 {
+			live = append(live, work.Box{Name: fmt.Sprintf("%s%d", zone, n), Zone: zone, Cores: 0.2})
+		}
+	}
+	for _, suspect := range live[:20] {
+		count := map[string]int{}
+		for _, box := range chooseWitnesses(live, live[25], suspect, regions) {
+			count[box.Zone]++
+			if box == suspect || box == live[25] {
+				t.Errorf("%s is a witness", box.Name)
+			}
+		}
+		if diff := cmp.Diff(map[string]int{"a": 1, "b": 3, "c": 3}, count); diff != "" {
+			t.Errorf("witnesses by zone (-want +got):\n%s", diff)
+		}
+	}
+	if got := chooseWitnesses(live[:2], live[0], live[1], regions); len(got) != 0 {
+		t.Errorf("witnesses %v of a fleet of two", got)
+	}
+}
--- a/gate/view/reached.go
+++ b/gate/view/reached.go
@@ -31,6 +31,14 @@
 	return ok && time.Since(streak.last) < unreachableBackoff
 }
 
+// failingSince returns when the first of the box's recent failed calls happened; false if there was none.
+func (v *View) failingSince(box work.Box) (time.Time, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	streak, ok := v.failures[box.Name]
+	return streak.first, ok
+}
+
 // TakeoverIn estimates how long it takes until a slot of the box has another owner or, for this box, until
 // it may claim slots itself.
 func (v *View) TakeoverIn(box work.Box) time.Duration {
