--- a/gate/remote/client_test.go
+++ b/gate/remote/client_test.go
@@ -27,7 +27,7 @@
 func turnTo(t *testing.T, c *Client, box work.Box) *fault.Fault {
 	t.Helper()
 	now := time.Now()
-	call := &work.Call{ID: "r", Arrived: now, Deadline: now.Add(5 * time.Second)}
+	call := &work.Call{ID: "r", Turn: &work.Turn{Program: "p"}, Arrived: now, Deadline: now.Add(5 * time.Second)}
 	err := c.Turn(context.Background(), box, 1, nil, call, &work.Route{}, unexpectedAnswer{t})
 	if err == nil {
 		t.Fatal("the turn succeeds, want a fault")
--- /dev/null
+++ b/gate/remote/reach_test.go
@@ -0,0 +1,140 @@
+package remote
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/view"
+	"mulleingate.dev/gate/work"
+)
+
+// silentBox returns a box whose host ignores new connections, as behind a cut, and the listener from which the
+// connections made before can be accepted.
+func silentBox(t *testing.T) (work.Box, net.Listener, func()) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	box := work.Box{Name: "b", Incarnation: "1", Peer: netip.MustParseAddrPort(ln.Addr().String())}
+	silence := func() {
+		raw, err := ln.(*net.TCPListener).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The kernel drops connection requests once the shortened queue of those to accept is full.
+		if err := raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) }); err != nil {
+			t.Fatal(err)
+		}
+		for range 10 {
+			conn, err := net.DialTimeout("tcp", ln.Addr().String(), 50*time.Millisecond)
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+		t.Skip("this kernel accepts connections beyond the queue")
+	}
+	return box, ln, silence
+}
+
+// startBox starts the server of a box that answers pings, and lets delay pass before each response.
+func startBox(t *testing.T, incarnation string, delay time.Duration) work.Box {
+	t.Helper()
+	s := NewServer(work.Box{Incarnation: incarnation}, nil, nil, nil, nil, nil, nil, slog.New(slog.DiscardHandler))
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(delay)
+		s.http.Handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(srv.Close)
+	return work.Box{Name: "b", Incarnation: "1", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())}
+}
+
+// TestContact checks that a box whose kernel accepts connections counts as alive, however slow its process is, and
+// that only a refused connection or another incarnation counts as gone.
+func TestContact(t *testing.T) {
+	silent, _, silence := silentBox(t)
+	silence()
+	for _, c := range []struct {
+		name string
+		box  work.Box
+		want view.Contact
+	}{
+		{"answers", startBox(t, "1", 0), view.Answered},
+		{"slow", startBox(t, "1", 300*time.Millisecond), view.Answered},
+		{"restarted", startBox(t, "2", 0), view.Gone},
+		{"refuses", work.Box{Peer: netip.MustParseAddrPort(closedAddr(t))}, view.Gone},
+		{"silent", silent, view.Silent},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			start := time.Now()
+			if got := NewClient(allNear).Contact(context.Background(), c.box); got != c.want {
+				t.Errorf("contact %s, want %s", got, c.want)
+			}
+			if took := time.Since(start); took > 2*contactTimeout {
+				t.Errorf("the check took %v", took)
+			}
+		})
+	}
+}
+
+// TestTurnToSilentBoxFailsEarly checks that a turn over a connection to a box that has become silent fails in a
+// small part of continueTimeout, and is known not to have run, as is one that needs a new connection.
+func TestTurnToSilentBoxFailsEarly(t *testing.T) {
+	box, ln, silence := silentBox(t)
+	c := NewClient(allNear)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		_, _ = conn.Read(make([]byte, 1<<10)) // any request will do
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	}()
+	if !c.Ping(context.Background(), box) {
+		t.Fatal("no answer to the ping")
+	}
+	silence()
+	for _, what := range []string{"on an idle connection", "on a new connection"} {
+		start := time.Now()
+		f := turnTo(t, c, box)
+		if took := time.Since(start); f.Kind != fault.PeerUnreachable || !f.NotRun || took > 200*time.Millisecond {
+			t.Errorf("%s: %v, not run %v, after %v", what, f, f.NotRun, took)
+		}
+	}
+}
+
+// TestTurnToSlowBox checks that a box that asks for the body late, but accepts connections, still gets the turn:
+// the short wait for the first sign of life must not move the turns of slow owners elsewhere.
+func TestTurnToSlowBox(t *testing.T) {
+	bodies := make(chan int, 4)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != turnPath {
+			return
+		}
+		time.Sleep(4 * suspectAfter)
+		msg, err := readTurn(r.Body) // asks for the body
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		bodies <- len(msg.Call.Body)
+		problem := fault.Refuse(fault.BudgetSpent, "spent").Problem("")
+		_ = (&turnWriter{w: w}).send(turnResponse{Problem: &problem}) // the client checks the response
+	}))
+	defer srv.Close()
+	f := turnTo(t, NewClient(allNear), work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())})
+	if f.Kind != fault.BudgetSpent || len(bodies) != 1 {
+		t.Errorf("%v after %d requests", f, len(bodies))
+	}
+}
--- a/gate/shard/fakes_test.go
+++ b/gate/shard/fakes_test.go
@@ -48,6 +48,8 @@
 	// appendDelay is added to each append; appends counts the calls of Append.
 	appendDelay time.Duration
 	appends     int
+	// claims counts the owner records.
+	claims int
 	// batchSize is the number of records that Newest returns at once, 0 for all, and batchDelay the
 	// time that each call takes.
 	batchSize  int
@@ -67,6 +69,19 @@
 	l.appendDelay = delay
 }
 
+func (l *memLog) claimCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.claims
+}
+
+// fenceOf returns the newest epoch of a shard.
+func (l *memLog) fenceOf(number int) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shard(number).fence
+}
+
 func newLog() *memLog {
 	return &memLog{shards: map[int]*fakeShard{}}
 }
@@ -126,6 +141,11 @@
 		s.fence, s.lastNumber = writer.Epoch, writer.Number
 	}
 	s.recs = append(s.recs, recs...)
+	for _, rec := range recs {
+		if rec.Key == ownerKey {
+			l.claims++
+		}
+	}
 	return nil
 }
 
@@ -213,6 +233,20 @@
 	f.ownerByBox[box] = owner
 }
 
+// setFailed sets the box whose failure the given one has confirmed; empty for none.
+func (f *fleet) setFailed(box, failed string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failedByBox[box] = failed
+}
+
+// setUnreachable sets whether a box can neither contact others nor be contacted.
+func (f *fleet) setUnreachable(box string, unreachable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unreachable[box] = unreachable
+}
+
 // boxView implements Boxes and Peers for one box of the fleet.
 type boxView struct {
 	fleet *fleet
@@ -234,8 +268,10 @@
 	}
 	return boxes
 }
-func (v boxView) Find(name, _ string) (work.Box, bool) { return work.Box{Name: name}, true }
-func (v boxView) Settled() bool                        { return true }
+func (v boxView) Find(name, _ string) (work.Box, bool) {
+	return work.Box{Name: name}, !v.Failed(work.Box{Name: name})
+}
+func (v boxView) Settled() bool { return true }
 func (v boxView) Failed(box work.Box) bool {
 	v.fleet.mu.Lock()
 	defer v.fleet.mu.Unlock()
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -27,7 +27,7 @@
 	// reclaimDelay is how long a box does not claim a slot again after handing it over, so that the
 	// views of both boxes can converge.
 	reclaimDelay = 1500 * time.Millisecond
-	// takeoverDelay is how long a box does not take over a slot again from a box whose failure was confirmed. It
+	// takeoverDelay is how long a box does not take over a slot again from the same box after a confirmed failure. It
 	// doubles with each takeover up to maxTakeoverDelay, and starts anew after takeoverReset without one. A box
 	// that some others reach and some don't would otherwise exchange the slot with its successor all the time.
 	takeoverDelay    = 3 * time.Second
@@ -101,12 +101,18 @@
 	claiming map[int]chan struct{}
 	// handedOverAt holds the time at which each slot was handed over to a box that asked for it.
 	handedOverAt map[int]time.Time
-	// takeovers holds the recent takeovers of each slot from a box that is still listed.
-	takeovers map[int]takeoverStreak
+	// takeovers holds the recent takeovers of slots from boxes that were still listed.
+	takeovers map[takeover]takeoverStreak
 	stopping  bool
 }
 
-// takeoverStreak is a number of takeovers of a slot and the time of the last.
+// takeover identifies a slot and the box that should own it. A restarted box counts as another one.
+type takeover struct {
+	number           int
+	box, incarnation string
+}
+
+// takeoverStreak is a number of takeovers from the same box and the time of the last.
 type takeoverStreak struct {
 	last  time.Time
 	count int
@@ -118,7 +124,7 @@
 	return &Manager{
 		self: self, layout: layout, log: log, boxes: boxes, peers: peers, counts: counts, logger: logger,
 		ctx: ctx, cancel: cancel, slots: make([]*Slot, layout.Slots()), claiming: map[int]chan struct{}{}, handedOverAt: map[int]time.Time{},
-		takeovers: map[int]takeoverStreak{},
+		takeovers: map[takeover]takeoverStreak{},
 	}
 }
 
@@ -259,23 +265,23 @@
 	return nil
 }
 
-// startTakeover starts a claim as startClaim does, unless the last takeover of the slot is too recent.
+// startTakeover starts a claim as startClaim does, unless the last takeover of the slot from the same box is too
+// recent.
 func (m *Manager) startTakeover(number int) chan struct{} {
+	owner, _ := m.boxes.Owner(m.layout.Name(number))
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	streak := m.takeovers[number]
-	since := time.Since(streak.last)
-	if since >= takeoverReset {
-		streak.count = 0
-	}
-	if streak.count > 0 && since < min(takeoverDelay<<(streak.count-1), maxTakeoverDelay) {
+	maps.DeleteFunc(m.takeovers, func(_ takeover, streak takeoverStreak) bool { return time.Since(streak.last) >= takeoverReset })
+	key := takeover{number: number, box: owner.Name, incarnation: owner.Incarnation}
+	streak := m.takeovers[key]
+	if streak.count > 0 && time.Since(streak.last) < min(takeoverDelay<<(streak.count-1), maxTakeoverDelay) {
 		return nil
 	}
 	wait := m.startClaimLocked(number)
 	if wait != nil {
-		m.takeovers[number] = takeoverStreak{last: time.Now(), count: streak.count + 1}
+		m.takeovers[key] = takeoverStreak{last: time.Now(), count: streak.count + 1}
 		m.counts.Count("shard.takeovers", 1)
-		m.logger.Warn("shard: taking over slot of a failed box", "slot", number, "takeovers", streak.count+1)
+		m.logger.Warn("shard: taking over slot of a failed box", "slot", number, "owner", owner.Name, "takeovers", streak.count+1)
 	}
 	return wait
 }
--- a/gate/shard/shard_test.go
+++ b/gate/shard/shard_test.go
@@ -388,7 +388,7 @@
 }
 
 // TestConfirmedTurnsSurviveFaults runs random turns on boxes with wrong views, while the log is
-// unavailable, loses answers or appends late, and boxes are partitioned. A later owner must have every
+// unavailable, loses answers or appends late, boxes are partitioned, and failures are confirmed in error. A later owner must have every
 // confirmed turn, and the budget must hold.
 func TestConfirmedTurnsSurviveFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -423,7 +423,9 @@
 	stepToggleReachable
 	stepStatelessTurn
 	stepPartialStatelessTurn
-	stepKinds = 8
+	// stepConfirmFailure has the box consider the other as failed, or none if both are the same.
+	stepConfirmFailure
+	stepKinds = 9
 )
 
 var planBoxes = []string{"a", "b", "c"}
@@ -468,6 +470,12 @@
 			})
 		case stepSetOwner:
 			f.setOwner(s.box, s.other)
+		case stepConfirmFailure:
+			failed := s.other
+			if failed == s.box {
+				failed = ""
+			}
+			f.setFailed(s.box, failed)
 		case stepMode:
 			log.setMode(s.mode)
 		case stepToggleReachable:
@@ -509,9 +517,8 @@
 func verify(f *fleet, confirmed []string, delivered int) []string {
 	for name := range f.managers {
 		f.setOwner(name, "c")
-		f.mu.Lock()
-		f.unreachable[name] = false
-		f.mu.Unlock()
+		f.setFailed(name, "")
+		f.setUnreachable(name, false)
 	}
 	ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
 	defer stop()
