owners: read a slot while its owner's failure is being confirmed

Cause: a claim began to read its slot only after the confirmation, and a search for a turn waited for a silent box until its timeout. Tests of the changed packages pass with -race.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strings"
 	"time"
 
@@ -67,6 +68,8 @@
 	Get(ctx context.Context, number int) (*shard.Slot, error)
 	// Holds reports whether this box holds the slot now.
 	Holds(number int) bool
+	// Prepare begins to read the slot from the log, since this box is likely to claim it soon.
+	Prepare(number int)
 	// All returns the slots that this box holds.
 	All() []*shard.Slot
 }
@@ -359,10 +362,24 @@
 	}
 }
 
+// followsOnly reports whether the unreached boxes are the only ones that precede this one in the slot's ranking.
+func (e *Entry) followsOnly(slot int, unreached []work.Box) bool {
+	for rank, box := range e.boxes.Owners(e.layout.Name(slot), ownerCandidates) {
+		if box.Name == e.self.Name {
+			return rank > 0
+		}
+		if !slices.ContainsFunc(unreached, func(gone work.Box) bool { return gone.Name == box.Name && gone.Incarnation == box.Incarnation }) {
+			return false
+		}
+	}
+	return false
+}
+
 // RunHere runs the turn if this box owns the slot. If it does not, but other boxes confirm that the unreached ones,
 // which precede it in the slot's ranking, have failed, it takes the slot over first.
 func (e *Entry) RunHere(ctx context.Context, number int, unreached []work.Box, call *work.Call, route *work.Route, out work.Answer) error {
-	if len(unreached) > 0 && !e.slots.Holds(number) {
+	if !e.slots.Holds(number) && e.followsOnly(number, unreached) {
+		e.slots.Prepare(number)
 		e.boxes.Confirm(ctx, unreached)
 	}
 	slot, err := e.slots.Get(ctx, number)
--- a/gate/entry/entry_test.go
+++ b/gate/entry/entry_test.go
@@ -71,6 +71,7 @@
 func (f *fakeBox) CutOff() bool                      { return f.cutOff }
 func (f *fakeBox) RetryDelay() time.Duration         { return 100 * time.Millisecond }
 func (f *fakeBox) Holds(int) bool                    { return f.holds }
+func (f *fakeBox) Prepare(int)                       { f.calls = append(f.calls, "prepare") }
 func (f *fakeBox) All() []*shard.Slot                { return nil }
 func (f *fakeBox) Count(string, int64)               {}
 func (f *fakeBox) Get(context.Context, int) (*shard.Slot, error) {
@@ -174,12 +175,15 @@
 		{"the next box takes over from unreachable ones", func(f *fakeBox) {
 			f.nextOwners, f.turnResults = boxes("c", "d"), []error{gone, gone, nil}
 		}, "", 0, []string{"to b", "unreached", "to c without b", "unreached", "to d without b without c"}},
+		{"this box is not the next and does not ask for confirmation", func(f *fakeBox) {
+			f.nextOwners, f.turnResults = boxes("c", "a", "d"), []error{gone, notOwner, nil}
+		}, "", 0, []string{"to b", "unreached", "to c without b", "here", "to d without b"}},
 		{"a box that answers is not named", func(f *fakeBox) {
 			f.nextOwners, f.turnResults = boxes("c", "d"), []error{notOwner, gone, nil}
 		}, "", 0, []string{"to b", "to c", "unreached", "to d without c"}},
 		{"this box is the next and asks for confirmation", func(f *fakeBox) {
 			f.nextOwners, f.turnResults = boxes("a", "c"), []error{gone, nil}
-		}, "", 0, []string{"to b", "unreached", "confirm without b", "here", "to c without b"}},
+		}, "", 0, []string{"to b", "unreached", "prepare", "confirm without b", "here", "to c without b"}},
 		{"at most ownerCandidates boxes are asked", func(f *fakeBox) {
 			f.nextOwners, f.turnResults = boxes("c", "d", "e", "f", "g"), []error{notOwner, notOwner, notOwner, notOwner, nil}
 		}, "", 0, []string{"to b", "to c", "to d", "to e", "to b"}},
--- a/gate/entry/find.go
+++ b/gate/entry/find.go
@@ -107,6 +107,9 @@
 		return got
 	}
 	got.text, got.slots, got.err = e.peers.Find(ctx, box, turn, confirm)
+	if fault.Is(got.err, fault.PeerUnreachable) && ctx.Err() == nil {
+		e.boxes.MarkUnreachable(box)
+	}
 	return got
 }
 
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -159,6 +159,21 @@
 	return c.pool(box.Peer).Send(ctx, req)
 }
 
+// untilUnreachable returns a context for an idempotent request, which ends if a near box has not responded within
+// suspectAfter and does not accept connections then.
+func (c *Client) untilUnreachable(ctx context.Context, box work.Box) (context.Context, context.CancelFunc) {
+	ctx, stop := context.WithCancel(ctx)
+	if !c.near(box) {
+		return ctx, stop
+	}
+	check := time.AfterFunc(suspectAfter, func() {
+		if c.Contact(ctx, box) != view.Answered {
+			stop()
+		}
+	})
+	return ctx, func() { check.Stop(); stop() }
+}
+
 // isTimeout reports whether the error was caused by a timeout.
 func isTimeout(err error) bool {
 	var timeout net.Error
@@ -217,6 +232,8 @@
 // Find implements entry.Peers.
 func (c *Client) Find(ctx context.Context, box work.Box, turn string, confirm bool) ([]byte, []int, error) {
 	query := url.Values{turnParam: {turn}, confirmParam: {strconv.FormatBool(confirm)}}
+	ctx, stop := c.untilUnreachable(ctx, box)
+	defer stop()
 	_, raw, err := c.send(ctx, box, http.MethodGet, findPath, query, nil)
 	if err != nil {
 		return nil, nil, err
--- a/gate/remote/reach_test.go
+++ b/gate/remote/reach_test.go
@@ -114,6 +114,26 @@
 	}
 }
 
+// TestSearchOfSilentBoxFailsEarly checks that a search for a turn does not wait for a silent box until its timeout,
+// while a slow box is waited for.
+func TestSearchOfSilentBoxFailsEarly(t *testing.T) {
+	silent, _, silence := silentBox(t)
+	silence()
+	start := time.Now()
+	if _, _, err := NewClient(allNear).Find(context.Background(), silent, "turn", false); !fault.Is(err, fault.PeerUnreachable) || time.Since(start) > 250*time.Millisecond {
+		t.Errorf("%v after %v", err, time.Since(start))
+	}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(4 * suspectAfter)
+		_, _ = w.Write([]byte(`{"slots":[3]}`)) // the client checks the response
+	}))
+	defer srv.Close()
+	slow := work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())}
+	if _, slots, err := NewClient(allNear).Find(context.Background(), slow, "turn", false); err != nil || len(slots) != 1 {
+		t.Errorf("%v, %v", slots, err)
+	}
+}
+
 // TestTurnToSlowBox checks that a box that asks for the body late, but accepts connections, still gets the turn:
 // the short wait for the first sign of life must not move the turns of slow owners elsewhere.
 func TestTurnToSlowBox(t *testing.T) {
--- a/gate/shard/claim.go
+++ b/gate/shard/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,6 +15,9 @@
 // ownerKey is the key of the record that names the owner of a slot.
 const ownerKey = "owner"
 
+// preloadTTL is how long a slot that was read ahead is kept for a claim. It exceeds the time of a confirmation.
+const preloadTTL = time.Second
+
 // ownerRecord is the value of the record with ownerKey.
 type ownerRecord struct {
 	Box         string `json:"box"`
@@ -38,10 +42,7 @@
 // off, and only then reads the records that the previous owner wrote last.
 func (m *Manager) acquire(number int) (*Slot, error) {
 	shard := work.Shard{Topic: work.Turns, Number: number}
-	loader := &slotLoader{state: chain.New(), manager: m}
-	// Only single reads have a timeout. With a limit on the whole load, a slot too large to load in time
-	// could never be claimed.
-	next, err := work.AllNewest(m.ctx, m.log, shard, callTimeout, loader.apply)
+	loader, next, err := m.load(number)
 	if err != nil {
 		return nil, err
 	}
@@ -69,6 +70,62 @@
 	return slot, slot.Write(ctx, []work.Record{{Key: ownerKey, Value: raw}})
 }
 
+// preload is a slot that is read before it is known whether it will be claimed.
+type preload struct {
+	// done is closed once the other fields are set.
+	done   chan struct{}
+	loader *slotLoader
+	next   int64
+	err    error
+}
+
+// Prepare begins to read the slot, since this box is likely to claim it within preloadTTL. The claim reads only
+// what was written since.
+func (m *Manager) Prepare(number int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if number < 0 || number >= len(m.slots) || m.slots[number] != nil || m.claiming[number] != nil || m.preloads[number] != nil || m.stopping {
+		return
+	}
+	p := &preload{done: make(chan struct{})}
+	m.preloads[number] = p
+	m.background.Go(func() {
+		defer close(p.done)
+		p.loader, p.next, p.err = m.read(number)
+	})
+	time.AfterFunc(preloadTTL, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.preloads[number] == p {
+			delete(m.preloads, number)
+		}
+	})
+}
+
+// load returns the records of the slot, as read by Prepare or read now, and the offset from which catchUp reads
+// the rest.
+func (m *Manager) load(number int) (*slotLoader, int64, error) {
+	m.mu.Lock()
+	p := m.preloads[number]
+	delete(m.preloads, number)
+	m.mu.Unlock()
+	if p != nil {
+		<-p.done
+		if p.err == nil {
+			return p.loader, p.next, nil
+		}
+	}
+	return m.read(number)
+}
+
+// read reads all records of the slot. Only single calls to the log have a timeout. With a limit on the whole, a
+// slot too large to load in time could never be claimed.
+func (m *Manager) read(number int) (*slotLoader, int64, error) {
+	loader := &slotLoader{state: chain.New(), manager: m}
+	next, err := work.AllNewest(m.ctx, m.log, work.Shard{Topic: work.Turns, Number: number}, callTimeout, loader.apply)
+	return loader, next, err
+}
+
 // requestHandover asks the previous owner to release the slot, if it is alive. The claim continues
 // without an answer, since the fence prevents further writes by the previous owner.
 func (m *Manager) requestHandover(ctx context.Context, number int, previous ownerRecord) bool {
--- a/gate/shard/fakes_test.go
+++ b/gate/shard/fakes_test.go
@@ -75,11 +75,11 @@
 	return l.claims
 }
 
-// fenceOf returns the newest epoch of a shard.
-func (l *memLog) fenceOf(number int) int64 {
+// fence returns the newest epoch of the only shard.
+func (l *memLog) fence() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.shard(number).fence
+	return l.shard(0).fence
 }
 
 func newLog() *memLog {
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -103,7 +103,9 @@
 	handedOverAt map[int]time.Time
 	// takeovers holds the recent takeovers of slots from boxes that were still listed.
 	takeovers map[takeover]takeoverStreak
-	stopping  bool
+	// preloads holds the slots that are read ahead of a likely claim.
+	preloads map[int]*preload
+	stopping bool
 }
 
 // takeover identifies a slot and the box that should own it. A restarted box counts as another one.
@@ -124,7 +126,7 @@
 	return &Manager{
 		self: self, layout: layout, log: log, boxes: boxes, peers: peers, counts: counts, logger: logger,
 		ctx: ctx, cancel: cancel, slots: make([]*Slot, layout.Slots()), claiming: map[int]chan struct{}{}, handedOverAt: map[int]time.Time{},
-		takeovers: map[takeover]takeoverStreak{},
+		takeovers: map[takeover]takeoverStreak{}, preloads: map[int]*preload{},
 	}
 }
 
@@ -326,11 +328,15 @@
 		}
 	}
 	defer close(done)
+	programs := 0
+	if slot != nil {
+		programs = slot.state.ProgramCount() // once the slot is held, turns change its state
+	}
 	if !m.endClaim(number, slot) {
 		return
 	}
 	m.counts.Time("shard.claim_time", time.Since(start))
-	m.logger.Info("shard: claimed slot", "slot", number, "epoch", slot.epoch, "programs", slot.state.ProgramCount(), "took", time.Since(start))
+	m.logger.Info("shard: claimed slot", "slot", number, "epoch", slot.epoch, "programs", programs, "took", time.Since(start))
 }
 
 // endClaim records the end of a claim that won the slot, or failed if slot is nil. It returns false if this box
--- a/gate/shard/takeover_test.go
+++ b/gate/shard/takeover_test.go
@@ -35,7 +35,7 @@
 func TestNoTakeoverWithoutConfirmation(t *testing.T) {
 	runTakeover(t, func(t *testing.T, ctx context.Context, f *fleet, log *memLog) {
 		f.setUnreachable("a", true)
-		before := log.fenceOf(0)
+		before := log.fence()
 		for range 100 {
 			if _, err := f.managers["b"].Get(ctx, 0); !fault.Is(err, fault.NotOwner) {
 				t.Fatalf("fault %v", err)
@@ -44,7 +44,7 @@
 		}
 		f.managers["b"].Rebalance()
 		time.Sleep(time.Second)
-		if log.fenceOf(0) != before {
+		if log.fence() != before {
 			t.Error("the owner was fenced off")
 		}
 	})
@@ -71,6 +71,7 @@
 		if err := late.Write(ctx, []work.Record{{Key: "t", Value: []byte("late")}}); !fault.Is(err, fault.NotOwner) {
 			t.Errorf("a late write of the old owner: %v", err)
 		}
+		synctest.Wait() // the writer drops the slot after it has reported the fault
 		if a.Holds(0) || !b.Holds(0) {
 			t.Errorf("holds: a %v, b %v", a.Holds(0), b.Holds(0))
 		}
@@ -164,7 +165,7 @@
 				b.logger = slog.New(slog.NewTextHandler(&lines, nil))
 				f.setUnreachable("a", true)
 				f.setOwner("b", "b")
-				claims, fence := log.claimCount(), log.fenceOf(0)
+				claims, fence := log.claimCount(), log.fence()
 				b.startClaim(0)
 				time.Sleep(c.after)
 				if err := b.Stop(ctx); err != nil {
@@ -173,7 +174,7 @@
 				if won := log.claimCount() > claims; won != c.wins {
 					t.Errorf("the claim is won: %v", won)
 				}
-				if fenced := log.fenceOf(0) != fence; fenced != c.fencing {
+				if fenced := log.fence() != fence; fenced != c.fencing {
 					t.Errorf("the owner is fenced off: %v", fenced)
 				}
 				if released := strings.Contains(lines.String(), "shard: released slot"); released != c.wins || b.Holds(0) {
--- a/gate/view/failover_test.go
+++ b/gate/view/failover_test.go
@@ -45,6 +45,12 @@
 	change(n)
 }
 
+func (n *fakeLinks) contactCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.contacts
+}
+
 // cut reports whether packets between the two boxes vanish.
 func (n *fakeLinks) cut(a, b work.Box) bool {
 	zoneCut := a.Zone != b.Zone && (n.cutZones[a.Zone] || n.cutZones[b.Zone])
@@ -304,10 +310,10 @@
 		if w.boxes["b1"].Failed(restarted) || w.boxes["b1"].Failed(old) {
 			t.Error("the failure outlasts the incarnation")
 		}
-		before := w.links.contacts
+		before := w.links.contactCount()
 		time.Sleep(2 * time.Second)
-		if w.links.contacts != before {
-			t.Errorf("%d more checks of a replaced box", w.links.contacts-before)
+		if got := w.links.contactCount(); got != before {
+			t.Errorf("%d more checks of a replaced box", got-before)
 		}
 	})
 }
@@ -322,14 +328,14 @@
 		t.Run(name, func(t *testing.T) {
 			runFailover(t, func(t *testing.T, w *failoverWorld) {
 				w.links.set(lose)
-				before := w.links.contacts
+				before := w.links.contactCount()
 				var all sync.WaitGroup
 				for range 200 {
 					all.Go(func() { w.confirm() })
 				}
 				all.Wait()
 				w.confirm()
-				if got := w.links.contacts - before; got > maxWitnesses+1 {
+				if got := w.links.contactCount() - before; got > maxWitnesses+1 {
 					t.Errorf("%d attempts to connect", got)
 				}
 			})
