owners: share the checks of a slow box among the turns that wait for it

Cause: each turn that waited over 60 ms for its owner opened connections to it, which adds to the load of an owner that is behind. Change: turns share one check of a box, and use its result for 100 ms if the box accepted a connection; these checks send no ping. Searches work between boxes of this and the earlier version.

--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -17,7 +18,6 @@
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/dial"
 	"mulleingate.dev/gate/quota"
-	"mulleingate.dev/gate/view"
 	"mulleingate.dev/gate/work"
 )
 
@@ -64,11 +64,13 @@
 
 	mu    sync.Mutex
 	pools map[netip.AddrPort]*dial.Pool
+	// signs holds the newest check for a sign of life of each box, by address.
+	signs map[netip.AddrPort]*signOfLife
 }
 
 // NewClient returns a client without connections. near reports whether a box is in the region of this one.
 func NewClient(near func(box work.Box) bool) *Client {
-	return &Client{near: near, pools: map[netip.AddrPort]*dial.Pool{}}
+	return &Client{near: near, pools: map[netip.AddrPort]*dial.Pool{}, signs: map[netip.AddrPort]*signOfLife{}}
 }
 
 func (c *Client) pool(addr netip.AddrPort) *dial.Pool {
@@ -96,6 +98,7 @@
 			delete(c.pools, addr)
 		}
 	}
+	maps.DeleteFunc(c.signs, func(addr netip.AddrPort, _ *signOfLife) bool { return !keep[addr] })
 }
 
 // Turn forwards a turn to the box, which runs it if it owns the slot, and copies the response to out. unreached
@@ -147,7 +150,7 @@
 	checked := false
 	alive := func() bool {
 		checked = true
-		return c.Contact(ctx, box) == view.Answered
+		return c.accepts(box)
 	}
 	req.ConnectTimeout, req.ContinueTimeout, req.Alive, req.ContinueGrace = suspectAfter, suspectAfter, alive, continueTimeout-suspectAfter
 	resp, err := c.pool(box.Peer).Send(ctx, req)
@@ -167,7 +170,7 @@
 		return ctx, stop
 	}
 	check := time.AfterFunc(suspectAfter, func() {
-		if c.Contact(ctx, box) != view.Answered {
+		if !c.accepts(box) {
 			stop()
 		}
 	})
@@ -231,7 +234,8 @@
 
 // Find implements entry.Peers.
 func (c *Client) Find(ctx context.Context, box work.Box, turn string, confirm bool) ([]byte, []int, error) {
-	query := url.Values{turnParam: {turn}, confirmParam: {strconv.FormatBool(confirm)}}
+	// Boxes of earlier versions need the slot that they must confirm to own; -1 is none.
+	query := url.Values{turnParam: {turn}, confirmParam: {strconv.FormatBool(confirm)}, slotParam: {"-1"}}
 	ctx, stop := c.untilUnreachable(ctx, box)
 	defer stop()
 	_, raw, err := c.send(ctx, box, http.MethodGet, findPath, query, nil)
--- a/gate/remote/reach.go
+++ b/gate/remote/reach.go
@@ -31,6 +31,8 @@
 	// identifyTimeout bounds the wait for the incarnation of a box that accepted a connection. A slow box does
 	// not answer in time and counts as alive.
 	identifyTimeout = 30 * time.Millisecond
+	// signTTL is how long a box that accepted a connection counts as alive for other requests that wait for it.
+	signTTL = 100 * time.Millisecond
 	// incarnationHeader is the response header of a ping with the incarnation of the box.
 	incarnationHeader = "Incarnation"
 )
@@ -40,9 +42,51 @@
 	Contact view.Contact `json:"contact"`
 }
 
-// Contact implements view.Prober. It opens a connection of its own, since those of the pool may be dead without
-// notice.
+// signOfLife is a check of whether a box accepts connections.
+type signOfLife struct {
+	// done is closed once the other fields are set.
+	done  chan struct{}
+	alive bool
+	ended time.Time
+}
+
+// expired reports whether the check has ended too long ago for its result to be used.
+func (s *signOfLife) expired() bool {
+	select {
+	case <-s.done:
+		return !s.alive || time.Since(s.ended) > signTTL
+	default:
+		return false
+	}
+}
+
+// accepts reports whether the box accepts connections. Requests that wait for a slow box share the check, so that
+// it does not get more to do.
+func (c *Client) accepts(box work.Box) bool {
+	c.mu.Lock()
+	sign := c.signs[box.Peer]
+	if sign != nil && !sign.expired() {
+		c.mu.Unlock()
+		<-sign.done
+		return sign.alive
+	}
+	sign = &signOfLife{done: make(chan struct{})}
+	c.signs[box.Peer] = sign
+	c.mu.Unlock()
+	sign.alive = c.contact(context.Background(), box, false) == view.Answered
+	sign.ended = time.Now()
+	close(sign.done)
+	return sign.alive
+}
+
+// Contact implements view.Prober.
 func (c *Client) Contact(ctx context.Context, box work.Box) view.Contact {
+	return c.contact(ctx, box, true)
+}
+
+// contact tries to connect to the box. If identify is set, it also asks for the incarnation of the box. It opens
+// connections of its own, since those of the pool may be dead without notice.
+func (c *Client) contact(ctx context.Context, box work.Box, identify bool) view.Contact {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	results := make(chan view.Contact, contactTries)
@@ -54,7 +98,7 @@
 	for counted := time.Duration(0); counted < contactTimeout; {
 		if started < contactTries && counted >= time.Duration(started)*contactInterval {
 			started++
-			go func() { results <- contactOnce(ctx, box, &connected) }()
+			go func() { results <- contactOnce(ctx, box, identify, &connected) }()
 		}
 		select {
 		case got := <-results:
@@ -75,8 +119,8 @@
 }
 
 // contactOnce opens one connection to the box and returns the result. It sets connected as soon as the box has
-// accepted the connection, and returns Silent if ctx ends before that.
-func contactOnce(ctx context.Context, box work.Box, connected *atomic.Bool) view.Contact {
+// accepted it, and returns Silent if ctx ends before that.
+func contactOnce(ctx context.Context, box work.Box, identify bool, connected *atomic.Bool) view.Contact {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", box.Peer.String())
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -87,6 +131,9 @@
 	}
 	defer func() { _ = conn.Close() }()
 	connected.Store(true)
+	if !identify {
+		return view.Answered
+	}
 	if got := incarnationOf(conn, box); got != "" && got != box.Incarnation {
 		return view.Gone
 	}
--- a/gate/remote/reach_test.go
+++ b/gate/remote/reach_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -114,6 +116,39 @@
 	}
 }
 
+// TestSlowBoxIsCheckedRarely checks that turns which wait for a slow box share the check of whether it is alive: a
+// connection for each would add to the load of a box that is behind.
+func TestSlowBoxIsCheckedRarely(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	var conns atomic.Int64
+	go func() {
+		for {
+			if _, err := ln.Accept(); err != nil {
+				return
+			}
+			conns.Add(1)
+		}
+	}()
+	box := work.Box{Name: "b", Peer: netip.MustParseAddrPort(ln.Addr().String())}
+	c := NewClient(allNear)
+	var all sync.WaitGroup
+	for range 200 {
+		all.Go(func() {
+			if !c.accepts(box) {
+				t.Error("the box counts as lost")
+			}
+		})
+	}
+	all.Wait()
+	if got := conns.Load(); got > contactTries {
+		t.Errorf("%d connections", got)
+	}
+}
+
 // TestSearchOfSilentBoxFailsEarly checks that a search for a turn does not wait for a silent box until its timeout,
 // while a slow box is waited for.
 func TestSearchOfSilentBoxFailsEarly(t *testing.T) {
--- a/gate/shard/shard_test.go
+++ b/gate/shard/shard_test.go
@@ -475,6 +475,7 @@
 			if failed == s.box {
 				failed = ""
 			}
+			f.managers[s.box].Prepare(0)
 			f.setFailed(s.box, failed)
 		case stepMode:
 			log.setMode(s.mode)
--- a/gate/view/failover.go
+++ b/gate/view/failover.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -194,7 +195,7 @@
 	failed := confirmsFailure(own, unreached, asked) && f.mayJudge(box)
 	f.stateMu.Lock()
 	delete(f.confirming, box)
-	delete(f.rejectedAt, box)
+	maps.DeleteFunc(f.rejectedAt, func(_ work.Box, at time.Time) bool { return time.Since(at) > rejectedTTL })
 	if failed && !f.stopped {
 		f.confirmed[box.Name] = box
 	} else {
@@ -343,11 +344,6 @@
 		delete(f.confirmed, box.Name)
 		f.logger.Info("view: failure of a box is over", "other", box.Name, "listed", f.lists(box))
 	}
-	for other, at := range f.rejectedAt {
-		if time.Since(at) > rejectedTTL {
-			delete(f.rejectedAt, other)
-		}
-	}
 }
 
 // TakeoverIn estimates how long it takes until a slot of the box has another owner; see View.TakeoverIn. Soon
--- a/gate/view/failover_test.go
+++ b/gate/view/failover_test.go
@@ -292,6 +292,25 @@
 	})
 }
 
+// TestTakeoverEstimate checks that callers are told to retry when a takeover after a confirmation is likely to be done,
+// and later, if that did not happen, when the log drops the box.
+func TestTakeoverEstimate(t *testing.T) {
+	runFailover(t, func(t *testing.T, w *failoverWorld) {
+		a1, b1 := w.boxes["a1"].self, w.boxes["b1"]
+		w.links.set(func(n *fakeLinks) { n.cutZones["a"] = true })
+		b1.MarkUnreachable(a1)
+		start := time.Now()
+		for _, c := range []struct{ at, want time.Duration }{
+			{0, takeoverDuration}, {200 * time.Millisecond, takeoverDuration - 200*time.Millisecond}, {300 * time.Millisecond, minTakeoverRetry}, {400 * time.Millisecond, b1.memberTTL() + 150*time.Millisecond},
+		} {
+			time.Sleep(time.Until(start.Add(c.at)))
+			if got := b1.TakeoverIn(a1); got != c.want {
+				t.Errorf("after %v: %v, want %v", c.at, got, c.want)
+			}
+		}
+	})
+}
+
 // TestFailureDoesNotExtendToNextIncarnation checks that a box restarted under the same name does not inherit the
 // failure, and that checks of the old incarnation end.
 func TestFailureDoesNotExtendToNextIncarnation(t *testing.T) {
