owners: tell a box that answers again which of its slots were taken

Cause: a box that others could not reach for a moment kept a slot in memory that the log had given to another, until a turn failed there; a test of whole boxes on the fake clock found it. Change: the box that took a slot over announces that when the failure ends, and a box whose view settles again verifies the slots that it holds; both ask for their slots by handover. A slot is dropped before its failed write is reported.

--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -124,6 +124,7 @@
 	n.server = remote.NewServer(deps.Self, n.entry, n.shards, n.failover, n.counter, n.mirror, deps.Log, log)
 	n.feed.OnConfig(func(conf *work.Config) { n.counter.Update(time.Now(), conf) })
 	n.view.OnChange(n.onBoxesChanged)
+	n.failover.OnRecovered(n.shards.NotifyRecovered)
 	n.targets.OnFailing(n.watch.SendFailureRate)
 	return n
 }
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -29,6 +29,8 @@
 	// deliverPath accepts records of turns that began at a previous owner of the slot.
 	deliverPath = "/deliver"
 	pingPath    = "/ping"
+	// takenPath accepts announcements that a slot of this box was taken over.
+	takenPath = "/taken"
 	// reachPath accepts requests to check whether another box can be reached.
 	reachPath = "/reach"
 	// leavingPath accepts the announcement that a box leaves the fleet.
@@ -46,7 +48,7 @@
 	// suspectAfter is how long a near box may take to accept a connection and to respond with 100 Continue
 	// before a check tells whether it is alive. Within a region that takes 2 ms, so that a longer wait is a sign
 	// of a loss or of a slow box.
-	suspectAfter = 60 * time.Millisecond
+	suspectAfter = 40 * time.Millisecond
 	// fullPoolRetryDelay is the Retry-After delay if no connection to the box is free.
 	fullPoolRetryDelay = 200 * time.Millisecond
 
@@ -232,6 +234,11 @@
 	return c.command(ctx, box, handoverPath, url.Values{slotParam: {strconv.Itoa(slot)}}, nil)
 }
 
+// NotifyTaken implements shard.Peers.
+func (c *Client) NotifyTaken(ctx context.Context, box work.Box, slot int) error {
+	return c.command(ctx, box, takenPath, url.Values{slotParam: {strconv.Itoa(slot)}}, nil)
+}
+
 // Find implements entry.Peers.
 func (c *Client) Find(ctx context.Context, box work.Box, turn string, confirm bool) ([]byte, []int, error) {
 	// Boxes of earlier versions need the slot that they must confirm to own; -1 is none.
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -41,6 +41,8 @@
 	Handover(ctx context.Context, slot int) error
 	// Deliver writes records of turns that began at a previous owner.
 	Deliver(ctx context.Context, slot int, recs []work.Record) error
+	// NotifyTaken handles the announcement that another box has taken the slot over.
+	NotifyTaken(slot int) error
 }
 
 // Quotas grants calls from the quotas that are counted on this box.
@@ -84,6 +86,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+turnPath, s.turn)
 	mux.HandleFunc("POST "+handoverPath, s.handover)
+	mux.HandleFunc("POST "+takenPath, s.taken)
 	mux.HandleFunc("GET "+findPath, s.find)
 	mux.HandleFunc("POST "+logPath, s.log)
 	mux.HandleFunc("POST "+deliverPath, s.deliver)
@@ -122,6 +125,16 @@
 	}
 }
 
+func (s *Server) taken(w http.ResponseWriter, r *http.Request) {
+	slot, err := strconv.Atoi(r.URL.Query().Get(slotParam))
+	if err == nil {
+		err = s.slots.NotifyTaken(slot)
+	}
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
+
 func (s *Server) deliver(w http.ResponseWriter, r *http.Request) {
 	slot, err := strconv.Atoi(r.URL.Query().Get(slotParam))
 	var recs []work.Record
--- a/gate/shard/fakes_test.go
+++ b/gate/shard/fakes_test.go
@@ -286,6 +286,14 @@
 	return to.Handover(ctx, slot)
 }
 
+func (v boxView) NotifyTaken(_ context.Context, box work.Box, slot int) error {
+	to, err := v.connect(box)
+	if err != nil {
+		return err
+	}
+	return to.NotifyTaken(slot)
+}
+
 func (v boxView) Deliver(ctx context.Context, box work.Box, slot int, recs []work.Record) error {
 	to, err := v.connect(box)
 	if err != nil {
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -74,6 +74,8 @@
 	Handover(ctx context.Context, box work.Box, slot int) error
 	// Deliver returns once the box, as the owner of the slot, has written the records.
 	Deliver(ctx context.Context, box work.Box, slot int, recs []work.Record) error
+	// NotifyTaken tells the box that this one has taken the slot over from it.
+	NotifyTaken(ctx context.Context, box work.Box, slot int) error
 }
 
 // Counts records metrics.
@@ -105,7 +107,10 @@
 	takeovers map[takeover]takeoverStreak
 	// preloads holds the slots that are read ahead of a likely claim.
 	preloads map[int]*preload
-	stopping bool
+	// verifyDue says that the held slots must be verified once the view settles, since others may have claimed
+	// them meanwhile.
+	verifyDue bool
+	stopping  bool
 }
 
 // takeover identifies a slot and the box that should own it. A restarted box counts as another one.
@@ -193,11 +198,22 @@
 }
 
 // Rebalance claims the slots that this box should own and does not hold. It is called when the set of
-// live boxes changes. Slots that another box should own are released when that box asks.
+// live boxes changes. Slots that another box should own are released when that box asks. Once the view has settled
+// again after a gap, the slots that this box holds are verified.
 func (m *Manager) Rebalance() {
-	if !m.boxes.Settled() {
+	settled := m.boxes.Settled()
+	m.mu.Lock()
+	verify := settled && m.verifyDue
+	m.verifyDue = !settled
+	m.mu.Unlock()
+	if !settled {
 		return
 	}
+	if verify {
+		for _, slot := range m.All() {
+			m.startVerifying(slot.Number())
+		}
+	}
 	for number := range m.slots {
 		if m.shouldOwn(number) {
 			m.startClaim(number)
@@ -383,6 +399,55 @@
 	return slot.applyAndWrite(ctx, recs)
 }
 
+// NotifyTaken verifies that this box still owns the slot, after another box has announced that it took it over.
+func (m *Manager) NotifyTaken(number int) error {
+	if number < 0 || number >= len(m.slots) {
+		return fault.Refuse(fault.BadRequest, "no such slot")
+	}
+	m.startVerifying(number)
+	return nil
+}
+
+// startVerifying verifies in the background that this box still owns the slot, if it holds it. Otherwise it drops
+// the slot before a turn runs on it in vain, and claims it anew if it should own it.
+func (m *Manager) startVerifying(number int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	slot := m.slots[number]
+	if slot == nil || m.stopping {
+		return
+	}
+	m.background.Go(func() {
+		if err := slot.ConfirmOwnership(m.ctx); fault.Is(err, fault.NotOwner) && slot.isLost() && m.boxes.Settled() && m.shouldOwn(number) {
+			m.startClaim(number)
+		}
+	})
+}
+
+// NotifyRecovered tells a box whose failure is over which of its slots this box has taken over. It would learn that
+// only from the failure of its next turn.
+func (m *Manager) NotifyRecovered(box work.Box) {
+	for _, slot := range m.All() {
+		owner, ok := m.boxes.Owner(m.layout.Name(slot.Number()))
+		if !ok || owner.Name != box.Name {
+			continue
+		}
+		m.mu.Lock()
+		if !m.stopping {
+			m.background.Go(func() { m.notifyTaken(box, slot.Number()) })
+		}
+		m.mu.Unlock()
+	}
+}
+
+func (m *Manager) notifyTaken(box work.Box, number int) {
+	ctx, stop := context.WithTimeout(m.ctx, handoverTimeout)
+	defer stop()
+	if err := m.peers.NotifyTaken(ctx, box, number); err != nil {
+		m.logger.Info("shard: cannot tell a box that its slot was taken over", "slot", number, "to", box.Name, "cause", err)
+	}
+}
+
 // Release releases the slot once its queued records are written, or after drainTimeout.
 func (m *Manager) Release(ctx context.Context, number int) {
 	m.mu.Lock()
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -88,6 +88,13 @@
 	return nil
 }
 
+// isLost reports whether this box can no longer write to the slot.
+func (s *Slot) isLost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
 // AppendAge returns how long the append in progress has been running; zero if there is none.
 func (s *Slot) AppendAge() time.Duration {
 	s.mu.Lock()
@@ -197,13 +204,13 @@
 		if err != nil {
 			err = slotLostFault().WithCause(err)
 		}
+		if err != nil {
+			s.markLost(err) // before the writes end, so that a retry finds the slot dropped
+		}
 		for _, b := range batches {
 			b.err = err
 			close(b.done)
 		}
-		if err != nil {
-			s.markLost(err)
-		}
 	}
 }
 
--- a/gate/shard/takeover_test.go
+++ b/gate/shard/takeover_test.go
@@ -71,7 +71,6 @@
 		if err := late.Write(ctx, []work.Record{{Key: "t", Value: []byte("late")}}); !fault.Is(err, fault.NotOwner) {
 			t.Errorf("a late write of the old owner: %v", err)
 		}
-		synctest.Wait() // the writer drops the slot after it has reported the fault
 		if a.Holds(0) || !b.Holds(0) {
 			t.Errorf("holds: a %v, b %v", a.Holds(0), b.Holds(0))
 		}
--- a/gate/view/failover.go
+++ b/gate/view/failover.go
@@ -79,6 +79,9 @@
 	cancel  context.CancelFunc
 	checks  sync.WaitGroup
 
+	// onRecovered holds the callbacks of OnRecovered.
+	onRecovered []func(box work.Box)
+
 	stateMu sync.Mutex
 	stopped bool
 	// confirmed holds the boxes whose failure was confirmed and that have not answered since, by name. Each of
@@ -101,6 +104,12 @@
 	}
 }
 
+// OnRecovered registers a callback that runs after a box whose failure was confirmed has answered again. It must
+// be called before Start.
+func (f *Failover) OnRecovered(callback func(box work.Box)) {
+	f.onRecovered = append(f.onRecovered, callback)
+}
+
 // Start implements kernel.Service.
 func (f *Failover) Start(context.Context) error { return nil }
 
@@ -338,11 +347,22 @@
 // unwatch ends the checks of a box, and its confirmed failure.
 func (f *Failover) unwatch(box work.Box) {
 	f.stateMu.Lock()
-	defer f.stateMu.Unlock()
 	delete(f.watched, box)
-	if f.confirmed[box.Name] == box {
+	wasConfirmed := f.confirmed[box.Name] == box
+	if wasConfirmed {
 		delete(f.confirmed, box.Name)
-		f.logger.Info("view: failure of a box is over", "other", box.Name, "listed", f.lists(box))
+	}
+	f.stateMu.Unlock()
+	if !wasConfirmed || f.ctx.Err() != nil {
+		return
+	}
+	listed := f.lists(box)
+	f.logger.Info("view: failure of a box is over", "other", box.Name, "listed", listed)
+	if !listed {
+		return
+	}
+	for _, callback := range f.onRecovered {
+		callback(box)
 	}
 }
 
