remote: count the running time of a check in a type of its own

Cause: that a stalled process does not find other boxes silent had no test; one with a process stopped for 80 and 120 ms at a time passed with and without the rule, since connections on loopback open at once, and is not kept. Change: runningTime caps what counts between two ticks, with a test of its own. Result: tests of gate/remote pass with -race, linter clean.

--- a/gate/remote/reach.go
+++ b/gate/remote/reach.go
@@ -94,9 +94,9 @@
 	started := 0
 	tick := time.NewTicker(contactTick)
 	defer tick.Stop()
-	last := time.Now()
-	for counted := time.Duration(0); counted < contactTimeout; {
-		if started < contactTries && counted >= time.Duration(started)*contactInterval {
+	ran := runningTime{last: time.Now()}
+	for ran.total < contactTimeout {
+		if started < contactTries && ran.total >= time.Duration(started)*contactInterval {
 			started++
 			go func() { results <- contactOnce(ctx, box, identify, &connected) }()
 		}
@@ -106,8 +106,7 @@
 				return got
 			}
 		case now := <-tick.C:
-			counted += min(now.Sub(last), maxCountedTick)
-			last = now
+			ran.pass(now)
 		case <-ctx.Done():
 			return view.Unknown
 		}
@@ -118,6 +117,18 @@
 	return view.Silent
 }
 
+// runningTime measures the time in which this process runs, by the ticks that it gets.
+type runningTime struct {
+	last  time.Time
+	total time.Duration
+}
+
+// pass counts the time up to a tick. If the tick comes late, the process was not running.
+func (r *runningTime) pass(now time.Time) {
+	r.total += min(now.Sub(r.last), maxCountedTick)
+	r.last = now
+}
+
 // contactOnce opens one connection to the box and returns the result. It sets connected as soon as the box has
 // accepted it, and returns Silent if ctx ends before that.
 func contactOnce(ctx context.Context, box work.Box, identify bool, connected *atomic.Bool) view.Contact {
--- a/gate/remote/reach_test.go
+++ b/gate/remote/reach_test.go
@@ -89,6 +89,20 @@
 	}
 }
 
+// TestRunningTime guards against a box that finds others silent because it is not given the processor itself: a stall
+// counts as one tick.
+func TestRunningTime(t *testing.T) {
+	now := time.Now()
+	ran := runningTime{last: now}
+	for _, step := range []time.Duration{contactTick, 300 * time.Millisecond, contactTick, time.Hour} {
+		now = now.Add(step)
+		ran.pass(now)
+	}
+	if want := 2*contactTick + 2*maxCountedTick; ran.total != want {
+		t.Errorf("%v counted, want %v", ran.total, want)
+	}
+}
+
 // TestTurnToSilentBoxFailsEarly checks that a turn over a connection to a box that has become silent fails in a
 // small part of continueTimeout, and is known not to have run, as is one that needs a new connection.
 func TestTurnToSilentBoxFailsEarly(t *testing.T) {
