remote: check the next owners of a silent box's zone together with it

Cause: with a zone cut off, a turn whose first two owners lie there waited for each of them in turn. Change: when a turn has waited 40 ms for an owner, the boxes of the same zone that are asked next are checked too, and a turn for a box that has just been found silent fails at once.

--- a/gate/node/leave_test.go
+++ b/gate/node/leave_test.go
@@ -64,7 +64,7 @@
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
 	store := &hangingLog{members: []string{boxes[0].Member(), boxes[1].Member()}}
 	n := &Node{
-		deps: Deps{Self: boxes[0], Logger: quiet}, peers: remote.NewClient(func(work.Box) bool { return true }), view: view.New(boxes[0], store, view.DefaultTiming(), quiet),
+		deps: Deps{Self: boxes[0], Logger: quiet}, peers: remote.NewClient(func(work.Box) bool { return true }, func(int, work.Box) []work.Box { return nil }), view: view.New(boxes[0], store, view.DefaultTiming(), quiet),
 	}
 	if err := n.view.Start(context.Background()); err != nil {
 		t.Fatal(err)
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"runtime/metrics"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,7 +99,7 @@
 func New(deps Deps) *Node {
 	layout := shard.NewLayout(deps.Slots)
 	n := &Node{deps: deps, layout: layout, kern: kernel.New(deps.Logger)}
-	n.peers = remote.NewClient(func(box work.Box) bool { return deps.Regions[box.Zone] == deps.Regions[deps.Self.Zone] })
+	n.peers = remote.NewClient(n.isNear, n.successors)
 	log := deps.Logger
 	n.targets = target.New(deps.Self.Zone, deps.Replicas, log)
 	detourLog := detour.New(deps.Log, logProxies{n}, log)
@@ -129,6 +130,19 @@
 	return n
 }
 
+// isNear reports whether the box is in the region of this one.
+func (n *Node) isNear(box work.Box) bool {
+	return n.deps.Regions[box.Zone] == n.deps.Regions[n.deps.Self.Zone]
+}
+
+// successors returns the other boxes of the box's availability zone that may be asked for the slot.
+func (n *Node) successors(slot int, box work.Box) []work.Box {
+	owners := slices.Clone(n.view.Owners(n.layout.Name(slot), holdersPerSlot))
+	return slices.DeleteFunc(owners, func(next work.Box) bool {
+		return next.Zone != box.Zone || next.Name == box.Name || next.Name == n.deps.Self.Name
+	})
+}
+
 // lateView gives the mirror access to the view, which is created after it.
 type lateView struct{ node *Node }
 
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -63,6 +63,9 @@
 type Client struct {
 	// near reports whether a box is so close that a round trip takes far less than suspectAfter.
 	near func(box work.Box) bool
+	// successors returns the boxes that are asked for the slot if the box can't be reached, and that may be lost
+	// together with it.
+	successors func(slot int, box work.Box) []work.Box
 
 	mu    sync.Mutex
 	pools map[netip.AddrPort]*dial.Pool
@@ -70,9 +73,10 @@
 	signs map[netip.AddrPort]*signOfLife
 }
 
-// NewClient returns a client without connections. near reports whether a box is in the region of this one.
-func NewClient(near func(box work.Box) bool) *Client {
-	return &Client{near: near, pools: map[netip.AddrPort]*dial.Pool{}, signs: map[netip.AddrPort]*signOfLife{}}
+// NewClient returns a client without connections. near reports whether a box is in the region of this one;
+// successors returns the boxes of the given one's availability zone that are asked for the slot after it.
+func NewClient(near func(box work.Box) bool, successors func(slot int, box work.Box) []work.Box) *Client {
+	return &Client{near: near, successors: successors, pools: map[netip.AddrPort]*dial.Pool{}, signs: map[netip.AddrPort]*signOfLife{}}
 }
 
 func (c *Client) pool(addr netip.AddrPort) *dial.Pool {
@@ -118,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := c.sendTurn(ctx, box, append(raw, call.Body...))
+	resp, err := c.sendTurn(ctx, box, slot, append(raw, call.Body...))
 	if err != nil {
 		return turnFault(err)
 	}
@@ -141,17 +145,24 @@
 }
 
 // sendTurn sends a turn to the box. A near box that does not respond within suspectAfter is checked: if it does
-// not accept connections, sendTurn fails at once, otherwise it waits up to continueTimeout.
-func (c *Client) sendTurn(ctx context.Context, box work.Box, body []byte) (*dial.Response, error) {
+// not accept connections, sendTurn fails at once, otherwise it waits up to continueTimeout. The boxes that are asked
+// next are checked together with it, so that a turn for a zone that is cut off waits only once.
+func (c *Client) sendTurn(ctx context.Context, box work.Box, slot int, body []byte) (*dial.Response, error) {
 	req := dial.Request{
 		Method: http.MethodPost, Target: turnPath, Host: box.Peer.String(), Body: body, ContinueTimeout: continueTimeout,
 	}
 	if !c.near(box) {
 		return c.pool(box.Peer).Send(ctx, req)
 	}
+	if c.foundSilent(box) {
+		return nil, fault.Refuse(fault.NoTarget, "the box did not accept a connection a moment ago")
+	}
 	checked := false
 	alive := func() bool {
 		checked = true
+		for _, next := range c.successors(slot, box) {
+			go c.accepts(next)
+		}
 		return c.accepts(box)
 	}
 	req.ConnectTimeout, req.ContinueTimeout, req.Alive, req.ContinueGrace = suspectAfter, suspectAfter, alive, continueTimeout-suspectAfter
--- a/gate/remote/client_test.go
+++ b/gate/remote/client_test.go
@@ -43,7 +43,7 @@
 	defer srv.Close()
 	defer close(release)
 	box := work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())}
-	c := NewClient(allNear)
+	c := newNearClient()
 	c.pools[box.Peer] = dial.New(box.Peer, 1)
 	go func() { _ = c.Ping(context.Background(), box) }() // occupies the only connection
 	for end := time.Now().Add(5 * time.Second); !c.pool(box.Peer).Full(); time.Sleep(time.Millisecond) {
@@ -83,7 +83,7 @@
 				}
 			}()
 			start := time.Now()
-			f := turnTo(t, NewClient(allNear), work.Box{Name: "b", Peer: netip.MustParseAddrPort(ln.Addr().String())})
+			f := turnTo(t, newNearClient(), work.Box{Name: "b", Peer: netip.MustParseAddrPort(ln.Addr().String())})
 			if f.Kind != fault.PeerUnreachable || !f.NotRun || time.Since(start) > 2*continueTimeout {
 				t.Errorf("%v, not run %v, after %v", f, f.NotRun, time.Since(start))
 			}
@@ -104,4 +104,7 @@
 	return ln.Addr().String()
 }
 
-func allNear(work.Box) bool { return true }
+// newNearClient returns a client for which all boxes are near and no other box is asked for a slot.
+func newNearClient() *Client {
+	return NewClient(func(work.Box) bool { return true }, func(int, work.Box) []work.Box { return nil })
+}
--- a/gate/remote/reach.go
+++ b/gate/remote/reach.go
@@ -31,7 +31,8 @@
 	// identifyTimeout bounds the wait for the incarnation of a box that accepted a connection. A slow box does
 	// not answer in time and counts as alive.
 	identifyTimeout = 30 * time.Millisecond
-	// signTTL is how long a box that accepted a connection counts as alive for other requests that wait for it.
+	// signTTL is how long a box that accepted a connection counts as alive for other requests that wait for it, and
+	// one that did not as silent for turns.
 	signTTL = 100 * time.Millisecond
 	// incarnationHeader is the response header of a ping with the incarnation of the box.
 	incarnationHeader = "Incarnation"
@@ -60,6 +61,19 @@
 	}
 }
 
+// foundSilent reports whether a check that has just ended found that the box does not accept connections. It waits
+// for a check in progress, which ends at once if the box is alive.
+func (c *Client) foundSilent(box work.Box) bool {
+	c.mu.Lock()
+	sign := c.signs[box.Peer]
+	c.mu.Unlock()
+	if sign == nil {
+		return false
+	}
+	<-sign.done
+	return !sign.alive && time.Since(sign.ended) < signTTL
+}
+
 // accepts reports whether the box accepts connections. Requests that wait for a slow box share the check, so that
 // it does not get more to do.
 func (c *Client) accepts(box work.Box) bool {
--- a/gate/remote/reach_test.go
+++ b/gate/remote/reach_test.go
@@ -79,7 +79,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			start := time.Now()
-			if got := NewClient(allNear).Contact(context.Background(), c.box); got != c.want {
+			if got := newNearClient().Contact(context.Background(), c.box); got != c.want {
 				t.Errorf("contact %s, want %s", got, c.want)
 			}
 			if took := time.Since(start); took > 2*contactTimeout {
@@ -107,7 +107,7 @@
 // small part of continueTimeout, and is known not to have run, as is one that needs a new connection.
 func TestTurnToSilentBoxFailsEarly(t *testing.T) {
 	box, ln, silence := silentBox(t)
-	c := NewClient(allNear)
+	c := newNearClient()
 	go func() {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -130,6 +130,34 @@
 	}
 }
 
+// TestSilentBoxesAreCheckedTogether checks that a turn does not wait anew for the next owner if that one is lost
+// together with the first, as in a zone that is cut off, and that the result is not used for long.
+func TestSilentBoxesAreCheckedTogether(t *testing.T) {
+	first, _, silenceFirst := silentBox(t)
+	next, _, silenceNext := silentBox(t)
+	silenceFirst()
+	silenceNext()
+	c := NewClient(func(work.Box) bool { return true }, func(_ int, box work.Box) []work.Box {
+		if box.Peer == first.Peer {
+			return []work.Box{next}
+		}
+		return nil
+	})
+	start := time.Now()
+	for _, box := range []work.Box{first, next} {
+		if f := turnTo(t, c, box); f.Kind != fault.PeerUnreachable || !f.NotRun {
+			t.Errorf("%v, not run %v", f, f.NotRun)
+		}
+	}
+	if took := time.Since(start); took > suspectAfter+contactTimeout+suspectAfter {
+		t.Errorf("both turns took %v", took)
+	}
+	time.Sleep(signTTL)
+	if c.foundSilent(next) {
+		t.Error("an old check still counts")
+	}
+}
+
 // TestSlowBoxIsCheckedRarely checks that turns which wait for a slow box share the check of whether it is alive: a
 // connection for each would add to the load of a box that is behind.
 func TestSlowBoxIsCheckedRarely(t *testing.T) {
@@ -148,7 +176,7 @@
 		}
 	}()
 	box := work.Box{Name: "b", Peer: netip.MustParseAddrPort(ln.Addr().String())}
-	c := NewClient(allNear)
+	c := newNearClient()
 	var all sync.WaitGroup
 	for range 200 {
 		all.Go(func() {
@@ -169,7 +197,7 @@
 	silent, _, silence := silentBox(t)
 	silence()
 	start := time.Now()
-	if _, _, err := NewClient(allNear).Find(context.Background(), silent, "turn", false); !fault.Is(err, fault.PeerUnreachable) || time.Since(start) > 250*time.Millisecond {
+	if _, _, err := newNearClient().Find(context.Background(), silent, "turn", false); !fault.Is(err, fault.PeerUnreachable) || time.Since(start) > 250*time.Millisecond {
 		t.Errorf("%v after %v", err, time.Since(start))
 	}
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -178,7 +206,7 @@
 	}))
 	defer srv.Close()
 	slow := work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())}
-	if _, slots, err := NewClient(allNear).Find(context.Background(), slow, "turn", false); err != nil || len(slots) != 1 {
+	if _, slots, err := newNearClient().Find(context.Background(), slow, "turn", false); err != nil || len(slots) != 1 {
 		t.Errorf("%v, %v", slots, err)
 	}
 }
@@ -202,7 +230,7 @@
 		_ = (&turnWriter{w: w}).send(turnResponse{Problem: &problem}) // the client checks the response
 	}))
 	defer srv.Close()
-	f := turnTo(t, NewClient(allNear), work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())})
+	f := turnTo(t, newNearClient(), work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())})
 	if f.Kind != fault.BudgetSpent || len(bodies) != 1 {
 		t.Errorf("%v after %d requests", f, len(bodies))
 	}
