shard: bound the delay between takeovers without a shift

Cause: the delay was shifted left by the number of takeovers, which overflows once a box has been flapping for some 13 minutes and would let the slot move at each turn. Change: it is doubled until it reaches its maximum of 24 s.

--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -125,6 +125,15 @@
 	count int
 }
 
+// delay returns the least time until the next takeover.
+func (s takeoverStreak) delay() time.Duration {
+	delay := takeoverDelay
+	for n := 1; n < s.count && delay < maxTakeoverDelay; n++ {
+		delay *= 2
+	}
+	return min(delay, maxTakeoverDelay)
+}
+
 // New returns a Manager that owns no slots.
 func New(self work.Box, layout Layout, log Log, boxes Boxes, peers Peers, counts Counts, logger *slog.Logger) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -292,7 +301,7 @@
 	maps.DeleteFunc(m.takeovers, func(_ takeover, streak takeoverStreak) bool { return time.Since(streak.last) >= takeoverReset })
 	key := takeover{number: number, box: owner.Name, incarnation: owner.Incarnation}
 	streak := m.takeovers[key]
-	if streak.count > 0 && time.Since(streak.last) < min(takeoverDelay<<(streak.count-1), maxTakeoverDelay) {
+	if streak.count > 0 && time.Since(streak.last) < streak.delay() {
 		return nil
 	}
 	wait := m.startClaimLocked(number)
--- a/gate/shard/takeover_test.go
+++ b/gate/shard/takeover_test.go
@@ -183,3 +183,14 @@
 		})
 	}
 }
+
+// TestTakeoverDelayIsBounded guards against an overflow of the doubled delay after many takeovers, which would let the
+// slot move all the time.
+func TestTakeoverDelayIsBounded(t *testing.T) {
+	want := map[int]time.Duration{1: 3 * time.Second, 2: 6 * time.Second, 3: 12 * time.Second, 4: 24 * time.Second, 5: 24 * time.Second, 70: 24 * time.Second, 1 << 40: 24 * time.Second}
+	for count, delay := range want {
+		if got := (takeoverStreak{count: count}).delay(); got != delay {
+			t.Errorf("%v after %d takeovers, want %v", got, count, delay)
+		}
+	}
+}
