shard: merge two checks of the same error

Cause: the writer checked the error of an append twice after a slot that is lost was dropped first; a test of gate/view read the lifetime of memberships without its lock. Change: one check in the same order, and the test uses the constant.

--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -203,8 +203,6 @@
 		err := s.append(recs)
 		if err != nil {
 			err = slotLostFault().WithCause(err)
-		}
-		if err != nil {
 			s.markLost(err) // before the writes end, so that a retry finds the slot dropped
 		}
 		for _, b := range batches {
--- a/gate/view/failover_test.go
+++ b/gate/view/failover_test.go
@@ -301,7 +301,7 @@
 		b1.MarkUnreachable(a1)
 		start := time.Now()
 		for _, c := range []struct{ at, want time.Duration }{
-			{0, takeoverDuration}, {200 * time.Millisecond, takeoverDuration - 200*time.Millisecond}, {300 * time.Millisecond, minTakeoverRetry}, {400 * time.Millisecond, b1.memberTTL() + 150*time.Millisecond},
+			{0, takeoverDuration}, {200 * time.Millisecond, takeoverDuration - 200*time.Millisecond}, {300 * time.Millisecond, minTakeoverRetry}, {400 * time.Millisecond, DefaultTiming().MemberTTL + 150*time.Millisecond},
 		} {
 			time.Sleep(time.Until(start.Add(c.at)))
 			if got := b1.TakeoverIn(a1); got != c.want {
