shard: give up a takeover once the owner answers again

Change: the claim checks again just before the fence, unless the owner has released the slot, and tells the ranked owner if that answers by the time the claim is won.

--- a/gate/node/failover_test.go
+++ b/gate/node/failover_test.go
@@ -35,6 +35,10 @@
 	fences     map[int]work.Writer
 	// claims counts the epochs that were opened.
 	claims int
+	// readTime is added to each read of a slot, ownerTime to each write of an owner record. reads counts the reads
+	// of slots.
+	readTime, ownerTime time.Duration
+	reads               int
 }
 
 // fakeMember is one box of a slotFleet. It implements what the services of the box need of others.
@@ -171,6 +175,12 @@
 		return err
 	}
 	m.mu.Lock()
+	delay := m.ownerTime
+	m.mu.Unlock()
+	if len(recs) == 1 && recs[0].Key == "owner" {
+		time.Sleep(delay)
+	}
+	m.mu.Lock()
 	defer m.mu.Unlock()
 	newest := m.fences[to.Number]
 	if writer.Epoch < newest.Epoch {
@@ -185,6 +195,11 @@
 }
 
 func (m *fakeMember) Newest(ctx context.Context, of work.Shard, _ string) (work.Batch, error) {
+	m.mu.Lock()
+	m.reads++
+	delay := m.readTime
+	m.mu.Unlock()
+	time.Sleep(delay)
 	page, err := m.Read(ctx, of, 0, 0)
 	return work.Batch{Records: page.Records, Next: page.Next}, err
 }
@@ -399,3 +414,41 @@
 		})
 	}
 }
+
+// TestOwnerReturnsDuringTakeover guards against a claim that fences off an owner which answers again during the claim,
+// and does not tell it: its next turn would fail although it may not have run.
+func TestOwnerReturnsDuringTakeover(t *testing.T) {
+	for name, c := range map[string]struct {
+		readTime, ownerTime time.Duration
+		claims              int
+	}{
+		"while the slot is read":                 {500 * time.Millisecond, 0, 0},
+		"between the fence and the owner record": {0, 500 * time.Millisecond, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, func(t *testing.T, f *slotFleet) {
+				caller, owner := f.outside(), f.ranked("a1")[0]
+				if _, err := f.turn(caller, 3); err != nil {
+					t.Fatal(err)
+				}
+				claims := f.claims
+				f.set(func() {
+					f.readTime, f.ownerTime = c.readTime, c.ownerTime
+					for name := range f.boxes {
+						f.cutLinks[[2]string{owner.Name, name}] = true
+					}
+				})
+				go func() { _, _ = f.turn(caller, 0) }() // it starts the takeover
+				time.Sleep(400 * time.Millisecond)
+				f.set(func() { clear(f.cutLinks) })
+				time.Sleep(5 * time.Second)
+				if got := f.holders(); len(got) != 1 || got[0] != owner.Name || f.claims != claims+c.claims {
+					t.Errorf("held by %v after %d claims", got, f.claims-claims)
+				}
+				if _, err := f.turn(owner.Name, 0); err != nil {
+					t.Errorf("the next turn at the owner: %v", err)
+				}
+			})
+		})
+	}
+}
--- a/gate/shard/claim.go
+++ b/gate/shard/claim.go
@@ -40,7 +40,9 @@
 
 // acquire makes this box the owner of a slot. It asks the previous owner to release the slot, fences it
 // off, and only then reads the records that the previous owner wrote last.
+// A takeover ends without a fence if the box it takes the slot from answers again meanwhile.
 func (m *Manager) acquire(number int) (*Slot, error) {
+	ranked, _ := m.boxes.Owner(m.layout.Name(number))
 	shard := work.Shard{Topic: work.Turns, Number: number}
 	loader, next, err := m.load(number)
 	if err != nil {
@@ -48,13 +50,17 @@
 	}
 	ctx, stop := context.WithTimeout(m.ctx, callTimeout+handoverTimeout)
 	defer stop()
-	if m.requestHandover(ctx, number, loader.owner) {
+	released := m.requestHandover(ctx, number, loader.owner)
+	if released {
 		// The previous owner may have written many records after the load; catchUp reads them.
 		m.logger.Info("shard: slot handed over", "slot", number, "from", loader.owner.Box)
 	}
 	if m.isStopping() {
 		return nil, fault.Refuse(fault.Stopping, "this box stops")
 	}
+	if ranked.Name != m.self.Name && !released && !m.mayTakeOver(number) {
+		return nil, fault.Refuse(fault.NotOwner, "the failed box answers again")
+	}
 	epoch, err := m.fence(ctx, shard, loader.owner.Epoch>>claimantBits)
 	if err != nil {
 		return nil, err
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -347,6 +347,9 @@
 			break
 		}
 		m.logger.Info("shard: claim failed", "slot", number, "cause", err)
+		if !m.mayTakeOver(number) {
+			break
+		}
 		select {
 		case <-time.After(claimRetryDelay):
 		case <-m.ctx.Done():
@@ -362,6 +365,10 @@
 	}
 	m.counts.Time("shard.claim_time", time.Since(start))
 	m.logger.Info("shard: claimed slot", "slot", number, "epoch", slot.epoch, "programs", programs, "took", time.Since(start))
+	// A box that answered again during the claim was not told by NotifyRecovered, as this box did not hold the slot then.
+	if owner, ok := m.boxes.Owner(m.layout.Name(number)); ok && owner.Name != m.self.Name && !m.boxes.Failed(owner) {
+		m.startNotifyTaken(owner, number)
+	}
 }
 
 // endClaim records the end of a claim that won the slot, or failed if slot is nil. It returns false if this box
@@ -441,11 +448,15 @@
 		if !ok || owner.Name != box.Name {
 			continue
 		}
-		m.mu.Lock()
-		if !m.stopping {
-			m.background.Go(func() { m.notifyTaken(box, slot.Number()) })
-		}
-		m.mu.Unlock()
+		m.startNotifyTaken(box, slot.Number())
+	}
+}
+
+func (m *Manager) startNotifyTaken(box work.Box, number int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.stopping {
+		m.background.Go(func() { m.notifyTaken(box, number) })
 	}
 }
 
