remote: a search on a full pool does not mark its box unreachable

Change: only a refused connection or a failed check is reported as PeerUnreachable by Find, anything else as OwnerUnavailable; other requests keep their faults.

--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -175,19 +176,31 @@
 	return c.pool(box.Peer).Send(ctx, req)
 }
 
-// untilUnreachable returns a context for an idempotent request, which ends if a near box has not responded within
-// suspectAfter and does not accept connections then.
+// errUnreachable is the cause of the end of a context of untilUnreachable.
+var errUnreachable = errors.New("the box does not accept connections")
+
+// untilUnreachable returns a context for an idempotent request, which ends with errUnreachable if a near box has not
+// responded within suspectAfter and does not accept connections then.
 func (c *Client) untilUnreachable(ctx context.Context, box work.Box) (context.Context, context.CancelFunc) {
-	ctx, stop := context.WithCancel(ctx)
+	ctx, stop := context.WithCancelCause(ctx)
 	if !c.near(box) {
-		return ctx, stop
+		return ctx, func() { stop(nil) }
 	}
 	check := time.AfterFunc(suspectAfter, func() {
 		if !c.accepts(box) {
-			stop()
+			stop(errUnreachable)
 		}
 	})
-	return ctx, func() { check.Stop(); stop() }
+	return ctx, func() { check.Stop(); stop(nil) }
+}
+
+// searchFault returns the fault of a search that got no response. Only a box that refuses connections or was found
+// silent counts as unreachable: one that is slow or has no free connection is alive.
+func searchFault(ctx context.Context, err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(context.Cause(ctx), errUnreachable) {
+		return peerLost(err)
+	}
+	return fault.Refuse(fault.OwnerUnavailable, "another box did not answer the search").WithCause(err)
 }
 
 // isTimeout reports whether the error was caused by a timeout.
@@ -214,11 +227,20 @@
 
 // send sends a short request to a box and reads the whole response.
 func (c *Client) send(ctx context.Context, box work.Box, method, path string, query url.Values, body []byte) (status int, raw []byte, err error) {
+	status, raw, err = c.exchange(ctx, box, method, path, query, body)
+	if err != nil {
+		return 0, nil, peerLost(err)
+	}
+	return status, raw, nil
+}
+
+// exchange is send with the faults of the transport.
+func (c *Client) exchange(ctx context.Context, box work.Box, method, path string, query url.Values, body []byte) (status int, raw []byte, err error) {
 	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{
 		Method: method, Target: path + "?" + query.Encode(), Host: box.Peer.String(), Body: body,
 	})
 	if err != nil {
-		return 0, nil, peerLost(err)
+		return 0, nil, err
 	}
 	defer resp.Close()
 	raw, err = io.ReadAll(io.LimitReader(resp, maxBody))
@@ -256,9 +278,9 @@
 	query := url.Values{turnParam: {turn}, confirmParam: {strconv.FormatBool(confirm)}, slotParam: {"-1"}}
 	ctx, stop := c.untilUnreachable(ctx, box)
 	defer stop()
-	_, raw, err := c.send(ctx, box, http.MethodGet, findPath, query, nil)
+	_, raw, err := c.exchange(ctx, box, http.MethodGet, findPath, query, nil)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, searchFault(ctx, err)
 	}
 	var out findResponse
 	if err := json.Unmarshal(raw, &out); err != nil {
--- a/gate/remote/client_test.go
+++ b/gate/remote/client_test.go
@@ -36,7 +36,7 @@
 }
 
 // TestFullPoolIsNotPeerUnreachable checks that a full connection pool yields OwnerUnavailable with a Retry-After
-// delay, and a refused connection PeerUnreachable.
+// delay, and a refused connection PeerUnreachable, for turns and for searches.
 func TestFullPoolIsNotPeerUnreachable(t *testing.T) {
 	release := make(chan struct{})
 	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
@@ -54,10 +54,16 @@
 	if f := turnTo(t, c, box); f.Kind != fault.OwnerUnavailable || !f.NotRun || f.RetryAfter <= 0 {
 		t.Errorf("no connection is free: %v, not run %v, retry after %v", f, f.NotRun, f.RetryAfter)
 	}
+	if _, _, err := c.Find(context.Background(), box, "turn", false); !fault.Is(err, fault.OwnerUnavailable) {
+		t.Errorf("a search while no connection is free: %v", err)
+	}
 	gone := work.Box{Name: "c", Peer: netip.MustParseAddrPort(closedAddr(t))}
 	if f := turnTo(t, c, gone); f.Kind != fault.PeerUnreachable || !f.NotRun {
 		t.Errorf("connection refused: %v, not run %v", f, f.NotRun)
 	}
+	if _, _, err := c.Find(context.Background(), gone, "turn", false); !fault.Is(err, fault.PeerUnreachable) {
+		t.Errorf("a search with the connection refused: %v", err)
+	}
 }
 
 // TestTurnToDeadBoxHasNotRun checks that a turn sent to a box that resets the connection or hangs fails in
