node: test searches at an owner whose slot was taken over

Change: a test in which the next box takes the slot over and writes a turn while the old owner is fresh and still holds the slot; the old owner must not rule it out, and a search from a third box must find it.

--- a/gate/node/failover_test.go
+++ b/gate/node/failover_test.go
@@ -12,6 +12,7 @@
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/access"
+	"mulleingate.dev/gate/chain"
 	"mulleingate.dev/gate/entry"
 	"mulleingate.dev/gate/quota"
 	"mulleingate.dev/gate/shard"
@@ -127,12 +128,20 @@
 }
 
 func (m *fakeMember) Deliver(context.Context, work.Box, int, []work.Record) error { return nil }
-func (m *fakeMember) Find(context.Context, work.Box, string, bool) ([]byte, []int, error) {
-	return nil, nil, nil
+func (m *fakeMember) Find(ctx context.Context, box work.Box, turn string, confirm bool) ([]byte, []int, error) {
+	if got := m.reach(ctx, box, silence); got != view.Answered {
+		return nil, nil, fault.Refuse(fault.PeerUnreachable, string(got))
+	}
+	text, slots := m.boxes[box.Name].entry.Find(ctx, turn, confirm)
+	return text, slots, nil
 }
 
-// Run writes a record as a turn does, and returns once the log holds it.
+// Run writes a record as a turn does, and returns once the log holds it. It refuses a turn that continues another one
+// whose text it does not have.
 func (m *fakeMember) Run(ctx context.Context, slot *shard.Slot, call *work.Call, _ *work.Route, _ work.Answer) error {
+	if call.Turn.Previous != "" && call.Turn.Base == nil {
+		return fault.Refuse(fault.NoTurn, "not kept")
+	}
 	return slot.Write(ctx, []work.Record{{Key: "x", Value: []byte(call.ID)}})
 }
 
@@ -452,3 +461,57 @@
 		})
 	}
 }
+
+// TestSearchAsksLogAboutOldOwner guards against a search that fails because an owner, whose slot was taken over without
+// its notice and whose view is fresh, rules a turn out that the new owner has written.
+func TestSearchAsksLogAboutOldOwner(t *testing.T) {
+	for _, what := range []string{"old owner", "search"} {
+		t.Run(what, func(t *testing.T) {
+			runFleet(t, func(t *testing.T, f *slotFleet) {
+				ranked, caller := f.ranked("a1"), f.outside()
+				owner, next := f.boxes[ranked[0].Name], f.boxes[ranked[1].Name]
+				if _, err := f.turn(caller, 3); err != nil {
+					t.Fatal(err)
+				}
+				f.set(func() {
+					for name := range f.boxes {
+						f.cutLinks[[2]string{owner.self.Name, name}] = true
+					}
+				})
+				if _, err := f.turn(caller, 3); err != nil {
+					t.Fatal(err)
+				}
+				slot, err := next.shards.Get(context.Background(), 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				call := &work.Call{ID: "i", Host: "h", Target: "/x", Arrived: time.Now(), Turn: &work.Turn{Program: "p", Previous: "t"}}
+				var copied work.Record
+				slot.Update(func(state *chain.State) {
+					copied = state.ImportCopy(time.Now(), call.QualifiedName("p"), call.QualifiedName("t"), []byte("text"), time.Minute)
+				})
+				if err := slot.Write(context.Background(), []work.Record{copied}); err != nil {
+					t.Fatal(err)
+				}
+				f.set(func() { clear(f.cutLinks) })
+				if !owner.shards.Holds(0) || !owner.view.Fresh() {
+					t.Fatal("the old owner has noticed the takeover")
+				}
+				if what == "old owner" {
+					if text, ruledOut := owner.entry.Find(context.Background(), call.QualifiedName("t"), true); text != nil || len(ruledOut) != 0 {
+						t.Errorf("the old owner rules out %v, text %q", ruledOut, text)
+					}
+					return
+				}
+				// The box that sends the call has not met the failure, so that it asks the old owner first.
+				from := f.boxes[ranked[len(ranked)-1].Name]
+				if from.self.Name == caller {
+					from = f.boxes[ranked[len(ranked)-2].Name]
+				}
+				if err := from.entry.Handle(context.Background(), call, 3*time.Second, nil); fault.Is(err, fault.NoTurn) || string(call.Turn.Base) != "text" {
+					t.Errorf("the search found %q: %v", call.Turn.Base, err)
+				}
+			})
+		})
+	}
+}
