view: read a slot ahead only if its owner does not answer

Change: Confirm calls back once a check in progress is unanswered after 20 ms, and only then the slot is read ahead; a read is kept for a second from its end.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -51,8 +51,8 @@
 	// RecentlyUnreachable reports whether a recent attempt to reach the box failed.
 	RecentlyUnreachable(box work.Box) bool
 	// Confirm asks other boxes whether the given ones have failed, and returns once it is known which of
-	// their slots this box may take over.
-	Confirm(ctx context.Context, boxes []work.Box)
+	// their slots this box may take over. It calls likely as soon as a takeover is likely but not yet confirmed.
+	Confirm(ctx context.Context, boxes []work.Box, likely func())
 }
 
 // Connectivity reports whether this box is cut off from the other boxes and from the log.
@@ -379,8 +379,7 @@
 // which precede it in the slot's ranking, have failed, it takes the slot over first.
 func (e *Entry) RunHere(ctx context.Context, number int, unreached []work.Box, call *work.Call, route *work.Route, out work.Answer) error {
 	if !e.slots.Holds(number) && e.followsOnly(number, unreached) {
-		e.slots.Prepare(number)
-		e.boxes.Confirm(ctx, unreached)
+		e.boxes.Confirm(ctx, unreached, func() { e.slots.Prepare(number) })
 	}
 	slot, err := e.slots.Get(ctx, number)
 	if err != nil {
--- a/gate/entry/entry_test.go
+++ b/gate/entry/entry_test.go
@@ -92,8 +92,9 @@
 }
 
 // Confirm records the boxes whose failure is to be confirmed.
-func (f *fakeBox) Confirm(_ context.Context, unreached []work.Box) {
+func (f *fakeBox) Confirm(_ context.Context, unreached []work.Box, likely func()) {
 	f.calls = append(f.calls, "confirm"+withoutBoxes(unreached))
+	likely()
 }
 
 // withoutBoxes returns the names of the boxes that a turn is sent on without.
@@ -183,7 +184,7 @@
 		}, "", 0, []string{"to b", "to c", "unreached", "to d without c"}},
 		{"this box is the next and asks for confirmation", func(f *fakeBox) {
 			f.nextOwners, f.turnResults = boxes("a", "c"), []error{gone, nil}
-		}, "", 0, []string{"to b", "unreached", "prepare", "confirm without b", "here", "to c without b"}},
+		}, "", 0, []string{"to b", "unreached", "confirm without b", "prepare", "here", "to c without b"}},
 		{"at most ownerCandidates boxes are asked", func(f *fakeBox) {
 			f.nextOwners, f.turnResults = boxes("c", "d", "e", "f", "g"), []error{notOwner, notOwner, notOwner, notOwner, nil}
 		}, "", 0, []string{"to b", "to c", "to d", "to e", "to b"}},
--- a/gate/shard/claim.go
+++ b/gate/shard/claim.go
@@ -15,7 +15,7 @@
 // ownerKey is the key of the record that names the owner of a slot.
 const ownerKey = "owner"
 
-// preloadTTL is how long a slot that was read ahead is kept for a claim. It exceeds the time of a confirmation.
+// preloadTTL is how long after the end of its read a slot that was read ahead is kept for a claim. It exceeds the time of a confirmation.
 const preloadTTL = time.Second
 
 // ownerRecord is the value of the record with ownerKey.
@@ -85,7 +85,7 @@
 	err    error
 }
 
-// Prepare begins to read the slot, since this box is likely to claim it within preloadTTL. The claim reads only
+// Prepare begins to read the slot, since this box is likely to claim it soon. The claim reads only
 // what was written since.
 func (m *Manager) Prepare(number int) {
 	m.mu.Lock()
@@ -96,15 +96,15 @@
 	p := &preload{done: make(chan struct{})}
 	m.preloads[number] = p
 	m.background.Go(func() {
-		defer close(p.done)
 		p.loader, p.next, p.err = m.read(number)
-	})
-	time.AfterFunc(preloadTTL, func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		if m.preloads[number] == p {
-			delete(m.preloads, number)
-		}
+		close(p.done)
+		time.AfterFunc(preloadTTL, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if m.preloads[number] == p {
+				delete(m.preloads, number)
+			}
+		})
 	})
 }
 
--- a/gate/shard/takeover_test.go
+++ b/gate/shard/takeover_test.go
@@ -194,3 +194,37 @@
 		}
 	}
 }
+
+// TestLongReadAheadIsNotRepeated guards against a slot that is read again and again because reading it takes longer
+// than preloadTTL, and checks that the claim uses the read.
+func TestLongReadAheadIsNotRepeated(t *testing.T) {
+	runTakeover(t, func(t *testing.T, ctx context.Context, f *fleet, log *memLog) {
+		b := f.managers["b"]
+		previous := "one"
+		for n := range 20 {
+			id := fmt.Sprint(n)
+			if err := runTurn(ctx, f.managers["a"], newTurn(id, previous), -1, 0, ignoreTokens); err != nil {
+				t.Fatal(err)
+			}
+			previous = id
+		}
+		log.pageNewest(1, preloadTTL/10) // some 20 pages
+		b.Prepare(0)
+		first := b.preloads[0]
+		for range 20 {
+			time.Sleep(preloadTTL / 10)
+			b.Prepare(0)
+			if b.preloads[0] != first {
+				t.Fatal("the slot is read anew")
+			}
+		}
+		<-first.done
+		time.Sleep(preloadTTL / 2)
+		f.setUnreachable("a", true)
+		f.setFailed("b", "a")
+		start := time.Now()
+		if _, err := b.Get(ctx, 0); err != nil || time.Since(start) > 200*time.Millisecond {
+			t.Errorf("claimed after %v: %v", time.Since(start), err)
+		}
+	})
+}
--- a/gate/view/failover.go
+++ b/gate/view/failover.go
@@ -32,6 +32,8 @@
 	// confirmTimeout bounds the confirmation of a failure: a caller's turn waits for it. Answers that are
 	// missing by then do not count, so a slow box fails to confirm and never confirms in error.
 	confirmTimeout = 150 * time.Millisecond
+	// answerTime is how long the check of a live box usually takes at most. A takeover is likely if it takes longer.
+	answerTime = 20 * time.Millisecond
 	// rejectedTTL is how long a failure that was not confirmed is not checked again, so that all turns for
 	// a slow owner do not each cause a check.
 	rejectedTTL = 100 * time.Millisecond
@@ -89,18 +91,24 @@
 	confirmed map[string]work.Box
 	// watched holds the unreachable boxes that are checked periodically until they answer.
 	watched map[work.Box]bool
-	// confirming holds a channel for each confirmation in progress, which is closed at its end.
-	confirming map[work.Box]chan struct{}
+	// confirming holds the confirmations in progress.
+	confirming map[work.Box]*confirmation
 	// rejectedAt holds when the failure of a box was last not confirmed.
 	rejectedAt map[work.Box]time.Time
 }
 
+// confirmation is a check of a box in progress.
+type confirmation struct {
+	// doubted is closed if the box has not answered this one within answerTime, done at the end.
+	doubted, done chan struct{}
+}
+
 // NewFailover returns a Failover that adds to v.
 func NewFailover(v *View, regions work.Regions, prober Prober, cutOff CutOff, counts Counts) *Failover {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Failover{
 		View: v, regions: regions, prober: prober, cutOff: cutOff, counts: counts, ctx: ctx, cancel: cancel,
-		confirmed: map[string]work.Box{}, watched: map[work.Box]bool{}, confirming: map[work.Box]chan struct{}{}, rejectedAt: map[work.Box]time.Time{},
+		confirmed: map[string]work.Box{}, watched: map[work.Box]bool{}, confirming: map[work.Box]*confirmation{}, rejectedAt: map[work.Box]time.Time{},
 	}
 }
 
@@ -139,38 +147,47 @@
 }
 
 // Confirm checks those of the boxes whose failure is not confirmed yet, and returns once all checks have
-// ended or ctx has. Afterwards Failed reports the result.
-func (f *Failover) Confirm(ctx context.Context, boxes []work.Box) {
-	for _, wait := range f.startConfirming(boxes) {
+// ended or ctx has. Afterwards Failed reports the result. It calls likely once if one of the boxes has not answered
+// for so long that its failure is likely to be confirmed.
+func (f *Failover) Confirm(ctx context.Context, boxes []work.Box, likely func()) {
+	var once sync.Once
+	for _, c := range f.startConfirming(boxes) {
+		select {
+		case <-c.doubted:
+			once.Do(likely)
+		case <-c.done:
+		case <-ctx.Done():
+			return
+		}
 		select {
-		case <-wait:
+		case <-c.done:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// startConfirming starts a confirmation for each box that needs one, and returns a channel for each that is
-// closed at its end. Concurrent callers share a confirmation.
-func (f *Failover) startConfirming(boxes []work.Box) []chan struct{} {
-	var waits []chan struct{}
+// startConfirming starts a confirmation for each box that needs one, and returns those in progress. Concurrent callers
+// share a confirmation.
+func (f *Failover) startConfirming(boxes []work.Box) []*confirmation {
+	var all []*confirmation
 	for _, box := range boxes {
 		if f.Failed(box) || !f.mayJudge(box) {
 			continue
 		}
 		f.stateMu.Lock()
-		wait, ok := f.confirming[box]
-		if !ok && !f.stopped && time.Since(f.rejectedAt[box]) >= rejectedTTL {
-			wait = make(chan struct{})
-			f.confirming[box] = wait
-			f.checks.Go(func() { f.confirm(box, wait) })
+		c := f.confirming[box]
+		if c == nil && !f.stopped && time.Since(f.rejectedAt[box]) >= rejectedTTL {
+			c = &confirmation{doubted: make(chan struct{}), done: make(chan struct{})}
+			f.confirming[box] = c
+			f.checks.Go(func() { f.confirm(box, c) })
 		}
 		f.stateMu.Unlock()
-		if wait != nil {
-			waits = append(waits, wait)
+		if c != nil {
+			all = append(all, c)
 		}
 	}
-	return waits
+	return all
 }
 
 // mayJudge reports whether this box may confirm a failure of the given one: it knows the current fleet and log,
@@ -195,11 +212,11 @@
 }
 
 // confirm checks one box and records the result.
-func (f *Failover) confirm(box work.Box, done chan struct{}) {
+func (f *Failover) confirm(box work.Box, c *confirmation) {
 	ctx, stop := context.WithTimeout(f.ctx, confirmTimeout)
 	defer stop()
 	start := time.Now()
-	own, unreached, asked := f.poll(ctx, box)
+	own, unreached, asked := f.poll(ctx, box, c.doubted)
 	// The state may have changed during the poll.
 	failed := confirmsFailure(own, unreached, asked) && f.mayJudge(box)
 	f.stateMu.Lock()
@@ -219,7 +236,7 @@
 		f.counts.Count("view.failures_not_confirmed", 1)
 		f.logger.Info("view: failure of a box not confirmed", "other", box.Name, "contact", own, "unreached", unreached, "asked", asked, "took", time.Since(start))
 	}
-	close(done)
+	close(c.done)
 }
 
 // confirmsFailure reports whether a failure is confirmed: this box does not reach the suspect, and neither does
@@ -234,8 +251,8 @@
 
 // poll tries to connect to the suspect and asks the witnesses to, concurrently. It returns this box's own
 // result, the number of witnesses that do not reach the suspect and the number of witnesses asked. It ends early
-// once the result is certain.
-func (f *Failover) poll(ctx context.Context, box work.Box) (own Contact, unreached, asked int) {
+// once the result is certain, and closes doubted if the suspect has not answered within answerTime.
+func (f *Failover) poll(ctx context.Context, box work.Box, doubted chan struct{}) (own Contact, unreached, asked int) {
 	witnesses := chooseWitnesses(f.Live(), f.self, box, f.regions)
 	asked = len(witnesses)
 	answers := make(chan Contact, asked)
@@ -246,6 +263,7 @@
 	for _, witness := range witnesses {
 		go func() { answers <- f.prober.AskContact(ctx, witness, box) }()
 	}
+	doubt := time.After(answerTime)
 	own = Unknown
 	for left := asked; own == Unknown || left > 0; {
 		select {
@@ -258,6 +276,8 @@
 			if got == Gone || got == Silent {
 				unreached++
 			}
+		case <-doubt:
+			close(doubted)
 		case <-ctx.Done():
 			return own, unreached, asked
 		}
--- a/gate/view/failover_test.go
+++ b/gate/view/failover_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -105,6 +106,8 @@
 	links  *fakeLinks
 	cutOff map[string]*bool
 	boxes  map[string]*Failover
+	// likely counts how often a takeover was called likely.
+	likely atomic.Int64
 }
 
 // runFailover runs a test on a settled fleet.
@@ -154,7 +157,7 @@
 func (w *failoverWorld) confirm() (bool, time.Duration) {
 	start := time.Now()
 	judge, suspect := w.boxes["b1"], w.boxes["a1"].self
-	judge.Confirm(context.Background(), []work.Box{suspect})
+	judge.Confirm(context.Background(), []work.Box{suspect}, func() { w.likely.Add(1) })
 	return judge.Failed(suspect), time.Since(start)
 }
 
@@ -255,6 +258,27 @@
 	}
 }
 
+// TestLiveBoxIsNotLikelyLost guards against reads of whole slots for owners that answer the check of their failure.
+func TestLiveBoxIsNotLikelyLost(t *testing.T) {
+	for name, c := range map[string]struct {
+		lose func(n *fakeLinks)
+		want int64
+	}{
+		"slow":   {func(n *fakeLinks) { n.slow["a1"] = true }, 0},
+		"killed": {func(n *fakeLinks) { n.killed["a1"] = true }, 0},
+		"silent": {func(n *fakeLinks) { n.cutZones["a"] = true }, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFailover(t, func(t *testing.T, w *failoverWorld) {
+				w.links.set(c.lose)
+				if w.confirm(); w.likely.Load() != c.want {
+					t.Errorf("called likely %d times", w.likely.Load())
+				}
+			})
+		})
+	}
+}
+
 // TestLonelyBoxConfirmsOnlyRefusal checks that without a third box only a refused connection counts as a failure:
 // silence may come from a broken link.
 func TestLonelyBoxConfirmsOnlyRefusal(t *testing.T) {
