view: ask witnesses only if the suspect does not answer at once

Change: witnesses are asked once the box's own check is unanswered for 20 ms or fails; a poll ends once half of them reach the suspect; a failure that is not confirmed is checked again after 0.1, 0.2 s and so on up to 2 s; a confirmed one is first checked again 200 ms after the suspicion, as by the forwarding box.

--- a/gate/view/failover.go
+++ b/gate/view/failover.go
@@ -32,11 +32,16 @@
 	// confirmTimeout bounds the confirmation of a failure: a caller's turn waits for it. Answers that are
 	// missing by then do not count, so a slow box fails to confirm and never confirms in error.
 	confirmTimeout = 150 * time.Millisecond
-	// answerTime is how long the check of a live box usually takes at most. A takeover is likely if it takes longer.
+	// answerTime is how long the check of a live box usually takes at most. Only then witnesses are asked, and a
+	// takeover is likely if they have not refuted the failure after the same time again. Otherwise each check of one
+	// slow owner would come from eight boxes.
 	answerTime = 20 * time.Millisecond
 	// rejectedTTL is how long a failure that was not confirmed is not checked again, so that all turns for
-	// a slow owner do not each cause a check.
-	rejectedTTL = 100 * time.Millisecond
+	// a slow owner do not each cause a check. It doubles with each such result up to maxRejectedTTL, and starts anew
+	// after rejectedReset without one.
+	rejectedTTL    = 100 * time.Millisecond
+	maxRejectedTTL = 2 * time.Second
+	rejectedReset  = 2 * maxRejectedTTL
 	// recheckInterval is the time between two checks of whether an unreachable box answers again. It is less
 	// than unreachableBackoff, so that no turn is sent to a box that is still silent.
 	recheckInterval = 200 * time.Millisecond
@@ -93,22 +98,37 @@
 	watched map[work.Box]bool
 	// confirming holds the confirmations in progress.
 	confirming map[work.Box]*confirmation
-	// rejectedAt holds when the failure of a box was last not confirmed.
-	rejectedAt map[work.Box]time.Time
+	// rejections holds the boxes whose failure was recently not confirmed.
+	rejections map[work.Box]rejection
 }
 
 // confirmation is a check of a box in progress.
 type confirmation struct {
-	// doubted is closed if the box has not answered this one within answerTime, done at the end.
+	// doubted is closed if neither the box nor the witnesses have refuted the failure for some time, done at the end.
 	doubted, done chan struct{}
 }
 
+// rejection is when the failure of a box was last not confirmed, and how long it is not checked again.
+type rejection struct {
+	at  time.Time
+	ttl time.Duration
+}
+
+// next returns the rejection that follows r.
+func (r rejection) next() rejection {
+	ttl := rejectedTTL
+	if r.ttl > 0 && time.Since(r.at) < rejectedReset {
+		ttl = min(2*r.ttl, maxRejectedTTL)
+	}
+	return rejection{at: time.Now(), ttl: ttl}
+}
+
 // NewFailover returns a Failover that adds to v.
 func NewFailover(v *View, regions work.Regions, prober Prober, cutOff CutOff, counts Counts) *Failover {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Failover{
 		View: v, regions: regions, prober: prober, cutOff: cutOff, counts: counts, ctx: ctx, cancel: cancel,
-		confirmed: map[string]work.Box{}, watched: map[work.Box]bool{}, confirming: map[work.Box]*confirmation{}, rejectedAt: map[work.Box]time.Time{},
+		confirmed: map[string]work.Box{}, watched: map[work.Box]bool{}, confirming: map[work.Box]*confirmation{}, rejections: map[work.Box]rejection{},
 	}
 }
 
@@ -143,7 +163,7 @@
 // answers.
 func (f *Failover) MarkUnreachable(box work.Box) {
 	f.View.MarkUnreachable(box)
-	f.watch(box)
+	f.watch(box, recheckInterval)
 }
 
 // Confirm checks those of the boxes whose failure is not confirmed yet, and returns once all checks have
@@ -177,7 +197,7 @@
 		}
 		f.stateMu.Lock()
 		c := f.confirming[box]
-		if c == nil && !f.stopped && time.Since(f.rejectedAt[box]) >= rejectedTTL {
+		if c == nil && !f.stopped && time.Since(f.rejections[box].at) >= f.rejections[box].ttl {
 			c = &confirmation{doubted: make(chan struct{}), done: make(chan struct{})}
 			f.confirming[box] = c
 			f.checks.Go(func() { f.confirm(box, c) })
@@ -216,76 +236,107 @@
 	ctx, stop := context.WithTimeout(f.ctx, confirmTimeout)
 	defer stop()
 	start := time.Now()
-	own, unreached, asked := f.poll(ctx, box, c.doubted)
+	got := f.poll(ctx, box, c.doubted)
 	// The state may have changed during the poll.
-	failed := confirmsFailure(own, unreached, asked) && f.mayJudge(box)
+	failed := got.confirms() && f.mayJudge(box)
 	f.stateMu.Lock()
 	delete(f.confirming, box)
-	maps.DeleteFunc(f.rejectedAt, func(_ work.Box, at time.Time) bool { return time.Since(at) > rejectedTTL })
+	maps.DeleteFunc(f.rejections, func(_ work.Box, last rejection) bool { return time.Since(last.at) > rejectedReset })
 	if failed && !f.stopped {
 		f.confirmed[box.Name] = box
 	} else {
-		f.rejectedAt[box] = time.Now()
+		f.rejections[box] = f.rejections[box].next()
 	}
 	f.stateMu.Unlock()
 	if failed {
 		f.counts.Count("view.failures_confirmed", 1)
-		f.logger.Warn("view: failure of a box confirmed", "other", box.Name, "contact", own, "unreached", unreached, "asked", asked, "took", time.Since(start))
-		f.MarkUnreachable(box)
+		f.logger.Warn("view: failure of a box confirmed", "other", box.Name, "contact", got.own, "unreached", got.unreached, "asked", got.asked, "took", time.Since(start))
+		// The forwarding box has watched it for longer. If the box answers again, it should learn which slots it lost
+		// before it gets their turns.
+		f.View.MarkUnreachable(box)
+		f.watch(box, recheckInterval-time.Since(start))
 	} else {
 		f.counts.Count("view.failures_not_confirmed", 1)
-		f.logger.Info("view: failure of a box not confirmed", "other", box.Name, "contact", own, "unreached", unreached, "asked", asked, "took", time.Since(start))
+		f.logger.Info("view: failure of a box not confirmed", "other", box.Name, "contact", got.own, "unreached", got.unreached, "asked", got.asked, "took", time.Since(start))
 	}
 	close(c.done)
 }
 
-// confirmsFailure reports whether a failure is confirmed: this box does not reach the suspect, and neither does
+// pollResult is the result of a poll.
+type pollResult struct {
+	// own is the result of this box's own check.
+	own Contact
+	// asked is the number of witnesses, unreached and reached those that have answered that they do not or do reach
+	// the suspect.
+	asked, unreached, reached int
+}
+
+// confirms reports whether a failure is confirmed: this box does not reach the suspect, and neither does
 // a majority of the asked boxes, of which those without an answer count as reaching it. If there was none to
 // ask, only a box whose process is certainly gone counts as failed, since the link to it may be broken.
-func confirmsFailure(own Contact, unreached, asked int) bool {
-	if asked == 0 {
-		return own == Gone
+func (r pollResult) confirms() bool {
+	if r.asked == 0 {
+		return r.own == Gone
 	}
-	return (own == Gone || own == Silent) && 2*unreached > asked
+	return (r.own == Gone || r.own == Silent) && 2*r.unreached > r.asked
 }
 
-// poll tries to connect to the suspect and asks the witnesses to, concurrently. It returns this box's own
-// result, the number of witnesses that do not reach the suspect and the number of witnesses asked. It ends early
-// once the result is certain, and closes doubted if the suspect has not answered within answerTime.
-func (f *Failover) poll(ctx context.Context, box work.Box, doubted chan struct{}) (own Contact, unreached, asked int) {
-	witnesses := chooseWitnesses(f.Live(), f.self, box, f.regions)
-	asked = len(witnesses)
-	answers := make(chan Contact, asked)
-	ownAnswer := make(chan Contact, 1)
+// refutes reports whether the failure can't be confirmed any more.
+func (r pollResult) refutes() bool {
+	return r.own == Answered || r.asked > 0 && 2*r.reached >= r.asked
+}
+
+// poll tries to connect to the suspect and, unless that answers within answerTime, asks the witnesses to. It ends
+// early once the result is certain, and closes doubted if it is not after another answerTime.
+func (f *Failover) poll(ctx context.Context, box work.Box, doubted chan struct{}) pollResult {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	ownAnswer := make(chan Contact, 1)
 	go func() { ownAnswer <- f.prober.Contact(ctx, box) }()
+	var got pollResult
+	select {
+	case got.own = <-ownAnswer:
+		if got.own != Gone && got.own != Silent {
+			return got
+		}
+	case <-time.After(answerTime):
+	case <-ctx.Done():
+		return got
+	}
+	witnesses := chooseWitnesses(f.Live(), f.self, box, f.regions)
+	got.asked = len(witnesses)
+	answers := make(chan Contact, got.asked)
 	for _, witness := range witnesses {
 		go func() { answers <- f.prober.AskContact(ctx, witness, box) }()
 	}
 	doubt := time.After(answerTime)
-	own = Unknown
-	for left := asked; own == Unknown || left > 0; {
+	for left := got.asked; (got.own == "" || left > 0) && !got.confirms() && !got.refutes(); {
 		select {
-		case own = <-ownAnswer:
-			if own == Answered || own == Unknown {
-				return own, unreached, asked
+		case got.own = <-ownAnswer:
+			if got.own == Unknown {
+				return got
 			}
-		case got := <-answers:
+		case answer := <-answers:
 			left--
-			if got == Gone || got == Silent {
-				unreached++
-			}
+			got.count(answer)
 		case <-doubt:
 			close(doubted)
 		case <-ctx.Done():
-			return own, unreached, asked
-		}
-		if own != Unknown && confirmsFailure(own, unreached, asked) {
-			return own, unreached, asked
+			return got
 		}
 	}
-	return own, unreached, asked
+	return got
+}
+
+// count adds the answer of a witness.
+func (r *pollResult) count(answer Contact) {
+	switch answer {
+	case Gone, Silent:
+		r.unreached++
+	case Answered:
+		r.reached++
+	case Unknown:
+	}
 }
 
 // chooseWitnesses returns the boxes to ask whether they reach the suspect: boxes of its region in all
@@ -334,8 +385,9 @@
 	return f.prober.Contact(ctx, box)
 }
 
-// watch checks the box periodically until it answers or the log no longer lists this incarnation of it.
-func (f *Failover) watch(box work.Box) {
+// watch checks the box periodically until it answers or the log no longer lists this incarnation of it. The first check
+// comes after the given time.
+func (f *Failover) watch(box work.Box, first time.Duration) {
 	f.stateMu.Lock()
 	defer f.stateMu.Unlock()
 	if f.watched[box] || f.stopped {
@@ -343,17 +395,17 @@
 	}
 	f.watched[box] = true
 	f.checks.Go(func() {
-		for f.stillUnreachable(box) {
+		for wait := first; f.stillUnreachable(box, wait); wait = recheckInterval {
 			f.View.MarkUnreachable(box)
 		}
 		f.unwatch(box)
 	})
 }
 
-// stillUnreachable waits for recheckInterval and reports whether the box does not answer then.
-func (f *Failover) stillUnreachable(box work.Box) bool {
+// stillUnreachable waits for the given time and reports whether the box does not answer then.
+func (f *Failover) stillUnreachable(box work.Box, wait time.Duration) bool {
 	select {
-	case <-time.After(recheckInterval):
+	case <-time.After(wait):
 	case <-f.ctx.Done():
 		return false
 	}
--- a/gate/view/failover_test.go
+++ b/gate/view/failover_test.go
@@ -258,6 +258,37 @@
 	}
 }
 
+// TestSlowOwnerIsCheckedRarely guards against a live, slow owner that is checked by eight boxes ten times a second, as
+// long as boxes name it as unreachable.
+func TestSlowOwnerIsCheckedRarely(t *testing.T) {
+	for name, c := range map[string]struct {
+		harm func(n *fakeLinks)
+		most int
+	}{
+		"slow":               {func(n *fakeLinks) { n.slow["a1"] = true }, 10},
+		"one link is broken": {func(n *fakeLinks) { n.cutLinks[[2]string{"a1", "b1"}] = true }, 10 * (maxWitnesses + 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFailover(t, func(t *testing.T, w *failoverWorld) {
+				w.links.set(c.harm)
+				before := w.links.contactCount()
+				for range 500 {
+					if failed, _ := w.confirm(); failed {
+						t.Fatal("a failure was confirmed")
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				if got := w.links.contactCount() - before; got > c.most {
+					t.Errorf("%d attempts to connect in 10 s", got)
+				}
+				if got := w.likely.Load(); got > 0 {
+					t.Errorf("called likely lost %d times", got)
+				}
+			})
+		})
+	}
+}
+
 // TestLiveBoxIsNotLikelyLost guards against reads of whole slots for owners that answer the check of their failure.
 func TestLiveBoxIsNotLikelyLost(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -283,7 +314,7 @@
 // silence may come from a broken link.
 func TestLonelyBoxConfirmsOnlyRefusal(t *testing.T) {
 	for got, want := range map[Contact]bool{Gone: true, Silent: false, Answered: false, Unknown: false} {
-		if confirmsFailure(got, 0, 0) != want {
+		if (pollResult{own: got}).confirms() != want {
 			t.Errorf("%s counts as a failure: %v", got, !want)
 		}
 	}
