view: let a confirmed failure expire for new takeovers

Change: a takeover may start only within a second of a confirmation, so that the next one asks again; a claim in progress may go on until the box answers or a poll refutes the failure, which also notifies the box.

--- a/gate/node/failover_test.go
+++ b/gate/node/failover_test.go
@@ -515,3 +515,35 @@
 		})
 	}
 }
+
+// TestBrokenLinkAfterTakeover guards against a slot that changes hands for ever because one link stays broken after the
+// owner has been lost for a moment: each takeover needs a new confirmation.
+func TestBrokenLinkAfterTakeover(t *testing.T) {
+	runFleet(t, func(t *testing.T, f *slotFleet) {
+		ranked, caller := f.ranked("a1"), f.outside()
+		owner, next := ranked[0], ranked[1]
+		f.set(func() {
+			for name := range f.boxes {
+				f.cutLinks[[2]string{owner.Name, name}] = true
+			}
+		})
+		if _, err := f.turn(caller, 3); err != nil {
+			t.Fatal(err)
+		}
+		f.set(func() {
+			clear(f.cutLinks)
+			f.cutLinks[[2]string{owner.Name, next.Name}] = true
+			f.cutLinks[[2]string{owner.Name, caller}] = true
+		})
+		time.Sleep(5 * time.Second)
+		claims := f.claims
+		for range 600 {
+			_, _ = f.turn(caller, 0)     // it names the owner as unreachable
+			_, _ = f.turn(owner.Name, 0) // the owner claims a slot that it has lost
+			time.Sleep(time.Second)
+		}
+		if got := f.claims - claims; got > 2 {
+			t.Errorf("%d claims in 10 minutes", got)
+		}
+	})
+}
--- a/gate/shard/fakes_test.go
+++ b/gate/shard/fakes_test.go
@@ -271,7 +271,8 @@
 func (v boxView) Find(name, _ string) (work.Box, bool) {
 	return work.Box{Name: name}, !v.Failed(work.Box{Name: name})
 }
-func (v boxView) Settled() bool { return true }
+func (v boxView) Settled() bool                    { return true }
+func (v boxView) FailedRecently(box work.Box) bool { return v.Failed(box) }
 func (v boxView) Failed(box work.Box) bool {
 	v.fleet.mu.Lock()
 	defer v.fleet.mu.Unlock()
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -66,6 +66,8 @@
 	Settled() bool
 	// Failed reports whether other boxes have confirmed that the box, which is still listed, can't be reached.
 	Failed(box work.Box) bool
+	// FailedRecently reports whether that was confirmed so recently that a takeover may start.
+	FailedRecently(box work.Box) bool
 }
 
 // Peers sends requests to other boxes.
@@ -236,13 +238,19 @@
 	return ok && box.Name == m.self.Name
 }
 
-// mayTakeOver reports whether this box should own the slot but for boxes whose failure has been confirmed.
+// mayTakeOver reports whether a claim of the slot may go on: this box should own it but for boxes whose failure has been
+// confirmed.
 func (m *Manager) mayTakeOver(number int) bool {
+	return m.followsOnly(number, m.boxes.Failed)
+}
+
+// followsOnly reports whether all boxes that should rather own the slot than this one are failed ones.
+func (m *Manager) followsOnly(number int, failed func(box work.Box) bool) bool {
 	for _, box := range m.boxes.Owners(m.layout.Name(number), maxCandidates) {
 		if box.Name == m.self.Name {
 			return true
 		}
-		if !m.boxes.Failed(box) {
+		if !failed(box) {
 			return false
 		}
 	}
@@ -286,7 +294,7 @@
 	if m.shouldOwn(number) {
 		return m.startClaim(number)
 	}
-	if m.mayTakeOver(number) {
+	if m.followsOnly(number, m.boxes.FailedRecently) {
 		return m.startTakeover(number)
 	}
 	return nil
--- a/gate/view/failover.go
+++ b/gate/view/failover.go
@@ -45,6 +45,9 @@
 	// recheckInterval is the time between two checks of whether an unreachable box answers again. It is less
 	// than unreachableBackoff, so that no turn is sent to a box that is still silent.
 	recheckInterval = 200 * time.Millisecond
+	// confirmedTTL is how long a takeover may start after a confirmation. Without it, one broken link would let this
+	// box take slots over again and again from an owner that all others reach.
+	confirmedTTL = time.Second
 	// maxWitnesses bounds the boxes that are asked about one failure. In three availability zones it stands for
 	// three boxes in each of the other zones and one in the zone of the suspect, so that with that zone cut off
 	// a majority remains even if two witnesses are too slow to answer.
@@ -93,7 +96,7 @@
 	stopped bool
 	// confirmed holds the boxes whose failure was confirmed and that have not answered since, by name. Each of
 	// them is in watched.
-	confirmed map[string]work.Box
+	confirmed map[string]confirmedFailure
 	// watched holds the unreachable boxes that are checked periodically until they answer.
 	watched map[work.Box]bool
 	// confirming holds the confirmations in progress.
@@ -108,6 +111,12 @@
 	doubted, done chan struct{}
 }
 
+// confirmedFailure is a box whose failure was confirmed, and when it was last.
+type confirmedFailure struct {
+	box work.Box
+	at  time.Time
+}
+
 // rejection is when the failure of a box was last not confirmed, and how long it is not checked again.
 type rejection struct {
 	at  time.Time
@@ -128,7 +137,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Failover{
 		View: v, regions: regions, prober: prober, cutOff: cutOff, counts: counts, ctx: ctx, cancel: cancel,
-		confirmed: map[string]work.Box{}, watched: map[work.Box]bool{}, confirming: map[work.Box]*confirmation{}, rejections: map[work.Box]rejection{},
+		confirmed: map[string]confirmedFailure{}, watched: map[work.Box]bool{}, confirming: map[work.Box]*confirmation{}, rejections: map[work.Box]rejection{},
 	}
 }
 
@@ -151,12 +160,25 @@
 	return nil
 }
 
-// Failed reports whether the failure of the box has been confirmed and the box has not answered since.
+// Failed reports whether the failure of the box has been confirmed and neither the box has answered since nor a later
+// check has refuted it. A claim that has started may go on.
 func (f *Failover) Failed(box work.Box) bool {
+	_, ok := f.failedSince(box)
+	return ok
+}
+
+// FailedRecently reports whether Failed was confirmed within confirmedTTL, so that a takeover may start.
+func (f *Failover) FailedRecently(box work.Box) bool {
+	at, ok := f.failedSince(box)
+	return ok && time.Since(at) < confirmedTTL
+}
+
+// failedSince returns when the failure of the box was last confirmed; false if it has not failed.
+func (f *Failover) failedSince(box work.Box) (time.Time, bool) {
 	f.stateMu.Lock()
 	defer f.stateMu.Unlock()
 	have, ok := f.confirmed[box.Name]
-	return ok && have.Incarnation == box.Incarnation
+	return have.at, ok && have.box.Incarnation == box.Incarnation
 }
 
 // MarkUnreachable records that a call failed to reach the box. RecentlyUnreachable then holds until the box
@@ -166,8 +188,8 @@
 	f.watch(box, recheckInterval)
 }
 
-// Confirm checks those of the boxes whose failure is not confirmed yet, and returns once all checks have
-// ended or ctx has. Afterwards Failed reports the result. It calls likely once if one of the boxes has not answered
+// Confirm checks those of the boxes whose failure was not confirmed recently, and returns once all checks have
+// ended or ctx has. Afterwards FailedRecently reports the result. It calls likely once if one of the boxes has not answered
 // for so long that its failure is likely to be confirmed.
 func (f *Failover) Confirm(ctx context.Context, boxes []work.Box, likely func()) {
 	var once sync.Once
@@ -192,7 +214,7 @@
 func (f *Failover) startConfirming(boxes []work.Box) []*confirmation {
 	var all []*confirmation
 	for _, box := range boxes {
-		if f.Failed(box) || !f.mayJudge(box) {
+		if f.FailedRecently(box) || !f.mayJudge(box) {
 			continue
 		}
 		f.stateMu.Lock()
@@ -241,9 +263,13 @@
 	failed := got.confirms() && f.mayJudge(box)
 	f.stateMu.Lock()
 	delete(f.confirming, box)
+	refuted := !failed && f.confirmed[box.Name].box == box && got.refutes()
+	if refuted {
+		delete(f.confirmed, box.Name)
+	}
 	maps.DeleteFunc(f.rejections, func(_ work.Box, last rejection) bool { return time.Since(last.at) > rejectedReset })
 	if failed && !f.stopped {
-		f.confirmed[box.Name] = box
+		f.confirmed[box.Name] = confirmedFailure{box: box, at: time.Now()}
 	} else {
 		f.rejections[box] = f.rejections[box].next()
 	}
@@ -260,6 +286,9 @@
 		f.logger.Info("view: failure of a box not confirmed", "other", box.Name, "contact", got.own, "unreached", got.unreached, "asked", got.asked, "took", time.Since(start))
 	}
 	close(c.done)
+	if refuted {
+		f.notifyRecovered(box)
+	}
 }
 
 // pollResult is the result of a poll.
@@ -420,14 +449,18 @@
 func (f *Failover) unwatch(box work.Box) {
 	f.stateMu.Lock()
 	delete(f.watched, box)
-	wasConfirmed := f.confirmed[box.Name] == box
+	wasConfirmed := f.confirmed[box.Name].box == box
 	if wasConfirmed {
 		delete(f.confirmed, box.Name)
 	}
 	f.stateMu.Unlock()
-	if !wasConfirmed || f.ctx.Err() != nil {
-		return
+	if wasConfirmed && f.ctx.Err() == nil {
+		f.notifyRecovered(box)
 	}
+}
+
+// notifyRecovered runs the callbacks after a failure is over, if the box is still listed.
+func (f *Failover) notifyRecovered(box work.Box) {
 	listed := f.lists(box)
 	f.logger.Info("view: failure of a box is over", "other", box.Name, "listed", listed)
 	if !listed {
--- a/gate/view/failover_test.go
+++ b/gate/view/failover_test.go
@@ -347,6 +347,31 @@
 	})
 }
 
+// TestConfirmationExpires guards against a box that takes slots over for ever from an owner which it can't reach, but
+// the others can again.
+func TestConfirmationExpires(t *testing.T) {
+	runFailover(t, func(t *testing.T, w *failoverWorld) {
+		a1, b1 := w.boxes["a1"].self, w.boxes["b1"]
+		recovered := 0
+		b1.OnRecovered(func(work.Box) { recovered++ })
+		w.links.set(func(n *fakeLinks) { n.cutZones["a"] = true })
+		if failed, _ := w.confirm(); !failed || !b1.FailedRecently(a1) {
+			t.Fatal("the failure is not confirmed")
+		}
+		w.links.set(func(n *fakeLinks) {
+			n.cutZones["a"] = false
+			n.cutLinks[[2]string{"a1", "b1"}] = true
+		})
+		time.Sleep(confirmedTTL)
+		if b1.FailedRecently(a1) || !b1.Failed(a1) {
+			t.Errorf("may start a takeover: %v, may go on with one: %v", b1.FailedRecently(a1), b1.Failed(a1))
+		}
+		if failed, _ := w.confirm(); failed || recovered != 1 {
+			t.Errorf("failed %v after the others reach the box again, recovered %d times", failed, recovered)
+		}
+	})
+}
+
 // TestTakeoverEstimate checks that callers are told to retry when a takeover after a confirmation is likely to be done,
 // and later, if that did not happen, when the log drops the box.
 func TestTakeoverEstimate(t *testing.T) {
