view: require a third zone to confirm that a box is silent

Change: at most 3 witnesses of each zone, and a silent box must be silent to a witness outside of the zones of the checking box and the suspect; without one, only a box whose process is gone counts as failed. A fleet within one zone is exempt, as it has no such link.

--- a/gate/view/failover.go
+++ b/gate/view/failover.go
@@ -50,8 +50,10 @@
 	confirmedTTL = time.Second
 	// maxWitnesses bounds the boxes that are asked about one failure. In three availability zones it stands for
 	// three boxes in each of the other zones and one in the zone of the suspect, so that with that zone cut off
-	// a majority remains even if two witnesses are too slow to answer.
-	maxWitnesses = 7
+	// a majority remains even if two witnesses are too slow to answer. No zone has more than maxZoneWitnesses, so that
+	// one zone is no majority.
+	maxWitnesses     = 7
+	maxZoneWitnesses = 3
 	// takeoverDuration estimates the time from the first failed call until a slot is taken over after a
 	// confirmation: 150 ms to confirm and some calls to the log. minTakeoverRetry is the least delay after which a
 	// caller is told to retry meanwhile.
@@ -298,16 +300,21 @@
 	// asked is the number of witnesses, unreached and reached those that have answered that they do not or do reach
 	// the suspect.
 	asked, unreached, reached int
+	// onlyGone is set if there is no witness in a third availability zone, though there are several zones;
+	// thirdUnreached is set if a witness there does not reach the suspect. Otherwise only the link between the zones of
+	// this box and the suspect may be broken.
+	onlyGone, thirdUnreached bool
 }
 
 // confirms reports whether a failure is confirmed: this box does not reach the suspect, and neither does
-// a majority of the asked boxes, of which those without an answer count as reaching it. If there was none to
-// ask, only a box whose process is certainly gone counts as failed, since the link to it may be broken.
+// a majority of the asked boxes, of which those without an answer count as reaching it. A silent box must be silent to
+// a third availability zone as well. If there is none, or no box to ask, only a box whose process is certainly gone counts
+// as failed, since the link to it may be broken.
 func (r pollResult) confirms() bool {
 	if r.asked == 0 {
 		return r.own == Gone
 	}
-	return (r.own == Gone || r.own == Silent) && 2*r.unreached > r.asked
+	return (r.own == Gone || r.own == Silent && r.thirdUnreached && !r.onlyGone) && 2*r.unreached > r.asked
 }
 
 // refutes reports whether the failure can't be confirmed any more.
@@ -334,9 +341,15 @@
 	}
 	witnesses := chooseWitnesses(f.Live(), f.self, box, f.regions)
 	got.asked = len(witnesses)
-	answers := make(chan Contact, got.asked)
+	inThird := f.thirdZone(box)
+	got.onlyGone = !slices.ContainsFunc(witnesses, inThird)
+	type answer struct {
+		contact Contact
+		third   bool
+	}
+	answers := make(chan answer, got.asked)
 	for _, witness := range witnesses {
-		go func() { answers <- f.prober.AskContact(ctx, witness, box) }()
+		go func() { answers <- answer{f.prober.AskContact(ctx, witness, box), inThird(witness)} }()
 	}
 	doubt := time.After(answerTime)
 	for left := got.asked; (got.own == "" || left > 0) && !got.confirms() && !got.refutes(); {
@@ -345,9 +358,9 @@
 			if got.own == Unknown {
 				return got
 			}
-		case answer := <-answers:
+		case next := <-answers:
 			left--
-			got.count(answer)
+			got.count(next.contact, next.third)
 		case <-doubt:
 			close(doubted)
 		case <-ctx.Done():
@@ -357,11 +370,23 @@
 	return got
 }
 
-// count adds the answer of a witness.
-func (r *pollResult) count(answer Contact) {
+// thirdZone returns a function that reports whether a witness is in neither the zone of this box nor that of the suspect.
+// If the live boxes of the region are all in one zone, no link between zones is involved, and it holds for all.
+func (f *Failover) thirdZone(suspect work.Box) func(witness work.Box) bool {
+	oneZone := !slices.ContainsFunc(f.Live(), func(box work.Box) bool {
+		return box.Zone != suspect.Zone && f.regions[box.Zone] == f.regions[suspect.Zone]
+	})
+	return func(witness work.Box) bool {
+		return oneZone || witness.Zone != f.self.Zone && witness.Zone != suspect.Zone
+	}
+}
+
+// count adds the answer of a witness, which may be in a third zone.
+func (r *pollResult) count(answer Contact, third bool) {
 	switch answer {
 	case Gone, Silent:
 		r.unreached++
+		r.thirdUnreached = r.thirdUnreached || third
 	case Answered:
 		r.reached++
 	case Unknown:
@@ -369,8 +394,8 @@
 }
 
 // chooseWitnesses returns the boxes to ask whether they reach the suspect: boxes of its region in all
-// availability zones, but only one in its own, since that zone may be cut off as a whole. Fast boxes come first,
-// as their answers arrive in time.
+// availability zones, at most maxZoneWitnesses in each, but only one in its own, since that zone may be cut off as a
+// whole. Fast boxes come first, as their answers arrive in time.
 func chooseWitnesses(live []work.Box, self, suspect work.Box, regions work.Regions) []work.Box {
 	zones := map[string][]work.Box{}
 	for _, box := range live {
@@ -391,6 +416,8 @@
 					break
 				}
 				rank = maxWitnesses / 3
+			} else if len(zones) > 1 && rank >= maxZoneWitnesses {
+				break
 			}
 			candidates = append(candidates, candidate{box: boxes[i], rank: rank})
 		}
--- a/gate/view/failover_test.go
+++ b/gate/view/failover_test.go
@@ -320,6 +320,44 @@
 	}
 }
 
+// TestBrokenLinkBetweenLargeZones guards against a confirmation by the checking box's own zone: if a link between two
+// large zones is broken, a small or missing third one must not leave the first a majority of the witnesses.
+func TestBrokenLinkBetweenLargeZones(t *testing.T) {
+	for third := range 3 {
+		for _, gone := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d boxes in the third zone, killed %v", third, gone), func(t *testing.T) {
+				runFailover(t, func(t *testing.T, w *failoverWorld) {
+					for n := third; n < 3; n++ {
+						name := fmt.Sprintf("c%d", n+1)
+						w.boxes[name].Leave(context.Background())
+						_ = w.boxes[name].View.Stop(context.Background()) // it always returns nil
+					}
+					for _, zone := range []string{"a", "b"} {
+						for n := 4; n < 10; n++ {
+							w.add(t, work.Box{Name: fmt.Sprintf("%s%d", zone, n), Zone: zone, Peer: netip.MustParseAddrPort("10.0.0.1:80"), Incarnation: "1"})
+						}
+					}
+					time.Sleep(5 * time.Second)
+					w.links.set(func(n *fakeLinks) {
+						if gone {
+							n.killed["a1"] = true
+							return
+						}
+						for a := 1; a < 10; a++ {
+							for b := 1; b < 10; b++ {
+								n.cutLinks[[2]string{fmt.Sprintf("a%d", a), fmt.Sprintf("b%d", b)}] = true
+							}
+						}
+					})
+					if failed, _ := w.confirm(); failed != gone {
+						t.Errorf("the failure is confirmed: %v", failed)
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestFailureEndsWithAnswer checks that a confirmed failure ends soon after the box answers again, and that
 // callers are not sent to it before.
 func TestFailureEndsWithAnswer(t *testing.T) {
@@ -447,6 +485,7 @@
 func TestWitnessesAreSpread(t *testing.T) {
 	regions := work.Regions{"a": "north", "b": "north", "c": "north", "d": "south"}
 	var live []work.Box
+	fromOwn := 0
 	for _, zone := range []string{"a", "b", "c", "d"} {
 		for n := range 20 {
 			live = append(live, work.Box{Name: fmt.Sprintf("%s%d", zone, n), Zone: zone, Cores: 0.2})
@@ -464,6 +503,14 @@
 			t.Errorf("witnesses by zone (-want +got):\n%s", diff)
 		}
 	}
+	for _, box := range chooseWitnesses(append(live[:20:20], live[20:41]...), live[25], live[0], regions) {
+		if box.Zone == "b" {
+			fromOwn++
+		}
+	}
+	if fromOwn > maxZoneWitnesses {
+		t.Errorf("%d witnesses from the zone of the checking box, with one box in the third", fromOwn)
+	}
 	if got := chooseWitnesses(live[:2], live[0], live[1], regions); len(got) != 0 {
 		t.Errorf("witnesses %v of a fleet of two", got)
 	}
