view: do not watch boxes of other regions

Result: TestFarBoxIsNotWatched failed before (still skipped, after a check) and passes, with the other tests of gate/view.

--- a/gate/view/failover.go
+++ b/gate/view/failover.go
@@ -184,10 +184,17 @@
 }
 
 // MarkUnreachable records that a call failed to reach the box. RecentlyUnreachable then holds until the box
-// answers.
+// answers. For a box of another region it holds for unreachableBackoff, since a round trip may take longer than a check.
 func (f *Failover) MarkUnreachable(box work.Box) {
 	f.View.MarkUnreachable(box)
-	f.watch(box, recheckInterval)
+	if f.isNear(box) {
+		f.watch(box, recheckInterval)
+	}
+}
+
+// isNear reports whether the box is in the region of this one.
+func (f *Failover) isNear(box work.Box) bool {
+	return f.regions[box.Zone] == f.regions[f.self.Zone]
 }
 
 // Confirm checks those of the boxes whose failure was not confirmed recently, and returns once all checks have
@@ -237,7 +244,7 @@
 // mayJudge reports whether this box may confirm a failure of the given one: it knows the current fleet and log,
 // the other box is listed with this incarnation, and is near enough for the short timeouts.
 func (f *Failover) mayJudge(box work.Box) bool {
-	if box.Name == f.self.Name || f.regions[box.Zone] != f.regions[f.self.Zone] {
+	if box.Name == f.self.Name || !f.isNear(box) {
 		return false
 	}
 	return f.inContact() && f.lists(box)
--- a/gate/view/failover_test.go
+++ b/gate/view/failover_test.go
@@ -410,6 +410,22 @@
 	})
 }
 
+// TestFarBoxIsNotWatched guards against a box of another region that is skipped for ever, since a round trip to it takes
+// longer than a check waits.
+func TestFarBoxIsNotWatched(t *testing.T) {
+	runFailover(t, func(t *testing.T, w *failoverWorld) {
+		b1, far := w.boxes["b1"], w.boxes["a1"].self
+		b1.regions = work.Regions{"a": "south", "b": "north", "c": "north"}
+		w.links.set(func(n *fakeLinks) { n.cutLinks[[2]string{"a1", "b1"}] = true })
+		before := w.links.contactCount()
+		b1.MarkUnreachable(far)
+		time.Sleep(unreachableBackoff + time.Millisecond)
+		if got := w.links.contactCount() - before; got > 0 || b1.RecentlyUnreachable(far) {
+			t.Errorf("still skipped: %v, after %d checks", b1.RecentlyUnreachable(far), got)
+		}
+	})
+}
+
 // TestTakeoverEstimate checks that callers are told to retry when a takeover after a confirmation is likely to be done,
 // and later, if that did not happen, when the log drops the box.
 func TestTakeoverEstimate(t *testing.T) {
