shard: count takeovers from their fence and share those in progress

Change: a claim in progress is returned first, and a takeover is counted once its fence is in the log. Result: TestRequestsShareTakeover failed before in both respects and passes; gate/shard and gate/node pass.

--- a/gate/shard/claim.go
+++ b/gate/shard/claim.go
@@ -39,9 +39,9 @@
 }
 
 // acquire makes this box the owner of a slot. It asks the previous owner to release the slot, fences it
-// off, and only then reads the records that the previous owner wrote last.
-// A takeover ends without a fence if the box it takes the slot from answers again meanwhile.
-func (m *Manager) acquire(number int) (*Slot, error) {
+// off, and only then reads the records that the previous owner wrote last. A takeover ends without a fence if the box
+// it takes the slot from answers again meanwhile. fenced is called once the previous owner is fenced off.
+func (m *Manager) acquire(number int, fenced func()) (*Slot, error) {
 	ranked, _ := m.boxes.Owner(m.layout.Name(number))
 	shard := work.Shard{Topic: work.Turns, Number: number}
 	loader, next, err := m.load(number)
@@ -65,6 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
+	fenced()
 	if err := m.catchUp(ctx, shard, next, loader); err != nil {
 		return nil, err
 	}
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -306,31 +306,41 @@
 	owner, _ := m.boxes.Owner(m.layout.Name(number))
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if wait := m.claiming[number]; wait != nil {
+		return wait
+	}
 	maps.DeleteFunc(m.takeovers, func(_ takeover, streak takeoverStreak) bool { return time.Since(streak.last) >= takeoverReset })
 	key := takeover{number: number, box: owner.Name, incarnation: owner.Incarnation}
 	streak := m.takeovers[key]
 	if streak.count > 0 && time.Since(streak.last) < streak.delay() {
 		return nil
 	}
-	wait := m.startClaimLocked(number)
+	wait := m.startClaimLocked(number, func() { m.countTakeover(key) })
 	if wait != nil {
-		m.takeovers[key] = takeoverStreak{last: time.Now(), count: streak.count + 1}
 		m.counts.Count("shard.takeovers", 1)
 		m.logger.Warn("shard: taking over slot of a failed box", "slot", number, "owner", owner.Name, "takeovers", streak.count+1)
 	}
 	return wait
 }
 
+// countTakeover counts a takeover, once it has fenced the owner off. One that was given up before has taken nothing.
+func (m *Manager) countTakeover(key takeover) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.takeovers[key] = takeoverStreak{last: time.Now(), count: m.takeovers[key].count + 1}
+}
+
 // startClaim starts a claim unless one is in progress. It returns a channel that is closed when the
 // claim ends, or nil if the slot is held or must not be claimed now.
 func (m *Manager) startClaim(number int) chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.startClaimLocked(number)
+	return m.startClaimLocked(number, func() {})
 }
 
-// startClaimLocked is startClaim for callers that hold mu.
-func (m *Manager) startClaimLocked(number int) chan struct{} {
+// startClaimLocked is startClaim for callers that hold mu. fenced is called without mu, once the claim has first
+// fenced the previous owner off.
+func (m *Manager) startClaimLocked(number int, fenced func()) chan struct{} {
 	if m.slots[number] != nil || m.stopping || m.ctx.Err() != nil || time.Since(m.handedOverAt[number]) < reclaimDelay {
 		return nil
 	}
@@ -339,17 +349,17 @@
 	}
 	done := make(chan struct{})
 	m.claiming[number] = done
-	m.background.Go(func() { m.claimUntilHeld(number, done) })
+	m.background.Go(func() { m.claimUntilHeld(number, done, sync.OnceFunc(fenced)) })
 	return done
 }
 
 // claimUntilHeld retries the claim until it succeeds, another box should own the slot, or the service
 // stops. A slot that is won while the service stops is released.
-func (m *Manager) claimUntilHeld(number int, done chan struct{}) {
+func (m *Manager) claimUntilHeld(number int, done chan struct{}, fenced func()) {
 	start := time.Now()
 	var slot *Slot
 	for m.ctx.Err() == nil && !m.isStopping() && m.mayTakeOver(number) {
-		got, err := m.acquire(number)
+		got, err := m.acquire(number, fenced)
 		if err == nil {
 			slot = got
 			break
--- a/gate/shard/takeover_test.go
+++ b/gate/shard/takeover_test.go
@@ -228,3 +228,30 @@
 		}
 	})
 }
+
+// TestRequestsShareTakeover guards against a second turn that is refused while the first one's takeover is in progress,
+// and against a delay after a takeover that has taken nothing, as the owner answered again before the fence.
+func TestRequestsShareTakeover(t *testing.T) {
+	runTakeover(t, func(t *testing.T, ctx context.Context, f *fleet, log *memLog) {
+		b, before := f.managers["b"], log.claimCount()
+		f.setUnreachable("a", true)
+		f.setFailed("b", "a")
+		first := b.startTakeover(0)
+		time.Sleep(newestDelay / 2)
+		if first == nil || b.startTakeover(0) != first {
+			t.Error("the second request does not wait for the takeover in progress")
+		}
+		f.setFailed("b", "")
+		<-first
+		if b.Holds(0) || log.claimCount() != before {
+			t.Fatal("the takeover was not given up")
+		}
+		f.setFailed("b", "a")
+		if _, err := b.Get(ctx, 0); err != nil {
+			t.Errorf("a takeover after one that was given up: %v", err)
+		}
+		if got := b.takeovers[takeover{number: 0, box: "a"}].count; got != 1 {
+			t.Errorf("%d takeovers counted", got)
+		}
+	})
+}
