--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -83,8 +83,9 @@
 type Peers interface {
 	// Turn runs a turn on the box if that box owns the slot, or can take it over from the unreached boxes.
 	Turn(ctx context.Context, box work.Box, slot int, unreached []work.Box, call *work.Call, route *work.Route, out work.Answer) error
-	// Find searches the slots of a box for a turn; see Entry.Find.
-	Find(ctx context.Context, box work.Box, turn string, confirm bool) (text []byte, slots []int, err error)
+	// Find searches the slots of a box for a turn; see Entry.Find. home is the slot of the program that looks for it,
+	// which boxes of earlier versions confirm to own in any case.
+	Find(ctx context.Context, box work.Box, turn string, home int, confirm bool) (text []byte, slots []int, err error)
 }
 
 // Quotas limits the calls of workspaces.
--- a/gate/entry/entry_test.go
+++ b/gate/entry/entry_test.go
@@ -114,7 +114,7 @@
 	return err
 }
 
-func (f *fakeBox) Find(_ context.Context, box work.Box, _ string, confirm bool) ([]byte, []int, error) {
+func (f *fakeBox) Find(_ context.Context, box work.Box, _ string, _ int, confirm bool) ([]byte, []int, error) {
 	name := box.Name
 	if confirm {
 		name += " confirmed"
--- a/gate/entry/find.go
+++ b/gate/entry/find.go
@@ -58,7 +58,7 @@
 	boxes := s.nextBoxes(ranks)
 	answers := make(chan findResult, len(boxes))
 	for _, box := range boxes {
-		go func() { answers <- s.askBox(ctx, box, s.call.QualifiedName(s.call.Turn.Previous), s.confirm) }()
+		go func() { answers <- s.askBox(ctx, box) }()
 	}
 	for range boxes {
 		got := <-answers
@@ -96,19 +96,21 @@
 }
 
 // askBox searches one box, which may be this one, for the turn.
-func (e *Entry) askBox(ctx context.Context, box work.Box, turn string, confirm bool) findResult {
+func (s *turnSearch) askBox(ctx context.Context, box work.Box) findResult {
 	got := findResult{box: box.Name}
-	if box.Name == e.self.Name {
-		got.text, got.slots = e.Find(ctx, turn, confirm)
+	turn := s.call.QualifiedName(s.call.Turn.Previous)
+	if box.Name == s.self.Name {
+		got.text, got.slots = s.Find(ctx, turn, s.confirm)
 		return got
 	}
-	if e.boxes.RecentlyUnreachable(box) {
+	if s.boxes.RecentlyUnreachable(box) {
 		got.err = fault.Refuse(fault.PeerUnreachable, "a recent attempt to reach the box failed")
 		return got
 	}
-	got.text, got.slots, got.err = e.peers.Find(ctx, box, turn, confirm)
+	home := s.layout.SlotOf(s.call.QualifiedName(s.call.Turn.Program))
+	got.text, got.slots, got.err = s.peers.Find(ctx, box, turn, home, s.confirm)
 	if fault.Is(got.err, fault.PeerUnreachable) && ctx.Err() == nil {
-		e.boxes.MarkUnreachable(box)
+		s.boxes.MarkUnreachable(box)
 	}
 	return got
 }
--- a/gate/node/failover_test.go
+++ b/gate/node/failover_test.go
@@ -128,7 +128,7 @@
 }
 
 func (m *fakeMember) Deliver(context.Context, work.Box, int, []work.Record) error { return nil }
-func (m *fakeMember) Find(ctx context.Context, box work.Box, turn string, confirm bool) ([]byte, []int, error) {
+func (m *fakeMember) Find(ctx context.Context, box work.Box, turn string, _ int, confirm bool) ([]byte, []int, error) {
 	if got := m.reach(ctx, box, silence); got != view.Answered {
 		return nil, nil, fault.Refuse(fault.PeerUnreachable, string(got))
 	}
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -273,9 +273,9 @@
 }
 
 // Find implements entry.Peers.
-func (c *Client) Find(ctx context.Context, box work.Box, turn string, confirm bool) ([]byte, []int, error) {
-	// Boxes of earlier versions need the slot that they must confirm to own; -1 is none.
-	query := url.Values{turnParam: {turn}, confirmParam: {strconv.FormatBool(confirm)}, slotParam: {"-1"}}
+func (c *Client) Find(ctx context.Context, box work.Box, turn string, home int, confirm bool) ([]byte, []int, error) {
+	// Boxes of earlier versions do not know confirm, but need the slot that they must confirm to own.
+	query := url.Values{turnParam: {turn}, confirmParam: {strconv.FormatBool(confirm)}, slotParam: {strconv.Itoa(home)}}
 	ctx, stop := c.untilUnreachable(ctx, box)
 	defer stop()
 	_, raw, err := c.exchange(ctx, box, http.MethodGet, findPath, query, nil)
--- a/gate/remote/client_test.go
+++ b/gate/remote/client_test.go
@@ -54,14 +54,14 @@
 	if f := turnTo(t, c, box); f.Kind != fault.OwnerUnavailable || !f.NotRun || f.RetryAfter <= 0 {
 		t.Errorf("no connection is free: %v, not run %v, retry after %v", f, f.NotRun, f.RetryAfter)
 	}
-	if _, _, err := c.Find(context.Background(), box, "turn", false); !fault.Is(err, fault.OwnerUnavailable) {
+	if _, _, err := c.Find(context.Background(), box, "turn", 3, false); !fault.Is(err, fault.OwnerUnavailable) {
 		t.Errorf("a search while no connection is free: %v", err)
 	}
 	gone := work.Box{Name: "c", Peer: netip.MustParseAddrPort(closedAddr(t))}
 	if f := turnTo(t, c, gone); f.Kind != fault.PeerUnreachable || !f.NotRun {
 		t.Errorf("connection refused: %v, not run %v", f, f.NotRun)
 	}
-	if _, _, err := c.Find(context.Background(), gone, "turn", false); !fault.Is(err, fault.PeerUnreachable) {
+	if _, _, err := c.Find(context.Background(), gone, "turn", 3, false); !fault.Is(err, fault.PeerUnreachable) {
 		t.Errorf("a search with the connection refused: %v", err)
 	}
 }
--- a/gate/remote/reach_test.go
+++ b/gate/remote/reach_test.go
@@ -197,18 +197,23 @@
 	silent, _, silence := silentBox(t)
 	silence()
 	start := time.Now()
-	if _, _, err := newNearClient().Find(context.Background(), silent, "turn", false); !fault.Is(err, fault.PeerUnreachable) || time.Since(start) > 250*time.Millisecond {
+	if _, _, err := newNearClient().Find(context.Background(), silent, "turn", 3, false); !fault.Is(err, fault.PeerUnreachable) || time.Since(start) > 250*time.Millisecond {
 		t.Errorf("%v after %v", err, time.Since(start))
 	}
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	var home atomic.Value
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(4 * suspectAfter)
+		home.Store(r.URL.Query().Get(slotParam))
 		_, _ = w.Write([]byte(`{"slots":[3]}`)) // the client checks the response
 	}))
 	defer srv.Close()
 	slow := work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())}
-	if _, slots, err := newNearClient().Find(context.Background(), slow, "turn", false); err != nil || len(slots) != 1 {
+	if _, slots, err := newNearClient().Find(context.Background(), slow, "turn", 3, false); err != nil || len(slots) != 1 {
 		t.Errorf("%v, %v", slots, err)
 	}
+	if got := home.Load(); got != "3" {
+		t.Errorf("asked with slot %v, which a box of an earlier version must confirm to own", got)
+	}
 }
 
 // TestTurnToSlowBox checks that a box that asks for the body late, but accepts connections, still gets the turn:
