view: check a suspect at its listed address

Change: the box as listed in this box's view is checked, and witnesses get that address as well. Result: TestListedAddressIsChecked failed before (1 of 1 attempts to a wrong address) and passes; gate/view and gate/node pass.

--- a/gate/view/failover.go
+++ b/gate/view/failover.go
@@ -222,8 +222,9 @@
 // share a confirmation.
 func (f *Failover) startConfirming(boxes []work.Box) []*confirmation {
 	var all []*confirmation
-	for _, box := range boxes {
-		if f.FailedRecently(box) || !f.mayJudge(box) {
+	for _, named := range boxes {
+		box, ok := f.listed(named) // the address in another box's message may be wrong
+		if !ok || f.FailedRecently(box) || !f.mayJudge(box) {
 			continue
 		}
 		f.stateMu.Lock()
@@ -257,9 +258,20 @@
 
 // lists reports whether the box is live in this incarnation.
 func (f *Failover) lists(box work.Box) bool {
-	return slices.ContainsFunc(f.Live(), func(have work.Box) bool {
+	_, ok := f.listed(box)
+	return ok
+}
+
+// listed returns the box as the log lists it; false if it is not live in this incarnation.
+func (f *Failover) listed(box work.Box) (work.Box, bool) {
+	live := f.Live()
+	i := slices.IndexFunc(live, func(have work.Box) bool {
 		return have.Name == box.Name && have.Incarnation == box.Incarnation
 	})
+	if i < 0 {
+		return work.Box{}, false
+	}
+	return live[i], true
 }
 
 // confirm checks one box and records the result.
--- a/gate/view/failover_test.go
+++ b/gate/view/failover_test.go
@@ -20,6 +20,9 @@
 // silence is how long a fakeLinks takes to find a box silent, as remote.Client does.
 const silence = 75 * time.Millisecond
 
+// peerAddr is the address of all boxes.
+var peerAddr = netip.MustParseAddrPort("10.0.0.1:80")
+
 // fakeLinks is a network between boxes, whose links can be cut silently.
 type fakeLinks struct {
 	mu        sync.Mutex
@@ -30,8 +33,8 @@
 	// killed holds boxes whose process is gone, slow those that take longer than any timeout to respond to a
 	// request, but whose kernel accepts connections.
 	killed, slow map[string]bool
-	// contacts counts the attempts to connect.
-	contacts int
+	// contacts counts the attempts to connect, strays those to an address that no box has.
+	contacts, strays int
 }
 
 // linkEnd is the fakeLinks as seen by one box.
@@ -61,6 +64,9 @@
 func (e linkEnd) Contact(ctx context.Context, box work.Box) Contact {
 	e.mu.Lock()
 	e.contacts++
+	if box.Peer != peerAddr {
+		e.strays++
+	}
 	cut, killed := e.cut(e.self, box), e.killed[box.Name]
 	e.mu.Unlock()
 	switch {
@@ -120,7 +126,7 @@
 		w.links.failovers = w.boxes
 		for _, zone := range []string{"a", "b", "c"} {
 			for n := range 3 {
-				w.add(t, work.Box{Name: fmt.Sprintf("%s%d", zone, n+1), Zone: zone, Peer: netip.MustParseAddrPort("10.0.0.1:80"), Incarnation: "1"})
+				w.add(t, work.Box{Name: fmt.Sprintf("%s%d", zone, n+1), Zone: zone, Peer: peerAddr, Incarnation: "1"})
 			}
 		}
 		time.Sleep(3 * time.Second)
@@ -334,7 +340,7 @@
 					}
 					for _, zone := range []string{"a", "b"} {
 						for n := 4; n < 10; n++ {
-							w.add(t, work.Box{Name: fmt.Sprintf("%s%d", zone, n), Zone: zone, Peer: netip.MustParseAddrPort("10.0.0.1:80"), Incarnation: "1"})
+							w.add(t, work.Box{Name: fmt.Sprintf("%s%d", zone, n), Zone: zone, Peer: peerAddr, Incarnation: "1"})
 						}
 					}
 					time.Sleep(5 * time.Second)
@@ -426,6 +432,19 @@
 	})
 }
 
+// TestListedAddressIsChecked guards against a failure that is confirmed because the message names a wrong address of a
+// live box.
+func TestListedAddressIsChecked(t *testing.T) {
+	runFailover(t, func(t *testing.T, w *failoverWorld) {
+		named := w.boxes["a1"].self
+		named.Peer = netip.MustParseAddrPort("10.0.0.9:9")
+		w.boxes["b1"].Confirm(context.Background(), []work.Box{named}, func() {})
+		if w.links.strays > 0 || w.links.contactCount() == 0 {
+			t.Errorf("%d of %d attempts to a wrong address", w.links.strays, w.links.contactCount())
+		}
+	})
+}
+
 // TestTakeoverEstimate checks that callers are told to retry when a takeover after a confirmation is likely to be done,
 // and later, if that did not happen, when the log drops the box.
 func TestTakeoverEstimate(t *testing.T) {
