remote: end turns in progress at a box that is lost

Cause: a forwarded turn whose answer was in progress waited until TCP noticed the loss of its box (2 s; 131 turns waited 2.2 s in the median after a zone was cut off). Result: a silent box ends the turn within 700 ms, before and after the answer has begun (3.0 s, the deadline, without the watch); a box silent for 1.5 s that accepts or refuses connections does not; 50 silent turns share their checks.

--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -70,14 +70,14 @@
 
 	mu    sync.Mutex
 	pools map[netip.AddrPort]*dial.Pool
-	// signs holds the newest check for a sign of life of each box, by address.
-	signs map[netip.AddrPort]*signOfLife
+	// checks holds the newest check of each box, by address.
+	checks map[netip.AddrPort]*livenessCheck
 }
 
 // NewClient returns a client without connections. near reports whether a box is in the region of this one;
 // successors returns the boxes of the given one's availability zone that are asked for the slot after it.
 func NewClient(near func(box work.Box) bool, successors func(slot int, box work.Box) []work.Box) *Client {
-	return &Client{near: near, successors: successors, pools: map[netip.AddrPort]*dial.Pool{}, signs: map[netip.AddrPort]*signOfLife{}}
+	return &Client{near: near, successors: successors, pools: map[netip.AddrPort]*dial.Pool{}, checks: map[netip.AddrPort]*livenessCheck{}}
 }
 
 func (c *Client) pool(addr netip.AddrPort) *dial.Pool {
@@ -105,7 +105,7 @@
 			delete(c.pools, addr)
 		}
 	}
-	maps.DeleteFunc(c.signs, func(addr netip.AddrPort, _ *signOfLife) bool { return !keep[addr] })
+	maps.DeleteFunc(c.checks, func(addr netip.AddrPort, _ *livenessCheck) bool { return !keep[addr] })
 }
 
 // Turn forwards a turn to the box, which runs it if it owns the slot, and copies the response to out. unreached
@@ -114,6 +114,8 @@
 func (c *Client) Turn(ctx context.Context, box work.Box, slot int, unreached []work.Box, call *work.Call, route *work.Route, out work.Answer) error {
 	ctx, stop := context.WithDeadline(ctx, call.Deadline)
 	defer stop()
+	ctx, silence, stopWatch := c.endIfLost(ctx, box)
+	defer stopWatch()
 	meta := *call
 	meta.Body = nil
 	raw, err := frame(turnRequest{
@@ -123,17 +125,20 @@
 	if err != nil {
 		return err
 	}
+	silence.begin()
 	resp, err := c.sendTurn(ctx, box, slot, append(raw, call.Body...))
+	silence.end()
 	if err != nil {
 		return turnFault(err)
 	}
 	defer resp.Close()
+	in := &watchedReader{in: resp, silence: silence}
 	var head turnResponse
-	if err := unframe(resp, &head); err != nil {
+	if err := unframe(in, &head); err != nil {
 		return err
 	}
 	if head.Problem != nil {
-		_, _ = io.Copy(io.Discard, resp) // lets the connection be reused
+		_, _ = io.Copy(io.Discard, in) // lets the connection be reused
 		return head.Problem.Fault()
 	}
 	if head.Head == nil {
@@ -142,7 +147,7 @@
 	if err := out.Begin(*head.Head); err != nil {
 		return err
 	}
-	return work.CopyBody(resp, out, fault.PeerUnreachable)
+	return work.CopyBody(in, out, fault.PeerUnreachable)
 }
 
 // sendTurn sends a turn to the box. A near box that does not respond within suspectAfter is checked: if it does
--- a/gate/remote/reach.go
+++ b/gate/remote/reach.go
@@ -31,9 +31,9 @@
 	// identifyTimeout bounds the wait for the incarnation of a box that accepted a connection. A slow box does
 	// not answer in time and counts as alive.
 	identifyTimeout = 30 * time.Millisecond
-	// signTTL is how long a box that accepted a connection counts as alive for other requests that wait for it, and
+	// checkTTL is how long a box that accepted a connection counts as alive for other requests that wait for it, and
 	// one that did not as silent for turns.
-	signTTL = 100 * time.Millisecond
+	checkTTL = 100 * time.Millisecond
 	// incarnationHeader is the response header of a ping with the incarnation of the box.
 	incarnationHeader = "Incarnation"
 )
@@ -43,19 +43,25 @@
 	Contact view.Contact `json:"contact"`
 }
 
-// signOfLife is a check of whether a box accepts connections.
-type signOfLife struct {
+// livenessCheck is a check of whether a box accepts connections.
+type livenessCheck struct {
 	// done is closed once the other fields are set.
-	done  chan struct{}
-	alive bool
-	ended time.Time
+	done   chan struct{}
+	result view.Contact
+	ended  time.Time
+}
+
+// failed reports whether the box refused the connection or did not respond. A check that this box could not perform
+// says nothing.
+func (s *livenessCheck) failed() bool {
+	return s.result == view.Silent || s.result == view.Gone
 }
 
 // expired reports whether the check has ended too long ago for its result to be used.
-func (s *signOfLife) expired() bool {
+func (s *livenessCheck) expired() bool {
 	select {
 	case <-s.done:
-		return !s.alive || time.Since(s.ended) > signTTL
+		return s.failed() || time.Since(s.ended) > checkTTL
 	default:
 		return false
 	}
@@ -65,32 +71,37 @@
 // for a check in progress, which ends at once if the box is alive.
 func (c *Client) foundSilent(box work.Box) bool {
 	c.mu.Lock()
-	sign := c.signs[box.Peer]
+	last := c.checks[box.Peer]
 	c.mu.Unlock()
-	if sign == nil {
+	if last == nil {
 		return false
 	}
-	<-sign.done
-	return !sign.alive && time.Since(sign.ended) < signTTL
+	<-last.done
+	return last.failed() && time.Since(last.ended) < checkTTL
 }
 
 // accepts reports whether the box accepts connections. Requests that wait for a slow box share the check, so that
 // it does not get more to do.
 func (c *Client) accepts(box work.Box) bool {
+	return !c.check(box).failed()
+}
+
+// check returns a check of the box that has ended: one that has just found it alive, the one in progress or a new one.
+func (c *Client) check(box work.Box) *livenessCheck {
 	c.mu.Lock()
-	sign := c.signs[box.Peer]
-	if sign != nil && !sign.expired() {
+	last := c.checks[box.Peer]
+	if last != nil && !last.expired() {
 		c.mu.Unlock()
-		<-sign.done
-		return sign.alive
+		<-last.done
+		return last
 	}
-	sign = &signOfLife{done: make(chan struct{})}
-	c.signs[box.Peer] = sign
+	last = &livenessCheck{done: make(chan struct{})}
+	c.checks[box.Peer] = last
 	c.mu.Unlock()
-	sign.alive = c.contact(context.Background(), box, false) == view.Answered
-	sign.ended = time.Now()
-	close(sign.done)
-	return sign.alive
+	last.result = c.contact(context.Background(), box, false)
+	last.ended = time.Now()
+	close(last.done)
+	return last
 }
 
 // Contact implements view.Prober.
@@ -151,6 +162,9 @@
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return view.Gone
 	}
+	if isLocal(err) {
+		return view.Unknown
+	}
 	if err != nil {
 		return view.Silent
 	}
@@ -165,6 +179,16 @@
 	return view.Answered
 }
 
+// isLocal reports whether a connection failed for lack of resources of this box, which says nothing of the other.
+func isLocal(err error) bool {
+	for _, local := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, local) {
+			return true
+		}
+	}
+	return false
+}
+
 // incarnationOf asks for the incarnation of the box at the other end of the connection. It returns an empty
 // string if there is no answer in time.
 func incarnationOf(conn net.Conn, box work.Box) string {
--- a/gate/remote/reach_test.go
+++ b/gate/remote/reach_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -152,7 +154,7 @@
 	if took := time.Since(start); took > suspectAfter+contactTimeout+suspectAfter {
 		t.Errorf("both turns took %v", took)
 	}
-	time.Sleep(signTTL)
+	time.Sleep(checkTTL)
 	if c.foundSilent(next) {
 		t.Error("an old check still counts")
 	}
@@ -240,3 +242,158 @@
 		t.Errorf("%v after %d requests", f, len(bodies))
 	}
 }
+
+// beginTurn has a box accept a turn on the listener, ask for its body and begin an answer, if begin is set.
+func beginTurn(t *testing.T, ln net.Listener, begin bool) net.Conn {
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Error(err)
+		return nil
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	buf := make([]byte, 4<<10)
+	_, _ = conn.Read(buf) // the head of the request
+	_, _ = conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	_, _ = conn.Read(buf) // its body
+	if !begin {
+		return conn
+	}
+	raw, err := frame(turnResponse{Head: &work.Head{Status: http.StatusOK}})
+	if err != nil {
+		t.Error(err)
+	}
+	raw = append(raw, "event"...)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(raw), raw)
+	return conn
+}
+
+// partialAnswer is a work.Answer that records the body.
+type partialAnswer struct{ body []byte }
+
+func (a *partialAnswer) Begin(work.Head) error { return nil }
+func (a *partialAnswer) Write(data []byte) error {
+	a.body = append(a.body, data...)
+	return nil
+}
+
+// longTurn sends a turn to the box and returns its result and the time it took.
+func longTurn(c *Client, box work.Box, out work.Answer) (time.Duration, error) {
+	now := time.Now()
+	call := &work.Call{ID: "r", Turn: &work.Turn{Program: "p"}, Arrived: now, Deadline: now.Add(3 * time.Second)}
+	err := c.Turn(context.Background(), box, 1, nil, call, &work.Route{}, out)
+	return time.Since(now), err
+}
+
+// TestTurnInProgressEndsWithItsBox guards against turns that wait for TCP to notice that the box which runs them is
+// lost. They may have run, and an answer that has begun must not look complete.
+func TestTurnInProgressEndsWithItsBox(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		t.Run(fmt.Sprintf("answer begun %v", begun), func(t *testing.T) {
+			box, ln, silence := silentBox(t)
+			began := make(chan struct{})
+			go func() {
+				beginTurn(t, ln, begun)
+				silence()
+				close(began)
+			}()
+			out := &partialAnswer{}
+			took, err := longTurn(newNearClient(), box, out)
+			if f := fault.From(err); err == nil || f.Kind != fault.PeerUnreachable || f.NotRun || took > 700*time.Millisecond || took < silentAfter {
+				t.Errorf("%v after %v", err, took)
+			}
+			if want := map[bool]string{true: "event"}[begun]; string(out.body) != want {
+				t.Errorf("got %q before the end", out.body)
+			}
+			<-began
+		})
+	}
+}
+
+// TestTurnInProgressAtLiveBoxGoesOn guards against the end of a turn whose box is slow, or stops and so refuses new
+// connections, but still runs it.
+func TestTurnInProgressAtLiveBoxGoesOn(t *testing.T) {
+	for _, name := range []string{"slow", "refuses connections"} {
+		t.Run(name, func(t *testing.T) {
+			_, ln, _ := silentBox(t)
+			box := work.Box{Name: "b", Peer: netip.MustParseAddrPort(ln.Addr().String())}
+			go func() {
+				conn := beginTurn(t, ln, true)
+				if name != "slow" {
+					_ = ln.Close() // the connection of the turn stays open
+				}
+				time.Sleep(1500 * time.Millisecond)
+				_, _ = conn.Write([]byte("3\r\nend\r\n0\r\n\r\n")) // the client checks the answer
+			}()
+			out := &partialAnswer{}
+			if took, err := longTurn(newNearClient(), box, out); err != nil || string(out.body) != "eventend" {
+				t.Errorf("got %q after %v: %v", out.body, took, err)
+			}
+		})
+	}
+}
+
+// TestTurnsInProgressShareChecks checks that many turns that wait for a slow box share its checks, and that a turn that
+// gets events is not checked for.
+func TestTurnsInProgressShareChecks(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		gap  time.Duration
+		most int64
+	}{{"silent turns", time.Hour, 40}, {"events every 100 ms", 100 * time.Millisecond, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			var conns atomic.Int64
+			srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if _, err := readTurn(r.Body); err != nil {
+					return
+				}
+				out := &turnWriter{w: w, flush: http.NewResponseController(w)}
+				_ = out.Begin(work.Head{Status: http.StatusOK}) // the number of connections is checked
+				for r.Context().Err() == nil {
+					_ = out.Write([]byte("event")) // the same
+					select {
+					case <-time.After(c.gap):
+					case <-r.Context().Done():
+					}
+				}
+			}))
+			srv.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+				if state == http.StateNew {
+					conns.Add(1)
+				}
+			}
+			srv.Start()
+			defer srv.Close()
+			box := work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())}
+			client := newNearClient()
+			const turns = 50
+			var all sync.WaitGroup
+			for range turns {
+				all.Go(func() {
+					if took, err := longTurn(client, box, &partialAnswer{}); took < 2900*time.Millisecond {
+						t.Errorf("%v after %v", err, took)
+					}
+				})
+			}
+			all.Wait()
+			if got := conns.Load() - turns; got > c.most {
+				t.Errorf("%d connections for checks", got)
+			}
+		})
+	}
+}
+
+// TestLocalErrorsSayNothing guards against a box that finds others lost because it has no free descriptors or ports.
+func TestLocalErrorsSayNothing(t *testing.T) {
+	for errno, want := range map[syscall.Errno]bool{
+		syscall.EMFILE: true, syscall.ENFILE: true, syscall.EADDRNOTAVAIL: true, syscall.ECONNREFUSED: false, syscall.ETIMEDOUT: false, syscall.EHOSTUNREACH: false,
+	} {
+		if err := (&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)}); isLocal(err) != want {
+			t.Errorf("%v is an error of this box: %v", err, !want)
+		}
+	}
+	for result, want := range map[view.Contact]bool{view.Unknown: false, view.Answered: false, view.Silent: true, view.Gone: true} {
+		if got := (&livenessCheck{result: result}).failed(); got != want {
+			t.Errorf("a check with result %s has failed: %v", result, got)
+		}
+	}
+}
