view: notify of a refuted failure before its check ends

Cause: the race detector found that the callbacks after a refuted failure ran after the callers of the check were released, so that a caller could go on before the box was told which slots it lost. Change: the callbacks, which only start requests, run first.

--- a/gate/view/failover.go
+++ b/gate/view/failover.go
@@ -306,10 +306,10 @@
 		f.counts.Count("view.failures_not_confirmed", 1)
 		f.logger.Info("view: failure of a box not confirmed", "other", box.Name, "contact", got.own, "unreached", got.unreached, "asked", got.asked, "took", time.Since(start))
 	}
-	close(c.done)
 	if refuted {
 		f.notifyRecovered(box)
 	}
+	close(c.done)
 }
 
 // pollResult is the result of a poll.
