--- a/gate/remote/reach_test.go
+++ b/gate/remote/reach_test.go
@@ -298,6 +298,7 @@
 			}()
 			out := &partialAnswer{}
 			took, err := longTurn(newNearClient(), box, out)
+			t.Logf("the turn ended after %v", took)
 			if f := fault.From(err); err == nil || f.Kind != fault.PeerUnreachable || f.NotRun || took > 700*time.Millisecond || took < silentAfter {
 				t.Errorf("%v after %v", err, took)
 			}
