--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strings"
 	"time"
 
@@ -49,6 +50,9 @@
 	TakeoverIn(box work.Box) time.Duration
 	// RecentlyUnreachable reports whether a recent attempt to reach the box failed.
 	RecentlyUnreachable(box work.Box) bool
+	// Confirm asks other boxes whether the given ones have failed, and returns once it is known which of
+	// their slots this box may take over. It calls likely as soon as a takeover is likely but not yet confirmed.
+	Confirm(ctx context.Context, boxes []work.Box, likely func())
 }
 
 // Connectivity reports whether this box is cut off from the other boxes and from the log.
@@ -64,6 +68,8 @@
 	Get(ctx context.Context, number int) (*shard.Slot, error)
 	// Holds reports whether this box holds the slot now.
 	Holds(number int) bool
+	// Prepare begins to read the slot from the log, since this box is likely to claim it soon.
+	Prepare(number int)
 	// All returns the slots that this box holds.
 	All() []*shard.Slot
 }
@@ -75,10 +81,11 @@
 
 // Peers forwards turns to other boxes.
 type Peers interface {
-	// Turn runs a turn on the box if that box owns the slot.
-	Turn(ctx context.Context, box work.Box, slot int, call *work.Call, route *work.Route, out work.Answer) error
-	// Find searches the slots of a box for a turn; see Entry.Find.
-	Find(ctx context.Context, box work.Box, turn string, home int) (text []byte, slots []int, err error)
+	// Turn runs a turn on the box if that box owns the slot, or can take it over from the unreached boxes.
+	Turn(ctx context.Context, box work.Box, slot int, unreached []work.Box, call *work.Call, route *work.Route, out work.Answer) error
+	// Find searches the slots of a box for a turn; see Entry.Find. home is the slot of the program that looks for it,
+	// which boxes of earlier versions confirm to own in any case.
+	Find(ctx context.Context, box work.Box, turn string, home int, confirm bool) (text []byte, slots []int, err error)
 }
 
 // Quotas limits the calls of workspaces.
@@ -249,7 +256,7 @@
 	}
 	err := e.runOnSlot(ctx, home, call, route, out)
 	if previousNotKept(err) {
-		if call.Turn.Base, err = e.findPrevious(ctx, call, home); err == nil {
+		if call.Turn.Base, err = e.findPrevious(ctx, call); err == nil {
 			err = e.runOnSlot(ctx, home, call, route, out)
 		}
 	}
@@ -302,16 +309,20 @@
 func (e *Entry) tryOwners(ctx context.Context, slot int, call *work.Call, route *work.Route, out work.Answer) error {
 	// A box that is about to lose its slots holds them until their next owner asks for them.
 	if e.slots.Holds(slot) {
-		if err := e.RunHere(ctx, slot, call, route, out); !ownerNotReached(err) {
+		if err := e.RunHere(ctx, slot, nil, call, route, out); !ownerNotReached(err) {
 			return err
 		}
 	}
 	var first error
+	var unreached []work.Box
 	for rank, box := range e.boxes.Owners(e.layout.Name(slot), ownerCandidates) {
-		err := e.runOnBox(ctx, box, rank, slot, call, route, out)
+		err := e.runOnBox(ctx, box, rank, unreached, slot, call, route, out)
 		if !ownerNotReached(err) {
 			return err
 		}
+		if fault.Is(err, fault.PeerUnreachable) {
+			unreached = append(unreached, box)
+		}
 		if first == nil {
 			first = err
 		}
@@ -322,10 +333,11 @@
 	return first
 }
 
-// runOnBox runs the turn on the given box if that box holds the slot.
-func (e *Entry) runOnBox(ctx context.Context, box work.Box, rank, slot int, call *work.Call, route *work.Route, out work.Answer) error {
+// runOnBox runs the turn on the given box if that box holds the slot or can take it over from the unreached boxes,
+// which precede it in the ranking.
+func (e *Entry) runOnBox(ctx context.Context, box work.Box, rank int, unreached []work.Box, slot int, call *work.Call, route *work.Route, out work.Answer) error {
 	if box.Name == e.self.Name {
-		return e.RunHere(ctx, slot, call, route, out)
+		return e.RunHere(ctx, slot, unreached, call, route, out)
 	}
 	if e.leavesRegions(call, box) {
 		return fault.Refuse(fault.OwnerUnavailable, "the box is outside of the allowed regions")
@@ -333,8 +345,8 @@
 	if e.boxes.RecentlyUnreachable(box) {
 		return fault.Refuse(fault.PeerUnreachable, "a recent attempt to reach the owner of the slot failed")
 	}
-	e.log.Info("entry: turn forwarded", "id", call.ID, "program", call.Turn.Program, "slot", slot, "owner", box.Name, "rank", rank)
-	err := e.peers.Turn(ctx, box, slot, call, route, out)
+	e.log.Info("entry: turn forwarded", "id", call.ID, "program", call.Turn.Program, "slot", slot, "owner", box.Name, "rank", rank, "unreached", len(unreached))
+	err := e.peers.Turn(ctx, box, slot, unreached, call, route, out)
 	if fault.Is(err, fault.PeerUnreachable) && ctx.Err() == nil {
 		e.boxes.MarkUnreachable(box)
 	}
@@ -351,8 +363,25 @@
 	}
 }
 
-// RunHere runs the turn if this box owns the slot.
-func (e *Entry) RunHere(ctx context.Context, number int, call *work.Call, route *work.Route, out work.Answer) error {
+// followsOnly reports whether the unreached boxes are the only ones that precede this one in the slot's ranking.
+func (e *Entry) followsOnly(slot int, unreached []work.Box) bool {
+	for rank, box := range e.boxes.Owners(e.layout.Name(slot), ownerCandidates) {
+		if box.Name == e.self.Name {
+			return rank > 0
+		}
+		if !slices.ContainsFunc(unreached, func(gone work.Box) bool { return gone.Name == box.Name && gone.Incarnation == box.Incarnation }) {
+			return false
+		}
+	}
+	return false
+}
+
+// RunHere runs the turn if this box owns the slot. If it does not, but other boxes confirm that the unreached ones,
+// which precede it in the slot's ranking, have failed, it takes the slot over first.
+func (e *Entry) RunHere(ctx context.Context, number int, unreached []work.Box, call *work.Call, route *work.Route, out work.Answer) error {
+	if !e.slots.Holds(number) && e.followsOnly(number, unreached) {
+		e.boxes.Confirm(ctx, unreached, func() { e.slots.Prepare(number) })
+	}
 	slot, err := e.slots.Get(ctx, number)
 	if err != nil {
 		return err
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -4,13 +4,18 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/dial"
 	"mulleingate.dev/gate/quota"
@@ -25,6 +30,10 @@
 	// deliverPath accepts records of turns that began at a previous owner of the slot.
 	deliverPath = "/deliver"
 	pingPath    = "/ping"
+	// takenPath accepts announcements that a slot of this box was taken over.
+	takenPath = "/taken"
+	// reachPath accepts requests to check whether another box can be reached.
+	reachPath = "/reach"
 	// leavingPath accepts the announcement that a box leaves the fleet.
 	leavingPath = "/left"
 	// copyPath and rosterPath accept requests to a source.
@@ -37,23 +46,38 @@
 	// continueTimeout bounds the wait for 100 Continue from the box that gets a turn. The body is held back
 	// until then, so that a turn for an unreachable box has certainly not run and its caller may retry.
 	continueTimeout = 400 * time.Millisecond
+	// suspectAfter is how long a near box may take to accept a connection and to respond with 100 Continue
+	// before a check tells whether it is alive. Within a region that takes 2 ms, so that a longer wait is a sign
+	// of a loss or of a slow box.
+	suspectAfter = 40 * time.Millisecond
 	// fullPoolRetryDelay is the Retry-After delay if no connection to the box is free.
 	fullPoolRetryDelay = 200 * time.Millisecond
 
-	slotParam   = "slot"
-	turnParam   = "turn"
-	memberParam = "member"
+	slotParam = "slot"
+	turnParam = "turn"
+	// confirmParam says whether a box must confirm with the log that it owns the slots which it rules out.
+	confirmParam = "confirm"
+	memberParam  = "member"
 )
 
 // Client sends requests to other boxes. It keeps a pool of connections to each.
 type Client struct {
+	// near reports whether a box is so close that a round trip takes far less than suspectAfter.
+	near func(box work.Box) bool
+	// successors returns the boxes that are asked for the slot if the box can't be reached, and that may be lost
+	// together with it.
+	successors func(slot int, box work.Box) []work.Box
+
 	mu    sync.Mutex
 	pools map[netip.AddrPort]*dial.Pool
+	// checks holds the newest check of each box, by address.
+	checks map[netip.AddrPort]*livenessCheck
 }
 
-// NewClient returns a client without connections.
-func NewClient() *Client {
-	return &Client{pools: map[netip.AddrPort]*dial.Pool{}}
+// NewClient returns a client without connections. near reports whether a box is in the region of this one;
+// successors returns the boxes of the given one's availability zone that are asked for the slot after it.
+func NewClient(near func(box work.Box) bool, successors func(slot int, box work.Box) []work.Box) *Client {
+	return &Client{near: near, successors: successors, pools: map[netip.AddrPort]*dial.Pool{}, checks: map[netip.AddrPort]*livenessCheck{}}
 }
 
 func (c *Client) pool(addr netip.AddrPort) *dial.Pool {
@@ -81,35 +105,40 @@
 			delete(c.pools, addr)
 		}
 	}
+	maps.DeleteFunc(c.checks, func(addr netip.AddrPort, _ *livenessCheck) bool { return !keep[addr] })
 }
 
-// Turn forwards a turn to the box, which runs it if it owns the slot, and copies the response to out. A fault
-// with NotRun means that the turn has not run and won't.
-func (c *Client) Turn(ctx context.Context, box work.Box, slot int, call *work.Call, route *work.Route, out work.Answer) error {
+// Turn forwards a turn to the box, which runs it if it owns the slot, and copies the response to out. unreached
+// lists the boxes that should rather own the slot, but could not be reached. A fault with NotRun means that the
+// turn has not run and won't.
+func (c *Client) Turn(ctx context.Context, box work.Box, slot int, unreached []work.Box, call *work.Call, route *work.Route, out work.Answer) error {
 	ctx, stop := context.WithDeadline(ctx, call.Deadline)
 	defer stop()
+	ctx, silence, stopWatch := c.endIfLost(ctx, box)
+	defer stopWatch()
 	meta := *call
 	meta.Body = nil
 	raw, err := frame(turnRequest{
-		Slot: slot, Call: &meta, Route: route, LeftMillis: time.Until(call.Deadline).Milliseconds(),
+		Slot: slot, Unreached: unreached, Call: &meta, Route: route, LeftMillis: time.Until(call.Deadline).Milliseconds(),
 		WaitedMillis: time.Since(call.Arrived).Milliseconds(),
 	})
 	if err != nil {
 		return err
 	}
-	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{
-		Method: http.MethodPost, Target: turnPath, Host: box.Peer.String(), Body: append(raw, call.Body...), ContinueTimeout: continueTimeout,
-	})
+	silence.begin()
+	resp, err := c.sendTurn(ctx, box, slot, append(raw, call.Body...))
+	silence.end()
 	if err != nil {
 		return turnFault(err)
 	}
 	defer resp.Close()
+	in := &watchedReader{in: resp, silence: silence}
 	var head turnResponse
-	if err := unframe(resp, &head); err != nil {
+	if err := unframe(in, &head); err != nil {
 		return err
 	}
 	if head.Problem != nil {
-		_, _ = io.Copy(io.Discard, resp) // lets the connection be reused
+		_, _ = io.Copy(io.Discard, in) // lets the connection be reused
 		return head.Problem.Fault()
 	}
 	if head.Head == nil {
@@ -118,7 +147,71 @@
 	if err := out.Begin(*head.Head); err != nil {
 		return err
 	}
-	return work.CopyBody(resp, out, fault.PeerUnreachable)
+	return work.CopyBody(in, out, fault.PeerUnreachable)
+}
+
+// sendTurn sends a turn to the box. A near box that does not respond within suspectAfter is checked: if it does
+// not accept connections, sendTurn fails at once, otherwise it waits up to continueTimeout. The boxes that are asked
+// next are checked together with it, so that a turn for a zone that is cut off waits only once.
+func (c *Client) sendTurn(ctx context.Context, box work.Box, slot int, body []byte) (*dial.Response, error) {
+	req := dial.Request{
+		Method: http.MethodPost, Target: turnPath, Host: box.Peer.String(), Body: body, ContinueTimeout: continueTimeout,
+	}
+	if !c.near(box) {
+		return c.pool(box.Peer).Send(ctx, req)
+	}
+	if c.foundSilent(box) {
+		return nil, fault.Refuse(fault.NoTarget, "the box did not accept a connection a moment ago")
+	}
+	checked := false
+	alive := func() bool {
+		checked = true
+		for _, next := range c.successors(slot, box) {
+			go c.accepts(next)
+		}
+		return c.accepts(box)
+	}
+	req.ConnectTimeout, req.ContinueTimeout, req.Alive, req.ContinueGrace = suspectAfter, suspectAfter, alive, continueTimeout-suspectAfter
+	resp, err := c.pool(box.Peer).Send(ctx, req)
+	if err == nil || checked || ctx.Err() != nil || !fault.From(err).NotRun || !isTimeout(err) || !alive() {
+		return resp, err
+	}
+	// Only the connection could not be opened in time, as after a lost SYN.
+	req.ConnectTimeout = 0
+	return c.pool(box.Peer).Send(ctx, req)
+}
+
+// errUnreachable is the cause of the end of a context of untilUnreachable.
+var errUnreachable = errors.New("the box does not accept connections")
+
+// untilUnreachable returns a context for an idempotent request, which ends with errUnreachable if a near box has not
+// responded within suspectAfter and does not accept connections then.
+func (c *Client) untilUnreachable(ctx context.Context, box work.Box) (context.Context, context.CancelFunc) {
+	ctx, stop := context.WithCancelCause(ctx)
+	if !c.near(box) {
+		return ctx, func() { stop(nil) }
+	}
+	check := time.AfterFunc(suspectAfter, func() {
+		if !c.accepts(box) {
+			stop(errUnreachable)
+		}
+	})
+	return ctx, func() { check.Stop(); stop(nil) }
+}
+
+// searchFault returns the fault of a search that got no response. Only a box that refuses connections or was found
+// silent counts as unreachable: one that is slow or has no free connection is alive.
+func searchFault(ctx context.Context, err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(context.Cause(ctx), errUnreachable) {
+		return peerLost(err)
+	}
+	return fault.Refuse(fault.OwnerUnavailable, "another box did not answer the search").WithCause(err)
+}
+
+// isTimeout reports whether the error was caused by a timeout.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // peerLost converts a transport fault into PeerUnreachable, which distinguishes a box's failure from a
@@ -139,11 +232,20 @@
 
 // send sends a short request to a box and reads the whole response.
 func (c *Client) send(ctx context.Context, box work.Box, method, path string, query url.Values, body []byte) (status int, raw []byte, err error) {
+	status, raw, err = c.exchange(ctx, box, method, path, query, body)
+	if err != nil {
+		return 0, nil, peerLost(err)
+	}
+	return status, raw, nil
+}
+
+// exchange is send with the faults of the transport.
+func (c *Client) exchange(ctx context.Context, box work.Box, method, path string, query url.Values, body []byte) (status int, raw []byte, err error) {
 	resp, err := c.pool(box.Peer).Send(ctx, dial.Request{
 		Method: method, Target: path + "?" + query.Encode(), Host: box.Peer.String(), Body: body,
 	})
 	if err != nil {
-		return 0, nil, peerLost(err)
+		return 0, nil, err
 	}
 	defer resp.Close()
 	raw, err = io.ReadAll(io.LimitReader(resp, maxBody))
@@ -170,12 +272,20 @@
 	return c.command(ctx, box, handoverPath, url.Values{slotParam: {strconv.Itoa(slot)}}, nil)
 }
 
+// NotifyTaken implements shard.Peers.
+func (c *Client) NotifyTaken(ctx context.Context, box work.Box, slot int) error {
+	return c.command(ctx, box, takenPath, url.Values{slotParam: {strconv.Itoa(slot)}}, nil)
+}
+
 // Find implements entry.Peers.
-func (c *Client) Find(ctx context.Context, box work.Box, turn string, home int) ([]byte, []int, error) {
-	query := url.Values{turnParam: {turn}, slotParam: {strconv.Itoa(home)}}
-	_, raw, err := c.send(ctx, box, http.MethodGet, findPath, query, nil)
+func (c *Client) Find(ctx context.Context, box work.Box, turn string, home int, confirm bool) ([]byte, []int, error) {
+	// Boxes of earlier versions do not know confirm, but need the slot that they must confirm to own.
+	query := url.Values{turnParam: {turn}, confirmParam: {strconv.FormatBool(confirm)}, slotParam: {strconv.Itoa(home)}}
+	ctx, stop := c.untilUnreachable(ctx, box)
+	defer stop()
+	_, raw, err := c.exchange(ctx, box, http.MethodGet, findPath, query, nil)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, searchFault(ctx, err)
 	}
 	var out findResponse
 	if err := json.Unmarshal(raw, &out); err != nil {
--- a/gate/remote/client_test.go
+++ b/gate/remote/client_test.go
@@ -27,8 +27,8 @@
 func turnTo(t *testing.T, c *Client, box work.Box) *fault.Fault {
 	t.Helper()
 	now := time.Now()
-	call := &work.Call{ID: "r", Arrived: now, Deadline: now.Add(5 * time.Second)}
-	err := c.Turn(context.Background(), box, 1, call, &work.Route{}, unexpectedAnswer{t})
+	call := &work.Call{ID: "r", Turn: &work.Turn{Program: "p"}, Arrived: now, Deadline: now.Add(5 * time.Second)}
+	err := c.Turn(context.Background(), box, 1, nil, call, &work.Route{}, unexpectedAnswer{t})
 	if err == nil {
 		t.Fatal("the turn succeeds, want a fault")
 	}
@@ -36,14 +36,14 @@
 }
 
 // TestFullPoolIsNotPeerUnreachable checks that a full connection pool yields OwnerUnavailable with a Retry-After
-// delay, and a refused connection PeerUnreachable.
+// delay, and a refused connection PeerUnreachable, for turns and for searches.
 func TestFullPoolIsNotPeerUnreachable(t *testing.T) {
 	release := make(chan struct{})
 	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
 	defer srv.Close()
 	defer close(release)
 	box := work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())}
-	c := NewClient()
+	c := newNearClient()
 	c.pools[box.Peer] = dial.New(box.Peer, 1)
 	go func() { _ = c.Ping(context.Background(), box) }() // occupies the only connection
 	for end := time.Now().Add(5 * time.Second); !c.pool(box.Peer).Full(); time.Sleep(time.Millisecond) {
@@ -54,10 +54,16 @@
 	if f := turnTo(t, c, box); f.Kind != fault.OwnerUnavailable || !f.NotRun || f.RetryAfter <= 0 {
 		t.Errorf("no connection is free: %v, not run %v, retry after %v", f, f.NotRun, f.RetryAfter)
 	}
+	if _, _, err := c.Find(context.Background(), box, "turn", 3, false); !fault.Is(err, fault.OwnerUnavailable) {
+		t.Errorf("a search while no connection is free: %v", err)
+	}
 	gone := work.Box{Name: "c", Peer: netip.MustParseAddrPort(closedAddr(t))}
 	if f := turnTo(t, c, gone); f.Kind != fault.PeerUnreachable || !f.NotRun {
 		t.Errorf("connection refused: %v, not run %v", f, f.NotRun)
 	}
+	if _, _, err := c.Find(context.Background(), gone, "turn", 3, false); !fault.Is(err, fault.PeerUnreachable) {
+		t.Errorf("a search with the connection refused: %v", err)
+	}
 }
 
 // TestTurnToDeadBoxHasNotRun checks that a turn sent to a box that resets the connection or hangs fails in
@@ -83,7 +89,7 @@
 				}
 			}()
 			start := time.Now()
-			f := turnTo(t, NewClient(), work.Box{Name: "b", Peer: netip.MustParseAddrPort(ln.Addr().String())})
+			f := turnTo(t, newNearClient(), work.Box{Name: "b", Peer: netip.MustParseAddrPort(ln.Addr().String())})
 			if f.Kind != fault.PeerUnreachable || !f.NotRun || time.Since(start) > 2*continueTimeout {
 				t.Errorf("%v, not run %v, after %v", f, f.NotRun, time.Since(start))
 			}
@@ -103,3 +109,8 @@
 	}
 	return ln.Addr().String()
 }
+
+// newNearClient returns a client for which all boxes are near and no other box is asked for a slot.
+func newNearClient() *Client {
+	return NewClient(func(work.Box) bool { return true }, func(int, work.Box) []work.Box { return nil })
+}
--- a/gate/remote/server_test.go
+++ b/gate/remote/server_test.go
@@ -21,7 +21,7 @@
 // panickingTurns panics on every turn.
 type panickingTurns struct{ Turns }
 
-func (panickingTurns) RunHere(context.Context, int, *work.Call, *work.Route, work.Answer) error {
+func (panickingTurns) RunHere(context.Context, int, []work.Box, *work.Call, *work.Route, work.Answer) error {
 	panic("broken")
 }
 
@@ -45,14 +45,14 @@
 func TestPanicIsNotPeerUnreachable(t *testing.T) {
 	var counts panicCounts
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
-	owner := NewServer(netip.AddrPort{}, panickingTurns{}, nil, nil, nil, nil, nil, &counts, quiet)
+	owner := NewServer(work.Box{}, panickingTurns{}, nil, nil, nil, nil, nil, &counts, quiet)
 	srv := httptest.NewServer(owner.http.Handler)
 	defer srv.Close()
-	client := NewClient()
+	client := NewClient(func(work.Box) bool { return true }, func(int, work.Box) []work.Box { return nil })
 	defer client.CloseAllExcept(nil)
 	box := work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())}
 	call := &work.Call{ID: "i", Method: http.MethodPost, Turn: &work.Turn{Program: "p"}, Deadline: time.Now().Add(5 * time.Second), Arrived: time.Now()}
-	err := client.Turn(context.Background(), box, 0, call, &work.Route{}, discardedAnswer{})
+	err := client.Turn(context.Background(), box, 0, nil, call, &work.Route{}, discardedAnswer{})
 	if err == nil {
 		t.Fatal("the turn was answered")
 	}
--- a/gate/shard/claim.go
+++ b/gate/shard/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,6 +15,9 @@
 // ownerKey is the key of the record that names the owner of a slot.
 const ownerKey = "owner"
 
+// preloadTTL is how long after the end of its read a slot that was read ahead is kept for a claim. It exceeds the time of a confirmation.
+const preloadTTL = time.Second
+
 // ownerRecord is the value of the record with ownerKey.
 type ownerRecord struct {
 	Box         string `json:"box"`
@@ -35,26 +39,33 @@
 }
 
 // acquire makes this box the owner of a slot. It asks the previous owner to release the slot, fences it
-// off, and only then reads the records that the previous owner wrote last.
-func (m *Manager) acquire(number int) (*Slot, error) {
+// off, and only then reads the records that the previous owner wrote last. A takeover ends without a fence if the box
+// it takes the slot from answers again meanwhile. fenced is called once the previous owner is fenced off.
+func (m *Manager) acquire(number int, fenced func()) (*Slot, error) {
+	ranked, _ := m.boxes.Owner(m.layout.Name(number))
 	shard := work.Shard{Topic: work.Turns, Number: number}
-	loader := &slotLoader{state: chain.New(), manager: m}
-	// Only single reads have a timeout. With a limit on the whole load, a slot too large to load in time
-	// could never be claimed.
-	next, err := work.AllNewest(m.ctx, m.log, shard, callTimeout, loader.apply)
+	loader, next, err := m.load(number)
 	if err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithTimeout(m.ctx, callTimeout+handoverTimeout)
 	defer stop()
-	if m.requestHandover(ctx, number, loader.owner) {
+	released := m.requestHandover(ctx, number, loader.owner)
+	if released {
 		// The previous owner may have written many records after the load; catchUp reads them.
 		m.logger.Info("shard: slot handed over", "slot", number, "from", loader.owner.Box)
 	}
+	if m.isStopping() {
+		return nil, fault.Refuse(fault.Stopping, "this box stops")
+	}
+	if ranked.Name != m.self.Name && !released && !m.mayTakeOver(number) {
+		return nil, fault.Refuse(fault.NotOwner, "the failed box answers again")
+	}
 	epoch, err := m.fence(ctx, shard, loader.owner.Epoch>>claimantBits)
 	if err != nil {
 		return nil, err
 	}
+	fenced()
 	if err := m.catchUp(ctx, shard, next, loader); err != nil {
 		return nil, err
 	}
@@ -66,6 +77,62 @@
 	return slot, slot.Write(ctx, []work.Record{{Key: ownerKey, Value: raw}})
 }
 
+// preload is a slot that is read before it is known whether it will be claimed.
+type preload struct {
+	// done is closed once the other fields are set.
+	done   chan struct{}
+	loader *slotLoader
+	next   int64
+	err    error
+}
+
+// Prepare begins to read the slot, since this box is likely to claim it soon. The claim reads only
+// what was written since.
+func (m *Manager) Prepare(number int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if number < 0 || number >= len(m.slots) || m.slots[number] != nil || m.claiming[number] != nil || m.preloads[number] != nil || m.stopping {
+		return
+	}
+	p := &preload{done: make(chan struct{})}
+	m.preloads[number] = p
+	m.background.Go(func() {
+		p.loader, p.next, p.err = m.read(number)
+		close(p.done)
+		time.AfterFunc(preloadTTL, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if m.preloads[number] == p {
+				delete(m.preloads, number)
+			}
+		})
+	})
+}
+
+// load returns the records of the slot, as read by Prepare or read now, and the offset from which catchUp reads
+// the rest.
+func (m *Manager) load(number int) (*slotLoader, int64, error) {
+	m.mu.Lock()
+	p := m.preloads[number]
+	delete(m.preloads, number)
+	m.mu.Unlock()
+	if p != nil {
+		<-p.done
+		if p.err == nil {
+			return p.loader, p.next, nil
+		}
+	}
+	return m.read(number)
+}
+
+// read reads all records of the slot. Only single calls to the log have a timeout. With a limit on the whole, a
+// slot too large to load in time could never be claimed.
+func (m *Manager) read(number int) (*slotLoader, int64, error) {
+	loader := &slotLoader{state: chain.New(), manager: m}
+	next, err := work.AllNewest(m.ctx, m.log, work.Shard{Topic: work.Turns, Number: number}, callTimeout, loader.apply)
+	return loader, next, err
+}
+
 // requestHandover asks the previous owner to release the slot, if it is alive. The claim continues
 // without an answer, since the fence prevents further writes by the previous owner.
 func (m *Manager) requestHandover(ctx context.Context, number int, previous ownerRecord) bool {
--- a/gate/shard/fakes_test.go
+++ b/gate/shard/fakes_test.go
@@ -48,6 +48,8 @@
 	// appendDelay is added to each append; appends counts the calls of Append.
 	appendDelay time.Duration
 	appends     int
+	// claims counts the owner records.
+	claims int
 	// batchSize is the number of records that Newest returns at once, 0 for all, and batchDelay the
 	// time that each call takes.
 	batchSize  int
@@ -67,6 +69,19 @@
 	l.appendDelay = delay
 }
 
+func (l *memLog) claimCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.claims
+}
+
+// fence returns the newest epoch of the only shard.
+func (l *memLog) fence() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shard(0).fence
+}
+
 func newLog() *memLog {
 	return &memLog{shards: map[int]*fakeShard{}}
 }
@@ -126,6 +141,11 @@
 		s.fence, s.lastNumber = writer.Epoch, writer.Number
 	}
 	s.recs = append(s.recs, recs...)
+	for _, rec := range recs {
+		if rec.Key == ownerKey {
+			l.claims++
+		}
+	}
 	return nil
 }
 
@@ -187,7 +207,9 @@
 	mu sync.Mutex
 	// ownerByBox is the box that each box considers the owner of all slots.
 	ownerByBox map[string]string
-	managers   map[string]*Manager
+	// failedByBox is the box whose failure each box has confirmed.
+	failedByBox map[string]string
+	managers    map[string]*Manager
 	// unreachable holds the boxes that cannot contact others or be contacted, hung those that never answer a
 	// delivery.
 	unreachable, hung map[string]bool
@@ -211,6 +233,20 @@
 	f.ownerByBox[box] = owner
 }
 
+// setFailed sets the box whose failure the given one has confirmed; empty for none.
+func (f *fleet) setFailed(box, failed string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failedByBox[box] = failed
+}
+
+// setUnreachable sets whether a box can neither contact others nor be contacted.
+func (f *fleet) setUnreachable(box string, unreachable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unreachable[box] = unreachable
+}
+
 // boxView implements Boxes and Peers for one box of the fleet.
 type boxView struct {
 	fleet *fleet
@@ -232,9 +268,16 @@
 	}
 	return boxes
 }
-func (v boxView) Find(name, _ string) (work.Box, bool) { return work.Box{Name: name}, true }
-func (v boxView) Settled() bool                        { return true }
-func (v boxView) Fresh() bool                          { return true }
+func (v boxView) Find(name, _ string) (work.Box, bool) {
+	return work.Box{Name: name}, !v.Failed(work.Box{Name: name})
+}
+func (v boxView) Settled() bool                    { return true }
+func (v boxView) FailedRecently(box work.Box) bool { return v.Failed(box) }
+func (v boxView) Failed(box work.Box) bool {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	return v.fleet.failedByBox[v.self] == box.Name
+}
 
 func (v boxView) Handover(ctx context.Context, box work.Box, slot int) error {
 	to, err := v.connect(box)
@@ -244,6 +287,14 @@
 	return to.Handover(ctx, slot)
 }
 
+func (v boxView) NotifyTaken(_ context.Context, box work.Box, slot int) error {
+	to, err := v.connect(box)
+	if err != nil {
+		return err
+	}
+	return to.NotifyTaken(slot)
+}
+
 func (v boxView) Deliver(ctx context.Context, box work.Box, slot int, recs []work.Record) error {
 	to, err := v.connect(box)
 	if err != nil {
@@ -275,7 +326,7 @@
 func (noCounts) Time(string, time.Duration) {}
 
 func newFleet(log Log, names ...string) *fleet {
-	f := &fleet{ownerByBox: map[string]string{}, managers: map[string]*Manager{}, unreachable: map[string]bool{}, hung: map[string]bool{}}
+	f := &fleet{ownerByBox: map[string]string{}, failedByBox: map[string]string{}, managers: map[string]*Manager{}, unreachable: map[string]bool{}, hung: map[string]bool{}}
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
 	for _, name := range names {
 		f.ownerByBox[name] = names[0]
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +27,12 @@
 	// reclaimDelay is how long a box does not claim a slot again after handing it over, so that the
 	// views of both boxes can converge.
 	reclaimDelay = 1500 * time.Millisecond
+	// takeoverDelay is how long a box does not take over a slot again from the same box after a confirmed failure. It
+	// doubles with each takeover up to maxTakeoverDelay, and starts anew after takeoverReset without one. A box
+	// that some others reach and some don't would otherwise exchange the slot with its successor all the time.
+	takeoverDelay    = 3 * time.Second
+	maxTakeoverDelay = 24 * time.Second
+	takeoverReset    = time.Minute
 	// expireInterval is the time between two searches for expired programs, and expireLimit the number
 	// of records that one search drops from a slot.
 	expireInterval = 5 * time.Second
@@ -56,8 +64,10 @@
 	Find(name, incarnation string) (work.Box, bool)
 	// Settled reports whether the view is complete enough to claim slots by it.
 	Settled() bool
-	// Fresh reports whether the view is so recent that no other box can consider this one dead.
-	Fresh() bool
+	// Failed reports whether other boxes have confirmed that the box, which is still listed, can't be reached.
+	Failed(box work.Box) bool
+	// FailedRecently reports whether that was confirmed so recently that a takeover may start.
+	FailedRecently(box work.Box) bool
 }
 
 // Peers sends requests to other boxes.
@@ -66,6 +76,8 @@
 	Handover(ctx context.Context, box work.Box, slot int) error
 	// Deliver returns once the box, as the owner of the slot, has written the records.
 	Deliver(ctx context.Context, box work.Box, slot int, recs []work.Record) error
+	// NotifyTaken tells the box that this one has taken the slot over from it.
+	NotifyTaken(ctx context.Context, box work.Box, slot int) error
 }
 
 // Counts records metrics.
@@ -93,7 +105,35 @@
 	claiming map[int]chan struct{}
 	// handedOverAt holds the time at which each slot was handed over to a box that asked for it.
 	handedOverAt map[int]time.Time
-	stopping     bool
+	// takeovers holds the recent takeovers of slots from boxes that were still listed.
+	takeovers map[takeover]takeoverStreak
+	// preloads holds the slots that are read ahead of a likely claim.
+	preloads map[int]*preload
+	// verifyDue says that the held slots must be verified once the view settles, since others may have claimed
+	// them meanwhile.
+	verifyDue bool
+	stopping  bool
+}
+
+// takeover identifies a slot and the box that should own it. A restarted box counts as another one.
+type takeover struct {
+	number           int
+	box, incarnation string
+}
+
+// takeoverStreak is a number of takeovers from the same box and the time of the last.
+type takeoverStreak struct {
+	last  time.Time
+	count int
+}
+
+// delay returns the least time until the next takeover.
+func (s takeoverStreak) delay() time.Duration {
+	delay := takeoverDelay
+	for n := 1; n < s.count && delay < maxTakeoverDelay; n++ {
+		delay *= 2
+	}
+	return min(delay, maxTakeoverDelay)
 }
 
 // New returns a Manager that owns no slots.
@@ -102,6 +142,7 @@
 	return &Manager{
 		self: self, layout: layout, log: log, boxes: boxes, peers: peers, counts: counts, logger: logger,
 		ctx: ctx, cancel: cancel, slots: make([]*Slot, layout.Slots()), claiming: map[int]chan struct{}{}, handedOverAt: map[int]time.Time{},
+		takeovers: map[takeover]takeoverStreak{}, preloads: map[int]*preload{},
 	}
 }
 
@@ -121,11 +162,28 @@
 		wg.Go(func() { m.Release(ctx, number) })
 	}
 	wg.Wait()
+	m.awaitClaims(ctx)
 	m.cancel()
 	m.background.Wait()
 	return nil
 }
 
+// awaitClaims waits at most drainTimeout for the claims in progress, so that what they win is released.
+func (m *Manager) awaitClaims(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, drainTimeout)
+	defer stop()
+	m.mu.Lock()
+	claims := slices.Collect(maps.Values(m.claiming))
+	m.mu.Unlock()
+	for _, done := range claims {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Holds reports whether this box holds the slot now.
 func (m *Manager) Holds(number int) bool {
 	slot, _ := m.lookup(number)
@@ -151,11 +209,22 @@
 }
 
 // Rebalance claims the slots that this box should own and does not hold. It is called when the set of
-// live boxes changes. Slots that another box should own are released when that box asks.
+// live boxes changes. Slots that another box should own are released when that box asks. Once the view has settled
+// again after a gap, the slots that this box holds are verified.
 func (m *Manager) Rebalance() {
-	if !m.boxes.Settled() {
+	settled := m.boxes.Settled()
+	m.mu.Lock()
+	verify := settled && m.verifyDue
+	m.verifyDue = !settled
+	m.mu.Unlock()
+	if !settled {
 		return
 	}
+	if verify {
+		for _, slot := range m.All() {
+			m.startVerifying(slot.Number())
+		}
+	}
 	for number := range m.slots {
 		if m.shouldOwn(number) {
 			m.startClaim(number)
@@ -169,14 +238,33 @@
 	return ok && box.Name == m.self.Name
 }
 
+// mayTakeOver reports whether a claim of the slot may go on: this box should own it but for boxes whose failure has been
+// confirmed.
+func (m *Manager) mayTakeOver(number int) bool {
+	return m.followsOnly(number, m.boxes.Failed)
+}
+
+// followsOnly reports whether all boxes that should rather own the slot than this one are failed ones.
+func (m *Manager) followsOnly(number int, failed func(box work.Box) bool) bool {
+	for _, box := range m.boxes.Owners(m.layout.Name(number), maxCandidates) {
+		if box.Name == m.self.Name {
+			return true
+		}
+		if !failed(box) {
+			return false
+		}
+	}
+	return false
+}
+
 // Get returns the slot if this box holds it, waiting up to claimTimeout for a claim in progress.
 func (m *Manager) Get(ctx context.Context, number int) (*Slot, error) {
 	if number < 0 || number >= len(m.slots) {
 		return nil, fault.Refuse(fault.BadRequest, "no such slot")
 	}
 	slot, wait := m.lookup(number)
-	if slot == nil && wait == nil && m.shouldOwn(number) && m.boxes.Settled() {
-		wait = m.startClaim(number)
+	if slot == nil && wait == nil && m.boxes.Settled() {
+		wait = m.claimIfDue(number)
 	}
 	// While the view is not settled, a claim is unlikely to end soon, and the caller should try another box.
 	if slot == nil && wait != nil && m.boxes.Settled() {
@@ -200,11 +288,59 @@
 	return m.slots[number], m.claiming[number]
 }
 
+// claimIfDue starts a claim if this box should own the slot or take it over. It returns nil if no claim is in
+// progress then.
+func (m *Manager) claimIfDue(number int) chan struct{} {
+	if m.shouldOwn(number) {
+		return m.startClaim(number)
+	}
+	if m.followsOnly(number, m.boxes.FailedRecently) {
+		return m.startTakeover(number)
+	}
+	return nil
+}
+
+// startTakeover starts a claim as startClaim does, unless the last takeover of the slot from the same box is too
+// recent.
+func (m *Manager) startTakeover(number int) chan struct{} {
+	owner, _ := m.boxes.Owner(m.layout.Name(number))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if wait := m.claiming[number]; wait != nil {
+		return wait
+	}
+	maps.DeleteFunc(m.takeovers, func(_ takeover, streak takeoverStreak) bool { return time.Since(streak.last) >= takeoverReset })
+	key := takeover{number: number, box: owner.Name, incarnation: owner.Incarnation}
+	streak := m.takeovers[key]
+	if streak.count > 0 && time.Since(streak.last) < streak.delay() {
+		return nil
+	}
+	wait := m.startClaimLocked(number, func() { m.countTakeover(key) })
+	if wait != nil {
+		m.counts.Count("shard.takeovers", 1)
+		m.logger.Warn("shard: taking over slot of a failed box", "slot", number, "owner", owner.Name, "takeovers", streak.count+1)
+	}
+	return wait
+}
+
+// countTakeover counts a takeover, once it has fenced the owner off. One that was given up before has taken nothing.
+func (m *Manager) countTakeover(key takeover) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.takeovers[key] = takeoverStreak{last: time.Now(), count: m.takeovers[key].count + 1}
+}
+
 // startClaim starts a claim unless one is in progress. It returns a channel that is closed when the
 // claim ends, or nil if the slot is held or must not be claimed now.
 func (m *Manager) startClaim(number int) chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.startClaimLocked(number, func() {})
+}
+
+// startClaimLocked is startClaim for callers that hold mu. fenced is called without mu, once the claim has first
+// fenced the previous owner off.
+func (m *Manager) startClaimLocked(number int, fenced func()) chan struct{} {
 	if m.slots[number] != nil || m.stopping || m.ctx.Err() != nil || time.Since(m.handedOverAt[number]) < reclaimDelay {
 		return nil
 	}
@@ -213,37 +349,67 @@
 	}
 	done := make(chan struct{})
 	m.claiming[number] = done
-	m.background.Go(func() { m.claimUntilHeld(number, done) })
+	m.background.Go(func() { m.claimUntilHeld(number, done, sync.OnceFunc(fenced)) })
 	return done
 }
 
 // claimUntilHeld retries the claim until it succeeds, another box should own the slot, or the service
-// stops.
-func (m *Manager) claimUntilHeld(number int, done chan struct{}) {
+// stops. A slot that is won while the service stops is released.
+func (m *Manager) claimUntilHeld(number int, done chan struct{}, fenced func()) {
 	start := time.Now()
 	var slot *Slot
-	for m.ctx.Err() == nil && m.shouldOwn(number) {
-		got, err := m.acquire(number)
+	for m.ctx.Err() == nil && !m.isStopping() && m.mayTakeOver(number) {
+		got, err := m.acquire(number, fenced)
 		if err == nil {
 			slot = got
 			break
 		}
 		m.logger.Info("shard: claim failed", "slot", number, "cause", err)
+		if !m.mayTakeOver(number) {
+			break
+		}
 		select {
 		case <-time.After(claimRetryDelay):
 		case <-m.ctx.Done():
 		}
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.claiming, number)
-	close(done)
-	if slot == nil || m.stopping {
+	defer close(done)
+	programs := 0
+	if slot != nil {
+		programs = slot.state.ProgramCount() // once the slot is held, turns change its state
+	}
+	if !m.endClaim(number, slot) {
 		return
 	}
-	m.slots[number] = slot
 	m.counts.Time("shard.claim_time", time.Since(start))
-	m.logger.Info("shard: claimed slot", "slot", number, "epoch", slot.epoch, "programs", slot.state.ProgramCount(), "took", time.Since(start))
+	m.logger.Info("shard: claimed slot", "slot", number, "epoch", slot.epoch, "programs", programs, "took", time.Since(start))
+	// A box that answered again during the claim was not told by NotifyRecovered, as this box did not hold the slot then.
+	if owner, ok := m.boxes.Owner(m.layout.Name(number)); ok && owner.Name != m.self.Name && !m.boxes.Failed(owner) {
+		m.startNotifyTaken(owner, number)
+	}
+}
+
+// endClaim records the end of a claim that won the slot, or failed if slot is nil. It returns false if this box
+// does not hold the slot then.
+func (m *Manager) endClaim(number int, slot *Slot) bool {
+	m.mu.Lock()
+	delete(m.claiming, number)
+	stopping := m.stopping
+	if slot != nil && !stopping {
+		m.slots[number] = slot
+	}
+	m.mu.Unlock()
+	if slot != nil && stopping {
+		slot.release(m.ctx)
+	}
+	return slot != nil && !stopping
+}
+
+// isStopping reports whether Stop has been called.
+func (m *Manager) isStopping() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stopping
 }
 
 // Handover releases the slot to a box that asks for it.
@@ -267,6 +433,59 @@
 	return slot.applyAndWrite(ctx, recs)
 }
 
+// NotifyTaken verifies that this box still owns the slot, after another box has announced that it took it over.
+func (m *Manager) NotifyTaken(number int) error {
+	if number < 0 || number >= len(m.slots) {
+		return fault.Refuse(fault.BadRequest, "no such slot")
+	}
+	m.startVerifying(number)
+	return nil
+}
+
+// startVerifying verifies in the background that this box still owns the slot, if it holds it. Otherwise it drops
+// the slot before a turn runs on it in vain, and claims it anew if it should own it.
+func (m *Manager) startVerifying(number int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	slot := m.slots[number]
+	if slot == nil || m.stopping {
+		return
+	}
+	m.background.Go(func() {
+		if err := slot.ConfirmOwnership(m.ctx); fault.Is(err, fault.NotOwner) && slot.isLost() && m.boxes.Settled() && m.shouldOwn(number) {
+			m.startClaim(number)
+		}
+	})
+}
+
+// NotifyRecovered tells a box whose failure is over which of its slots this box has taken over. It would learn that
+// only from the failure of its next turn.
+func (m *Manager) NotifyRecovered(box work.Box) {
+	for _, slot := range m.All() {
+		owner, ok := m.boxes.Owner(m.layout.Name(slot.Number()))
+		if !ok || owner.Name != box.Name {
+			continue
+		}
+		m.startNotifyTaken(box, slot.Number())
+	}
+}
+
+func (m *Manager) startNotifyTaken(box work.Box, number int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.stopping {
+		m.background.Go(func() { m.notifyTaken(box, number) })
+	}
+}
+
+func (m *Manager) notifyTaken(box work.Box, number int) {
+	ctx, stop := context.WithTimeout(m.ctx, handoverTimeout)
+	defer stop()
+	if err := m.peers.NotifyTaken(ctx, box, number); err != nil {
+		m.logger.Info("shard: cannot tell a box that its slot was taken over", "slot", number, "to", box.Name, "cause", err)
+	}
+}
+
 // Release releases the slot once its queued records are written, or after drainTimeout.
 func (m *Manager) Release(ctx context.Context, number int) {
 	m.mu.Lock()
@@ -275,10 +494,7 @@
 	if slot == nil {
 		return
 	}
-	start := time.Now()
-	drained := slot.drain(ctx)
-	m.remove(slot)
-	m.logger.Info("shard: released slot", "slot", number, "whole", drained, "took", time.Since(start))
+	slot.release(ctx)
 }
 
 // remove closes the slot and removes it from the held slots, unless it has been claimed anew since.
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -77,14 +77,8 @@
 // it leaves nothing in the log.
 const confirmKey = "confirm"
 
-// OwnershipFresh reports whether this box's view of the other boxes is current, so that none of them can have
-// claimed the slot.
-func (s *Slot) OwnershipFresh() bool {
-	return s.manager.boxes.Fresh() && s.manager.boxes.Settled()
-}
-
-// ConfirmOwnership returns nil once an append has shown that this box still owns the slot. An owner behind a
-// partition may have missed that another box claimed the slot and wrote to it.
+// ConfirmOwnership returns nil once an append has shown that this box still owns the slot. An owner that others
+// could not reach for a moment may have missed that another box claimed the slot and wrote to it.
 func (s *Slot) ConfirmOwnership(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, confirmTimeout)
 	defer stop()
@@ -94,6 +88,13 @@
 	return nil
 }
 
+// isLost reports whether this box can no longer write to the slot.
+func (s *Slot) isLost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
 // AppendAge returns how long the append in progress has been running; zero if there is none.
 func (s *Slot) AppendAge() time.Duration {
 	s.mu.Lock()
@@ -202,14 +203,12 @@
 		err := s.append(recs)
 		if err != nil {
 			err = slotLostFault().WithCause(err)
+			s.markLost(err) // before the writes end, so that a retry finds the slot dropped
 		}
 		for _, b := range batches {
 			b.err = err
 			close(b.done)
 		}
-		if err != nil {
-			s.markLost(err)
-		}
 	}
 }
 
@@ -310,6 +309,14 @@
 	return last.Wait(ctx) == nil
 }
 
+// release gives up the slot once its queued records are written, or after drainTimeout.
+func (s *Slot) release(ctx context.Context) {
+	start := time.Now()
+	drained := s.drain(ctx)
+	s.manager.remove(s)
+	s.manager.logger.Info("shard: released slot", "slot", s.number, "whole", drained, "took", time.Since(start))
+}
+
 // expire drops programs that have outlived their retention.
 func (s *Slot) expire(now time.Time) {
 	s.mu.Lock()
