spool: keep answers for slow callers and end those that do not read

Writes to a caller had no deadline: a call whose caller read nothing stayed blocked, past its deadline and for as long as the connection was open, and with it the turn and the replica's place. Connections with callers now write without blocking and keep the rest, within limits by answer, connection, workspace and box, in a goroutine that starts only once a write would block. A caller that has read nothing for 3 s, or not all by its deadline, has its connection closed. Near the limit of the box, new calls are refused, the least urgent first. TestCallerThatReadsNothing: before, both calls still ran when the test gave up (2.5 s with a deadline of 1 s, and 4.5 s); now they end after the deadline and after 3 s.

--- a/base/serve/serve.go
+++ b/base/serve/serve.go
@@ -74,11 +74,15 @@
 	return s.ln.Addr()
 }
 
+// Responder is implemented by connections, and wrappers of them, that are to be told when the server has completed
+// a response.
+type Responder interface{ Responded() }
+
 // trackConn updates the unused connections. A connection counts as used once the header of its
 // first request has been read.
 func (s *Server) trackConn(conn net.Conn, state http.ConnState) {
-	if timed, ok := conn.(*timedConn); ok && state == http.StateIdle {
-		timed.responded()
+	if responder, ok := conn.(Responder); ok && state == http.StateIdle {
+		responder.Responded()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/base/serve/timeouts.go
+++ b/base/serve/timeouts.go
@@ -56,8 +56,8 @@
 	idleSince time.Time
 }
 
-// responded is called when the server has completed a response.
-func (c *timedConn) responded() {
+// Responded implements Responder.
+func (c *timedConn) Responded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaitsIdle = true
--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -93,6 +93,12 @@
 	Forward(ctx context.Context, call *work.Call, route *work.Route, out work.Answer) error
 }
 
+// Memory tells whether the box has memory for the answers of further calls.
+type Memory interface {
+	// Admit returns a fault with NotRun and a Retry-After delay if a call of the given priority must be refused.
+	Admit(priority int) error
+}
+
 // Counts records metrics.
 type Counts interface {
 	Count(name string, n int64)
@@ -115,6 +121,8 @@
 	relay        Relay
 	counts       Counts
 	log          *slog.Logger
+	// memory is nil if calls need no such check.
+	memory Memory
 }
 
 // New returns an Entry for the box self.
@@ -126,6 +134,12 @@
 	}
 }
 
+// SetMemoryCheck makes calls pass the check before they are counted against a quota. It must be called before the
+// first call.
+func (e *Entry) SetMemoryCheck(memory Memory) {
+	e.memory = memory
+}
+
 // Handle serves one call. left is how long the caller waits, zero if it is not known. Handle returns nil
 // after a complete answer. A fault with NotRun means that no replica has run the call or will; after any
 // other fault, a replica may have run it.
@@ -156,9 +170,24 @@
 	}
 	call.Deadline = call.Arrived.Add(left)
 	call.Priority = replicaPriority(call, space, route)
+	if err := e.checkMemory(call, route); err != nil {
+		return err
+	}
 	return e.runWithinQuota(ctx, space, call, route, out)
 }
 
+// checkMemory refuses a call while too many answers are unread.
+func (e *Entry) checkMemory(call *work.Call, route *work.Route) error {
+	if e.memory == nil {
+		return nil
+	}
+	err := e.memory.Admit(call.Priority)
+	if err != nil {
+		e.log.Info("entry: refused, too many answers are unread", "id", call.ID, "route", route.Name, "workspace", call.Workspace, "priority", call.Priority)
+	}
+	return err
+}
+
 // regionsOf returns the regions in which both the route and the workspace allow the call to be served.
 func (e *Entry) regionsOf(call *work.Call, route *work.Route, space work.Workspace) ([]string, error) {
 	regions, ok := work.IntersectRegions(route.Regions, space.Regions)
--- a/gate/node/cold_test.go
+++ b/gate/node/cold_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"mulleingate.dev/gate/meter"
+	"mulleingate.dev/gate/spool"
 	"mulleingate.dev/gate/target"
 	"mulleingate.dev/gate/view"
 	"mulleingate.dev/gate/work"
@@ -95,10 +96,11 @@
 	}
 	self := work.Box{Name: "a", Zone: "a", Peer: netip.MustParseAddrPort(ln.Addr().String()), Incarnation: "1"}
 	_ = ln.Close() // it only found a free port
+	counts, logger := meter.New(), slog.New(slog.NewTextHandler(io.Discard, nil))
 	n := New(Deps{
 		Self: self, Slots: 2, RecordBytes: 1 << 16, Log: quietLog{self.Member()}, Decoder: coldDecoder{}, Replicas: okReplicas{},
-		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Meter: meter.New(), Timing: view.DefaultTiming(),
-		Zones: []string{"a"}, Regions: work.Regions{"a": "r"},
+		Logger: logger, Meter: counts, Timing: view.DefaultTiming(),
+		Zones: []string{"a"}, Regions: work.Regions{"a": "r"}, Spool: spool.New(spool.Limits{}.Fill(0), counts, logger),
 	})
 	if err := n.Start(context.Background(), noFront{}); err != nil {
 		t.Fatal(err)
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -24,6 +24,7 @@
 	"mulleingate.dev/gate/remote"
 	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/gate/shard"
+	"mulleingate.dev/gate/spool"
 	"mulleingate.dev/gate/subset"
 	"mulleingate.dev/gate/target"
 	"mulleingate.dev/gate/turns"
@@ -72,6 +73,8 @@
 	Access  access.Bounds
 	Quota   quota.Bounds
 	Cold    sched.ColdLimits
+	// Spool accounts for the answers that callers have not read.
+	Spool *spool.Spool
 }
 
 // Node is a box with all of its services.
@@ -119,6 +122,7 @@
 	n.counter = quota.NewCounter(deps.Self, deps.Zones, deps.Quota, n.view)
 	quotas := quota.New(deps.Self, deps.Zones, deps.Quota, n.view, n.counter, n.peers, deps.Meter)
 	n.entry = entry.New(deps.Self, layout, deps.Regions, n.feed, access.New(deps.Access), quotas, n.view, n.detector, n.shards, runner, n.peers, forwarder, deps.Meter, log)
+	n.entry.SetMemoryCheck(deps.Spool)
 	n.server = remote.NewServer(deps.Self.Peer, n.entry, n.shards, n.view, n.counter, n.mirror, deps.Log, deps.Meter, log)
 	deps.Meter.Count(serve.PanicsMetric, 0) // exists from the start, so that alerts see its first increase
 	n.feed.OnConfig(func(conf *work.Config) {
@@ -256,6 +260,7 @@
 	gauges.Gauge("node.cut_off", boolGauge(n.detector.CutOff()))
 	gauges.Gauge("node.log_age_ms", n.view.ReadAge().Milliseconds())
 	gauges.Gauge("node.memory_bytes", mappedMemory())
+	gauges.Gauge("node.unread_bytes", n.deps.Spool.Kept())
 	gauges.Gauge("node.list_age_ms", n.feed.ListAge().Milliseconds())
 	gauges.Gauge("node.config_age_ms", n.feed.ConfigAge().Milliseconds())
 	gauges.Gauge("node.configs_refused", n.feed.RejectedConfigs())
