--- a/gate/spool/conn.go
+++ b/gate/spool/conn.go
@@ -83,7 +83,11 @@
 	data   []byte
 }
 
-func (c chunk) size() int64 { return int64(len(c.data)) + chunkOverhead }
+// minChunkBytes is the capacity of chunks, unless they begin with more data. It holds several events.
+const minChunkBytes = 1 << 10
+
+// size returns the memory that the chunk takes.
+func (c chunk) size() int64 { return int64(cap(c.data)) + chunkOverhead }
 
 func newConn(inner socket, raw syscall.RawConn, spool *Spool) *Conn {
 	c := &Conn{Conn: inner, inner: inner, raw: raw, spool: spool}
@@ -145,14 +149,9 @@
 			return data, err == nil, err
 		}
 	}
-	next := chunk{answer: c.answer, data: data}
-	if !c.spool.reserve(Usage{Answer: c.answerKept, Connection: c.kept}, c.answer.workspace, next.size()) {
+	if !c.keep(data) {
 		return data, false, nil
 	}
-	next.data = append([]byte(nil), data...)
-	c.chunks = append(c.chunks, next)
-	c.kept += next.size()
-	c.answerKept += next.size()
 	if !c.draining {
 		c.draining = true
 		go c.drain()
@@ -160,6 +159,35 @@
 	return nil, true, nil
 }
 
+// keep adds data to what is kept and reports whether the limits allow it.
+func (c *Conn) keep(data []byte) bool {
+	if c.extendLast(data) {
+		return true
+	}
+	size := int64(max(len(data), minChunkBytes)) + chunkOverhead
+	if !c.spool.reserve(Usage{Answer: c.answerKept, Connection: c.kept}, c.answer.workspace, size) {
+		return false
+	}
+	next := chunk{answer: c.answer, data: append(make([]byte, 0, size-chunkOverhead), data...)}
+	c.chunks = append(c.chunks, next)
+	c.kept += size
+	c.answerKept += size
+	return true
+}
+
+// extendLast adds data to the last chunk if it has room, and is not the first one, which is being written.
+func (c *Conn) extendLast(data []byte) bool {
+	if len(c.chunks) < 2 {
+		return false
+	}
+	last := &c.chunks[len(c.chunks)-1]
+	if last.answer.number != c.answer.number || cap(last.data)-len(last.data) < len(data) {
+		return false
+	}
+	last.data = append(last.data, data...)
+	return true
+}
+
 // writeNow writes without blocking and returns how many bytes the socket took.
 func (c *Conn) writeNow(data []byte) (int, error) {
 	c.tryData, c.tryCount, c.tryErr = data, 0, nil
