turns, relay: judge replicas by their answers, whatever callers take

A caller that did not take a stream counted as an incomplete answer of the replica (relay), and the time in which a caller took a piece counted as silence of the replica and as its speed (turns). A complete answer whose last bytes the caller did not take was not recorded. Writes of a forwarded turn's response had no deadline, so that the turn and the replica's place were held while the connection was open; they now end 1 s after the turn's deadline. Each new test fails on the code before: after 40 callers that were gone, one replica of two got no more calls (40 of 40 at the other); a slow caller made the replica Unresponsive; the owner still wrote 2.5 s after the deadline.

--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -87,7 +87,25 @@
 	body []byte
 	rest io.Reader
 	// end releases the connection and the lease once rest was read; nil if they are already released.
-	end func(out target.Outcome)
+	// writeTime is the time spent on writes to the caller, which says nothing about the replica.
+	end func(out target.Outcome, writeTime time.Duration)
+}
+
+// timedAnswer is the answer to a caller. It measures how long writes take.
+type timedAnswer struct {
+	work.Answer
+	// writeTime is the time spent on writes, and written the end of the latest one.
+	writeTime time.Duration
+	written   time.Time
+}
+
+// Write implements work.Answer.
+func (t *timedAnswer) Write(data []byte) error {
+	start := time.Now()
+	err := t.Answer.Write(data)
+	t.written = time.Now()
+	t.writeTime += t.written.Sub(start)
+	return err
 }
 
 // Forward runs the call. It returns nil after a complete answer; a fault with NotRun if no replica has run the
@@ -99,7 +117,7 @@
 	for {
 		got, err := a.try(ctx)
 		if err == nil {
-			return a.forward(got, out)
+			return a.forward(ctx, got, out)
 		}
 		a.last = err
 		if !a.canRetry(ctx, err) {
@@ -214,10 +232,10 @@
 // of a long one.
 func (a *attempts) read(ctx context.Context, lease *target.Lease, reply work.Reply, stop func(), start time.Time) (answer, error) {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBuffered))
-	end := func(out target.Outcome) {
+	end := func(out target.Outcome, writeTime time.Duration) {
 		reply.Body.Close()
 		stop()
-		lease.Done(out, time.Since(start))
+		lease.Done(out, time.Since(start)-writeTime)
 	}
 	if err == nil && len(body) == maxBuffered {
 		return answer{head: reply.Head, body: body, rest: reply.Body, end: end}, nil
@@ -229,10 +247,10 @@
 		return answer{}, a.endFailed(ctx, lease, start, fault.Fail(fault.TargetFailed, "the answer broke off").WithCause(err))
 	}
 	if reply.Head.Status < http.StatusMultipleChoices && !reply.Signed {
-		end(target.Incomplete)
+		end(target.Incomplete, 0)
 		return answer{}, fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
 	}
-	end(replyOutcome(reply))
+	end(replyOutcome(reply), 0)
 	a.log.Info("relay: call answered", "id", a.call.ID, "route", a.route.Name, "replica", lease.Replica.ID, "status", reply.Head.Status,
 		"score", lease.ExpectedCost, "among", lease.Candidates, "sent", a.sent, "took", time.Since(a.call.Arrived))
 	if a.retriesFailure(reply) {
@@ -244,7 +262,7 @@
 
 // streamed returns an answer that is forwarded as it arrives.
 func (a *attempts) streamed(lease *target.Lease, reply work.Reply, stop func()) answer {
-	end := func(out target.Outcome) {
+	end := func(out target.Outcome, _ time.Duration) {
 		reply.Body.Close()
 		stop()
 		lease.Done(out, 0)
@@ -270,15 +288,16 @@
 }
 
 // forward sends an answer to the caller.
-func (a *attempts) forward(got answer, out work.Answer) error {
+func (a *attempts) forward(ctx context.Context, got answer, to work.Answer) error {
+	out := &timedAnswer{Answer: to, written: time.Now()}
 	a.counts.Time("relay.time{class="+a.route.Name+"}", time.Since(a.call.Arrived))
 	if err := out.Begin(got.head); err != nil {
-		got.close(target.Abandoned)
+		got.close(target.Abandoned, out.writeTime)
 		return err
 	}
 	if len(got.body) > 0 {
 		if err := out.Write(got.body); err != nil {
-			got.close(target.Abandoned)
+			got.close(target.Abandoned, out.writeTime)
 			return err
 		}
 	}
@@ -286,17 +305,29 @@
 		return nil
 	}
 	if err := work.CopyBody(got.rest, out, fault.TargetFailed); err != nil {
-		got.close(target.Incomplete)
+		got.close(brokenOutcome(ctx, out, err), out.writeTime)
 		return err
 	}
-	got.close(target.Answered)
+	got.close(target.Answered, out.writeTime)
 	a.log.Info("relay: answer passed on", "id", a.call.ID, "route", a.route.Name, "sent", a.sent, "took", time.Since(a.call.Arrived))
 	return nil
 }
 
+// brokenOutcome returns the outcome to report for the replica after an answer that was forwarded only in part: a
+// caller that does not take it, or leaves, does not count against the replica, unless that was silent.
+func brokenOutcome(ctx context.Context, out *timedAnswer, err error) target.Outcome {
+	if fault.Is(err, fault.CallerGone) {
+		return target.Abandoned
+	}
+	if ctx.Err() != nil && time.Since(out.written) < silenceThreshold {
+		return target.Abandoned
+	}
+	return target.Incomplete
+}
+
 // close calls end if it is not nil.
-func (a answer) close(out target.Outcome) {
+func (a answer) close(out target.Outcome, writeTime time.Duration) {
 	if a.end != nil {
-		a.end(out)
+		a.end(out, writeTime)
 	}
 }
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -21,6 +22,7 @@
 type fakeReplicas struct {
 	failOnce string
 	fault    error
+	body     string
 	// sent counts the calls by replica, failed ones included.
 	sent map[string]int
 }
@@ -33,7 +35,7 @@
 		r.failOnce = ""
 		return work.Reply{}, r.fault
 	}
-	return work.Reply{Head: work.Head{Status: http.StatusOK}, Signed: true, Body: fakeBody{strings.NewReader("")}}, nil
+	return work.Reply{Head: work.Head{Status: http.StatusOK}, Signed: true, Body: fakeBody{strings.NewReader(r.body)}}, nil
 }
 
 type fakePool struct{}
@@ -101,3 +103,89 @@
 		})
 	}
 }
+
+// unconnected opens pools without idle connections, so that no replica is preferred for having one.
+type unconnected struct{ *fakeReplicas }
+
+func (unconnected) Open(work.Replica, int) target.Pool { return busyPool{} }
+
+type busyPool struct{ fakePool }
+
+func (busyPool) HasIdle() bool { return false }
+
+// goneAnswer is an answer whose caller takes nothing.
+type goneAnswer struct{ discardedAnswer }
+
+func (goneAnswer) Write([]byte) error { return fault.Fail(fault.CallerGone, "the caller is gone") }
+
+// TestGoneCallerDoesNotCountAgainstReplica checks that both replicas of a service get calls after many callers did not
+// take their streams. Each such call counted as an incomplete answer, so that a replica was ejected.
+func TestGoneCallerDoesNotCountAgainstReplica(t *testing.T) {
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	route := &work.Route{Name: "ask", Kind: work.Stream, Splits: []work.Split{{Service: "model", Weight: 1}}, Attempts: 1}
+	replicas := unconnected{&fakeReplicas{body: "data: x\n\n", sent: map[string]int{}}}
+	targets := target.New("z", replicas, quiet)
+	targets.Configure(work.NewConfig(1, nil, []work.Service{{Name: "model", Connections: 100}}, work.Limits{}))
+	for i, id := range []string{"a", "b"} {
+		targets.Put(work.Replica{ID: id, Service: "model", Zone: "z", Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+i))})
+	}
+	r := New(targets, replicas, noCounts{}, quiet)
+	forward := func(out work.Answer) error {
+		return r.Forward(context.Background(), &work.Call{ID: "i", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}, route, out)
+	}
+	for range 40 {
+		if err := forward(goneAnswer{}); !fault.Is(err, fault.CallerGone) {
+			t.Fatalf("a caller that is gone: %v", err)
+		}
+	}
+	clear(replicas.sent)
+	for range 40 {
+		if err := forward(discardedAnswer{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if replicas.sent["a"] == 0 || replicas.sent["b"] == 0 {
+		t.Errorf("calls by replica: %v", replicas.sent)
+	}
+}
+
+// TestBrokenOutcome checks what a stream that broke off at the end of the call's time says about its replica: nothing
+// if its caller took the time, but an answer that is incomplete if the replica was silent.
+func TestBrokenOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		broken := fault.Fail(fault.TargetFailed, "")
+		for _, c := range []struct {
+			name           string
+			write, silence time.Duration
+			want           target.Outcome
+		}{
+			{"slow caller", 3 * time.Second, 0, target.Abandoned},
+			{"silent replica", 0, 3 * time.Second, target.Incomplete},
+		} {
+			ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
+			out := &timedAnswer{Answer: slowAnswer{delay: c.write}}
+			if err := out.Write([]byte("x")); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(c.silence)
+			if diff := cmp.Diff(c.want, brokenOutcome(ctx, out, broken)); diff != "" {
+				t.Errorf("%s: outcome (-want +got):\n%s", c.name, diff)
+			}
+			if diff := cmp.Diff(c.write, out.writeTime); diff != "" {
+				t.Errorf("%s: time of writes (-want +got):\n%s", c.name, diff)
+			}
+			stop()
+		}
+	})
+}
+
+// slowAnswer is an answer whose caller takes each write after a delay.
+type slowAnswer struct {
+	discardedAnswer
+	delay time.Duration
+}
+
+func (s slowAnswer) Write([]byte) error {
+	time.Sleep(s.delay)
+	return nil
+}
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -178,9 +178,11 @@
 	defer s.answerPanic(out)
 	msg, err := readTurn(http.MaxBytesReader(w, r.Body, maxBody))
 	if err == nil {
+		out.deadline = msg.Call.Deadline
 		err = s.turns.RunHere(r.Context(), msg.Slot, msg.Call, msg.Route, out)
 	}
 	if err == nil {
+		out.setWriteDeadline(time.Time{}) // the connection carries further requests
 		return
 	}
 	if out.begun {
@@ -230,6 +232,10 @@
 	return msg, nil
 }
 
+// writeGrace is how long after a turn's deadline its response may still be written: a response that is ready then is
+// delivered, but a box that does not read it must not block the turn.
+const writeGrace = time.Second
+
 // callerGone is the detail of the fault if a response can't be written.
 const callerGone = "the box that forwarded the turn has disconnected"
 
@@ -237,7 +243,9 @@
 type turnWriter struct {
 	w     http.ResponseWriter
 	flush *http.ResponseController
-	begun bool
+	// deadline is that of the turn.
+	deadline time.Time
+	begun    bool
 }
 
 func (t *turnWriter) send(header turnResponse) error {
@@ -251,9 +259,15 @@
 // Begin implements work.Answer. The header is not flushed: it is sent with the first bytes of the body.
 func (t *turnWriter) Begin(head work.Head) error {
 	t.begun = true
+	t.setWriteDeadline(t.deadline.Add(writeGrace))
 	return t.send(turnResponse{Head: &head})
 }
 
+// setWriteDeadline bounds the writes to the connection, until it is set again.
+func (t *turnWriter) setWriteDeadline(deadline time.Time) {
+	_ = t.flush.SetWriteDeadline(deadline) // on a closed connection, the next write fails
+}
+
 // Write implements work.Answer.
 func (t *turnWriter) Write(data []byte) error {
 	return work.WriteToCaller(t.w, t.flush, data, callerGone)
--- a/gate/remote/server_test.go
+++ b/gate/remote/server_test.go
@@ -66,3 +66,60 @@
 		t.Errorf("panics (-want +got):\n%s", diff)
 	}
 }
+
+// unreadTurns answers each turn with more than the connection takes and reports when a write has failed.
+type unreadTurns struct {
+	Turns
+	ended chan error
+}
+
+func (u unreadTurns) RunHere(_ context.Context, _ int, _ *work.Call, _ *work.Route, out work.Answer) error {
+	err := out.Begin(work.Head{Status: http.StatusOK})
+	for err == nil {
+		err = out.Write(make([]byte, 64<<10))
+	}
+	u.ended <- err
+	return err
+}
+
+// blockingAnswer is an answer whose caller does not take the first write until it is released.
+type blockingAnswer struct {
+	discardedAnswer
+	release chan struct{}
+}
+
+func (b blockingAnswer) Write([]byte) error {
+	<-b.release
+	return fault.Fail(fault.CallerGone, "")
+}
+
+// TestUnreadResponseEndsAtDeadline checks that the owner of a slot does not write a turn's response for longer than
+// until the turn's deadline, if the forwarding box does not read it. The write, and with it the turn and the
+// replica's place, lasted for as long as the connection was open.
+func TestUnreadResponseEndsAtDeadline(t *testing.T) {
+	turns := unreadTurns{ended: make(chan error, 1)}
+	owner := NewServer(netip.AddrPort{}, turns, nil, nil, nil, nil, nil, &panicCounts{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	srv := httptest.NewServer(owner.http.Handler)
+	defer srv.Close()
+	client := NewClient()
+	defer client.CloseAllExcept(nil)
+	box := work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())}
+	const left, margin = 300 * time.Millisecond, 1500 * time.Millisecond
+	start := time.Now()
+	call := &work.Call{ID: "i", Method: http.MethodPost, Turn: &work.Turn{Program: "p"}, Deadline: start.Add(left), Arrived: start}
+	caller := blockingAnswer{release: make(chan struct{})}
+	forwarded := make(chan error, 1)
+	go func() { forwarded <- client.Turn(context.Background(), box, 0, call, &work.Route{}, caller) }()
+	select {
+	case err := <-turns.ended:
+		if took := time.Since(start); !fault.Is(err, fault.CallerGone) || took < left {
+			t.Errorf("ended after %v: %v", took, err)
+		}
+	case <-time.After(left + writeGrace + margin):
+		t.Errorf("the owner still writes %v after the deadline", writeGrace+margin)
+	}
+	close(caller.release)
+	if err := <-forwarded; !fault.Is(err, fault.CallerGone) {
+		t.Errorf("forwarding box: %v", err)
+	}
+}
--- a/gate/turns/answer.go
+++ b/gate/turns/answer.go
@@ -23,19 +23,33 @@
 		return t.forwardFailure(reply)
 	}
 	begun := time.Now()
-	before := t.answer.collected.count
+	before, written := t.answer.collected.count, t.answer.writeTime
 	if err := t.stream(ctx, reply); err != nil {
 		t.lease.Done(t.errorOutcome(ctx, err), 0)
 		return err
 	}
 	gap := time.Duration(0)
 	if events := t.answer.collected.count - before; events > 1 {
-		gap = time.Since(begun) / time.Duration(events-1)
+		gap = max(0, time.Since(begun)-(t.answer.writeTime-written)) / time.Duration(events-1)
 	}
 	t.lease.Done(target.Answered, gap)
+	if err := t.answer.flush(); err != nil {
+		return t.finishUndelivered(ctx, err)
+	}
 	return t.ledger.finish(ctx)
 }
 
+// finishUndelivered records the end of a turn whose answer is complete although the caller, with whom ctx has
+// ended, did not take its last bytes. It returns err.
+func (t *turn) finishUndelivered(ctx context.Context, err error) error {
+	ctx, stop := context.WithDeadline(context.WithoutCancel(ctx), t.call.Deadline)
+	defer stop()
+	if cause := t.ledger.finish(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
 // forwardFailure handles a reply that is not a signed event stream: it rejects an unsigned success and
 // forwards an error status to the caller, unless part of the answer was already sent.
 func (t *turn) forwardFailure(reply work.Reply) error {
@@ -76,7 +90,7 @@
 	}
 }
 
-// stream copies the answer to the caller until its end.
+// stream copies the replica's answer to the caller until its end, except for what flush sends.
 func (t *turn) stream(ctx context.Context, reply work.Reply) error {
 	if !t.answer.begun {
 		t.answer.head = reply.Head
@@ -84,7 +98,7 @@
 	}
 	err := work.CopyBody(reply.Body, t.answer, fault.TargetFailed)
 	if err == nil {
-		return t.answer.flush()
+		return nil
 	}
 	t.answer.partial = nil // drop the incomplete event; a replica that resumes sends it again
 	if fault.Is(err, fault.TargetFailed) && ctx.Err() != nil {
@@ -105,11 +119,21 @@
 	partial []byte
 	// begun is set once a part of the answer was sent to the caller.
 	begun bool
+	// writeTime is the time spent on writes to the caller, which says nothing about the replica.
+	writeTime time.Duration
 }
 
 // Write implements work.Answer.
 func (w *answerWriter) Write(data []byte) error {
+	start := time.Now()
+	err := w.writeComplete(data)
 	w.turn.lastReceived = time.Now()
+	w.writeTime += w.turn.lastReceived.Sub(start)
+	return err
+}
+
+// writeComplete sends data, on a resumable route only up to the last complete event.
+func (w *answerWriter) writeComplete(data []byte) error {
 	if !w.turn.route.Resumable {
 		return w.send(data)
 	}
@@ -145,8 +169,10 @@
 	return w.send(rest)
 }
 
-// send writes data to the caller and sends the head before the first bytes.
+// send writes data to the caller and sends the head before the first bytes. It counts the data as sent also if
+// that fails, since the caller may have got it.
 func (w *answerWriter) send(data []byte) error {
+	w.collected.write(data)
 	if !w.begun {
 		w.begun = true
 		w.turn.lease.RecordFirstEvent(time.Since(w.turn.sentAt))
@@ -155,6 +181,5 @@
 			return err
 		}
 	}
-	w.collected.write(data)
 	return w.Answer.Write(data)
 }
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -106,7 +106,8 @@
 	firstEventLatency time.Duration
 	// sentAt is when the turn was sent to the lease's replica.
 	sentAt time.Time
-	// lastReceived is when the replica last sent data, or sentAt if it has sent none.
+	// lastReceived is since when more data of the replica is awaited: when its latest data had been written to the
+	// caller, or sentAt if it has sent none.
 	lastReceived time.Time
 }
 
--- a/gate/turns/turns_test.go
+++ b/gate/turns/turns_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -63,3 +68,121 @@
 		}
 	}
 }
+
+// countingLedger counts the ends of turns.
+type countingLedger struct {
+	ledger
+	finished int
+	// ctxErr is the error of the context with which the turn was finished.
+	ctxErr error
+}
+
+func (l *countingLedger) finish(ctx context.Context) error {
+	l.finished++
+	l.ctxErr = ctx.Err()
+	return nil
+}
+
+// caller is a caller that takes a number of writes, each after a delay.
+type caller struct {
+	takes int
+	delay time.Duration
+}
+
+func (*caller) Begin(work.Head) error { return nil }
+
+func (c *caller) Write([]byte) error {
+	time.Sleep(c.delay)
+	if c.takes--; c.takes < 0 {
+		return fault.Fail(fault.CallerGone, "")
+	}
+	return nil
+}
+
+// pieces is the body of an answer that arrives in pieces and then ends with err.
+type pieces struct {
+	texts []string
+	err   error
+}
+
+func (p *pieces) Read(buf []byte) (int, error) {
+	if len(p.texts) == 0 {
+		return 0, p.err
+	}
+	n := copy(buf, p.texts[0])
+	p.texts = p.texts[1:]
+	return n, nil
+}
+
+func (*pieces) Close() {}
+
+type fakePool struct{}
+
+func (fakePool) Open(work.Replica, int) target.Pool { return fakePool{} }
+func (fakePool) Close()                             {}
+func (fakePool) SetLimit(int)                       {}
+func (fakePool) HasIdle() bool                      { return true }
+
+// newAnsweredTurn returns a turn that was sent to a replica.
+func newAnsweredTurn(t *testing.T, out work.Answer, ledger ledger) *turn {
+	t.Helper()
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	targets := target.New("z", fakePool{}, quiet)
+	targets.Configure(work.NewConfig(1, nil, []work.Service{{Name: "model", Connections: 100}}, work.Limits{}))
+	targets.Put(work.Replica{ID: "a", Service: "model", Zone: "z", Addr: netip.MustParseAddrPort("10.0.0.1:1000")})
+	lease, err := targets.Take(target.CallRequest{WorkKind: "pick", Services: []work.Split{{Service: "model", Weight: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr := &turn{
+		Runner: &Runner{log: quiet}, route: &work.Route{Name: "pick", Resumable: true}, mayHaveRun: true, lease: lease, ledger: ledger,
+		call: &work.Call{ID: "i", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}, lastReceived: time.Now(),
+	}
+	tr.answer = &answerWriter{turn: tr, Answer: out}
+	return tr
+}
+
+// TestCompleteAnswerOfGoneCallerIsRecorded checks that the end of a turn is recorded, with all events, if the
+// replica's answer is complete although its caller is gone before the last bytes. Such a turn counted as failed.
+func TestCompleteAnswerOfGoneCallerIsRecorded(t *testing.T) {
+	ends := &countingLedger{}
+	tr := newAnsweredTurn(t, &caller{takes: 1}, ends)
+	ctx, stop := context.WithCancel(context.Background())
+	reply := work.Reply{
+		Head: work.Head{Status: http.StatusOK}, Signed: true,
+		Body: &pieces{texts: []string{"data: a\n\n", "data: b\n"}, err: io.EOF},
+	}
+	stop() // the caller leaves
+	err := tr.forwardReply(ctx, reply)
+	if !fault.Is(err, fault.CallerGone) {
+		t.Errorf("fault %v, want CallerGone: the caller must not take the answer for complete", err)
+	}
+	if ends.finished != 1 || ends.ctxErr != nil {
+		t.Errorf("turn finished %d times, with a context that has ended: %v", ends.finished, ends.ctxErr)
+	}
+	if diff := cmp.Diff(2, tr.answer.collected.started()); diff != "" {
+		t.Errorf("events that may have been delivered (-want +got):\n%s", diff)
+	}
+}
+
+// TestSlowCallerDoesNotMakeReplicaSilent checks that a replica does not count as silent for the time in which the
+// caller took a piece of the answer. It did, so that slow callers counted against replicas.
+func TestSlowCallerDoesNotMakeReplicaSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ends := &countingLedger{}
+		tr := newAnsweredTurn(t, &caller{takes: 1, delay: 2 * silenceThreshold}, ends)
+		ctx, stop := context.WithTimeout(context.Background(), silenceThreshold)
+		defer stop()
+		reply := work.Reply{Head: work.Head{Status: http.StatusOK}, Signed: true, Body: &pieces{texts: []string{"data: a\n\n"}, err: io.ErrUnexpectedEOF}}
+		err := tr.stream(ctx, reply)
+		if !fault.Is(err, fault.TimedOut) {
+			t.Fatalf("fault %v, want TimedOut", err)
+		}
+		if diff := cmp.Diff(target.Abandoned, tr.errorOutcome(ctx, err)); diff != "" {
+			t.Errorf("outcome (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(2*silenceThreshold, tr.answer.writeTime); diff != "" {
+			t.Errorf("time of writes (-want +got):\n%s", diff)
+		}
+	})
+}
