spool: refuse the most urgent calls just below the limit

Calls of priority 0 were refused at the limit of the box only, which is never reached exactly, since what would exceed it is not kept. They are refused from 0.95 of it on.

--- a/gate/spool/limits.go
+++ b/gate/spool/limits.go
@@ -17,6 +17,9 @@
 	// nearShare is the used part of the box's limit above which the least urgent calls are refused. The rest
 	// takes the unread answers of the calls that are in progress by then.
 	nearShare = 0.75
+	// urgentShare is the part above which also the most urgent calls are refused. It is below 1, since the limit is
+	// never reached exactly: what would exceed it is not kept.
+	urgentShare = 0.95
 )
 
 // Limits bounds the bytes that are kept. A box keeps unread answers up to all of them; load beyond slows the
@@ -65,9 +68,9 @@
 }
 
 // Refuses reports whether a new call of the given priority is refused while the box keeps the given number of
-// bytes. Priority 0, the most urgent, is refused at the limit of the box, where no answer would be kept; the others
-// the earlier the less urgent they are, all above nearShare of it.
+// bytes. Priority 0, the most urgent, is refused above urgentShare of the limit of the box; the others the earlier the
+// less urgent they are, all above nearShare of it.
 func (l Limits) Refuses(kept int64, priority int) bool {
-	threshold := nearShare + (1-nearShare)/float64(1+max(priority, 0))
+	threshold := nearShare + (urgentShare-nearShare)/float64(1+max(priority, 0))
 	return float64(kept) >= threshold*float64(l.Box)
 }
--- a/gate/spool/limits_test.go
+++ b/gate/spool/limits_test.go
@@ -55,7 +55,8 @@
 }
 
 // TestRefusesLeastUrgentFirst checks at which use of the box's limit calls of each priority are refused: never a
-// more urgent one while a less urgent one is admitted, none below three quarters, and all at the limit.
+// more urgent one while a less urgent one is admitted, none below three quarters, and all just below the limit, which
+// is never reached exactly.
 func TestRefusesLeastUrgentFirst(t *testing.T) {
 	limits := Limits{Box: 1000}
 	got := map[int]int64{}
@@ -64,7 +65,7 @@
 			got[priority]++
 		}
 	}
-	if diff := cmp.Diff(map[int]int64{0: 1000, 1: 875, 3: 813, 9: 775, 100: 753}, got); diff != "" {
+	if diff := cmp.Diff(map[int]int64{0: 950, 1: 850, 3: 800, 9: 770, 100: 752}, got); diff != "" {
 		t.Errorf("bytes from which a priority is refused (-want +got):\n%s", diff)
 	}
 }
