turns: free the replica's connection before the log confirms the end

The connection to a replica stayed in use while the turn waited for the log, although the answer had been read. It is now returned to its pool together with the place.

--- a/gate/turns/answer.go
+++ b/gate/turns/answer.go
@@ -14,29 +14,40 @@
 
 // forwardReply streams the answer to the caller and records the end of the turn in the ledger.
 func (t *turn) forwardReply(ctx context.Context, reply work.Reply) error {
+	complete, err := t.copyReply(ctx, reply)
+	if !complete {
+		return err
+	}
+	if err := t.answer.flush(); err != nil {
+		return t.finishUndelivered(ctx, err)
+	}
+	return t.ledger.finish(ctx)
+}
+
+// copyReply streams the answer to the caller, except for what flush sends, and releases the replica's place and the
+// connection to it. It reports whether the answer is a complete event stream; otherwise it returns the result of the
+// turn.
+func (t *turn) copyReply(ctx context.Context, reply work.Reply) (complete bool, err error) {
 	defer reply.Body.Close()
 	if err := t.awaitStart(ctx); err != nil {
 		t.lease.Done(target.Abandoned, 0)
-		return err
+		return false, err
 	}
 	if reply.Head.Status != http.StatusOK || !reply.Signed {
-		return t.forwardFailure(reply)
+		return false, t.forwardFailure(reply)
 	}
 	begun := time.Now()
 	before, written := t.answer.collected.count, t.answer.writeTime
 	if err := t.stream(ctx, reply); err != nil {
 		t.lease.Done(t.errorOutcome(ctx, err), 0)
-		return err
+		return false, err
 	}
 	gap := time.Duration(0)
 	if events := t.answer.collected.count - before; events > 1 {
 		gap = max(0, time.Since(begun)-(t.answer.writeTime-written)) / time.Duration(events-1)
 	}
 	t.lease.Done(target.Answered, gap)
-	if err := t.answer.flush(); err != nil {
-		return t.finishUndelivered(ctx, err)
-	}
-	return t.ledger.finish(ctx)
+	return true, nil
 }
 
 // finishUndelivered records the end of a turn whose answer is complete although the caller, with whom ctx has
--- a/gate/turns/turns_test.go
+++ b/gate/turns/turns_test.go
@@ -73,12 +73,17 @@
 type countingLedger struct {
 	ledger
 	finished int
+	// body is the body of the replica's answer, which must be closed by then.
+	body *pieces
 	// ctxErr is the error of the context with which the turn was finished.
 	ctxErr error
 }
 
 func (l *countingLedger) finish(ctx context.Context) error {
 	l.finished++
+	if !l.body.closed {
+		return fault.Fail(fault.Internal, "the connection to the replica is still in use")
+	}
 	l.ctxErr = ctx.Err()
 	return nil
 }
@@ -101,8 +106,9 @@
 
 // pieces is the body of an answer that arrives in pieces and then ends with err.
 type pieces struct {
-	texts []string
-	err   error
+	texts  []string
+	err    error
+	closed bool
 }
 
 func (p *pieces) Read(buf []byte) (int, error) {
@@ -114,7 +120,7 @@
 	return n, nil
 }
 
-func (*pieces) Close() {}
+func (p *pieces) Close() { p.closed = true }
 
 type fakePool struct{}
 
@@ -143,15 +149,14 @@
 }
 
 // TestCompleteAnswerOfGoneCallerIsRecorded checks that the end of a turn is recorded, with all events, if the
-// replica's answer is complete although its caller is gone before the last bytes. Such a turn counted as failed.
+// replica's answer is complete although its caller is gone before the last bytes. Such a turn counted as failed. The
+// connection to the replica was in use until the log had confirmed the end.
 func TestCompleteAnswerOfGoneCallerIsRecorded(t *testing.T) {
-	ends := &countingLedger{}
+	body := &pieces{texts: []string{"data: a\n\n", "data: b\n"}, err: io.EOF}
+	ends := &countingLedger{body: body}
 	tr := newAnsweredTurn(t, &caller{takes: 1}, ends)
 	ctx, stop := context.WithCancel(context.Background())
-	reply := work.Reply{
-		Head: work.Head{Status: http.StatusOK}, Signed: true,
-		Body: &pieces{texts: []string{"data: a\n\n", "data: b\n"}, err: io.EOF},
-	}
+	reply := work.Reply{Head: work.Head{Status: http.StatusOK}, Signed: true, Body: body}
 	stop() // the caller leaves
 	err := tr.forwardReply(ctx, reply)
 	if !fault.Is(err, fault.CallerGone) {
