spool: count slowed answers instead of writes

The metric spool.slowed counted each write that had to wait, so that one long answer looked like many slow callers. It now counts each answer once. The test of the connection's limit writes several answers, each below its own limit, so that only the sum reaches the limit; all limits pass twice with the race detector.

--- a/gate/spool/conn.go
+++ b/gate/spool/conn.go
@@ -57,6 +57,8 @@
 	drained sync.Cond
 	// answer describes the answer that is being written.
 	answer answer
+	// slowed is the number of the latest answer that was slowed.
+	slowed int
 	// chunks is what is kept, the oldest first; kept is its size, and answerKept that of the current answer's part.
 	chunks           []chunk
 	kept, answerKept int64
@@ -70,6 +72,7 @@
 
 // answer identifies an answer on a connection.
 type answer struct {
+	// number counts the answers on the connection, from 1.
 	number    int
 	id        string
 	workspace string
@@ -117,8 +120,11 @@
 	if done || err != nil {
 		return len(data) - len(rest), err
 	}
-	c.spool.counts.Count("spool.slowed", 1)
 	c.mu.Lock()
+	if c.slowed != c.answer.number {
+		c.slowed = c.answer.number
+		c.spool.counts.Count("spool.slowed", 1)
+	}
 	for c.draining {
 		c.drained.Wait()
 	}
--- a/gate/spool/conn_test.go
+++ b/gate/spool/conn_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -104,7 +105,8 @@
 	for len(data) > 0 {
 		n := min(180, len(data))
 		if _, err := conn.Write(data[:n]); err != nil {
-			t.Fatal(err)
+			t.Error(err)
+			return 0
 		}
 		data = data[n:]
 	}
@@ -160,11 +162,12 @@
 }
 
 // TestSlowedAnswer checks each limit with a caller that reads nothing at first: the write that reaches the limit
-// blocks, no more than the limit is kept, and all arrives once the caller reads.
+// blocks, no more than the limit is kept, and all arrives once the caller reads. The limit of a connection is reached
+// by several answers, each of which is below its own limit.
 func TestSlowedAnswer(t *testing.T) {
 	for name, limits := range map[string]Limits{
 		"answer":     {Answer: 64 * kb},
-		"connection": {Connection: 64 * kb},
+		"connection": {Answer: 32 * kb, Connection: 64 * kb},
 		"workspace":  {Workspace: 64 * kb},
 		"box":        {Box: 64 * kb},
 	} {
@@ -174,10 +177,18 @@
 				Answer: limitOr(limits.Answer), Connection: limitOr(limits.Connection), Workspace: limitOr(limits.Workspace), Box: limitOr(limits.Box),
 			})
 			conn, caller := pair(t, spool)
-			conn.BeginAnswer("i", "w", time.Time{})
 			want, written := pattern(beyondKernel), make(chan time.Duration, 1)
+			answerBytes := len(want)
+			if limits.Connection > 0 {
+				answerBytes = 16 * kb
+			}
 			go func() {
-				written <- writePieces(t, conn, want)
+				start := time.Now()
+				for part := range slices.Chunk(want, answerBytes) {
+					conn.BeginAnswer("i", "w", time.Time{})
+					writePieces(t, conn, part)
+				}
+				written <- time.Since(start)
 				_ = conn.Close() // the caller sees whether all has arrived
 			}()
 			const pause = 500 * time.Millisecond
