--- a/gate/remote/reach_test.go
+++ b/gate/remote/reach_test.go
@@ -347,7 +347,7 @@
 				if _, err := readTurn(r.Body); err != nil {
 					return
 				}
-				out := &turnWriter{w: w, flush: http.NewResponseController(w)}
+				out := &turnWriter{w: w, flush: http.NewResponseController(w), deadline: time.Now().Add(time.Minute)}
 				_ = out.Begin(work.Head{Status: http.StatusOK}) // the number of connections is checked
 				for r.Context().Err() == nil {
 					_ = out.Write([]byte("event")) // the same
