sched: admit refused programs where there is room

Cause: once a tenth of its time had passed, a refused program was measured by the load plus 0.4 on every retry, so that it was refused at 0.50 to 0.88 of the slots in use, or with turns at 0.8 of the time they may take, while others started; one was refused 24 times in 12 s.

Change: such a program is admitted wherever all programs in time of its priority are, at a tenth of the rate at which those started lately (at least one in 2 s for each box and service), and refused above. Without the spacing all of them start before a load report shows it. A first turn that continues a stored turn of another program is no start of a program and is not refused.

--- a/gate/sched/admission.go
+++ b/gate/sched/admission.go
@@ -43,6 +43,7 @@
 	Estimates EngineEstimates
 	Overload  Overload
 	profiles  profiles
+	latePace  latePace
 	// active holds the programs that have started and not yet been forgotten, by name.
 	active map[string]*activeProgram
 	// refused holds the programs that were refused before they started, by name.
@@ -90,8 +91,13 @@
 	if !turn.NewProgram {
 		return decision
 	}
-	share := a.Overload.admitShare(now, turn.Priority, a.unlikelyInTime(now, turn))
-	if share >= 1 || rand.Float64() < share {
+	share := a.Overload.admitShare(now, turn.Priority)
+	late := a.unlikelyInTime(now, turn)
+	if late && share >= 1 && a.latePace.take(now) {
+		return decision
+	}
+	if !late && (share >= 1 || rand.Float64() < share) {
+		a.latePace.started(now)
 		return decision
 	}
 	a.rememberRefusal(now, turn)
--- a/gate/sched/overload.go
+++ b/gate/sched/overload.go
@@ -28,10 +28,8 @@
 	// engines can absorb.
 	utilizationWindow = 5 * time.Second
 	// priorityPenalty is added to each load figure per step of lower priority, so that less urgent
-	// programs are refused earlier. unlikelyPenalty is added for programs that are unlikely to meet
-	// their deadline.
+	// programs are refused earlier.
 	priorityPenalty = 0.05
-	unlikelyPenalty = 0.4
 )
 
 // admissionRange is the range of a load figure in which the share of admitted programs falls
@@ -82,13 +80,9 @@
 	return o.utilization
 }
 
-// admitShare returns the share of programs of a priority that may start, 0 to 1. unlikely is set for
-// programs that are unlikely to meet their deadline.
-func (o *Overload) admitShare(now time.Time, priority int, unlikely bool) float64 {
+// admitShare returns the share of programs of a priority that may start, 0 to 1.
+func (o *Overload) admitShare(now time.Time, priority int) float64 {
 	penalty := priorityPenalty * float64(priority)
-	if unlikely {
-		penalty += unlikelyPenalty
-	}
 	share := slowdownRange.share(o.Slowdown(now) + penalty)
 	if o.utilization < 0 {
 		return share
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -89,7 +89,7 @@
 	// before any of the answer is sent to the caller; nil if the turn needs no such record or the log holds
 	// it.
 	started *shard.PendingWrite
-	// firstTurn is set for a program's first turn. failures counts the consecutive failed attempts of this
+	// firstTurn is set for the first turn of a program that continues no stored turn. failures counts the consecutive failed attempts of this
 	// turn.
 	firstTurn bool
 	failures  int
@@ -145,7 +145,8 @@
 // enter starts the turn in the slot's state. A new program that would not finish in time is refused before
 // any record of it is written.
 func (t *turn) enter(state *chain.State) error {
-	t.firstTurn = !state.HasStarted(t.open.Program)
+	// A program that continues a turn of another one, as a sub-agent does, is part of work that has begun.
+	t.firstTurn = t.open.Previous == "" && !state.HasStarted(t.open.Program)
 	t.failures = state.FailureCount(t.open)
 	if err := t.admit(); err != nil {
 		return err
--- a/gate/turns/turns_test.go
+++ b/gate/turns/turns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/chain"
+	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/gate/target"
 	"mulleingate.dev/gate/work"
 )
@@ -62,3 +64,42 @@
 		}
 	}
 }
+
+// fullTargets admits no program and has no replica.
+type fullTargets struct{}
+
+func (fullTargets) Admit(target.CallRequest) sched.AdmissionDecision {
+	return sched.AdmissionDecision{Refuse: true, RetryAfter: time.Second}
+}
+
+func (fullTargets) Take(target.CallRequest) (*target.Lease, error) {
+	return nil, fault.Refuse(fault.NoTarget, "")
+}
+
+// noCounts discards metrics.
+type noCounts struct{}
+
+func (noCounts) Count(string, int64)        {}
+func (noCounts) Time(string, time.Duration) {}
+
+// freeLedger accepts every turn.
+type freeLedger struct{ ledger }
+
+func (freeLedger) enter(*chain.State) error { return nil }
+
+// TestAdmitContinuedTurn checks that the first turn of a program is subject to admission, unless it
+// continues a turn of another program. Otherwise a running program fails with its sub-agents.
+func TestAdmitContinuedTurn(t *testing.T) {
+	got := map[string]bool{}
+	for _, previous := range []string{"", "turn of another program"} {
+		r := &Runner{targets: fullTargets{}, counts: noCounts{}, log: slog.New(slog.DiscardHandler)}
+		tr := &turn{
+			Runner: r, route: &work.Route{}, call: &work.Call{Prompt: &work.Prompt{}, Turn: &work.Turn{Program: "p", Previous: previous, Budget: -1}},
+			open: chain.OpenTurn{ID: "t", Program: "p", Previous: previous}, ledger: freeLedger{},
+		}
+		got[previous] = fault.Is(tr.enter(chain.New()), fault.Overloaded)
+	}
+	if diff := cmp.Diff(map[string]bool{"": true, "turn of another program": false}, got); diff != "" {
+		t.Errorf("refused by admission control, by the turn that is continued (-want +got):\n%s", diff)
+	}
+}
