sched: reserve times for retries of refused programs

Cause: callers that were refused together returned after one to two turn times, at random, so that a burst came back as the next one, and nothing told a program that waited from a new one. Retries also took places under overload from programs that had all of their time.

Change: a refusal reserves the next time at which the box's recent starts give room, one step after the one before, up to a third of the time that the caller has left (sched.Turn.RetryWithin). A program that returns at or after its time starts before new ones of its priority, which give up as many places. Callers beyond that time return spread evenly over it. Late programs start oldest refusal first, so that the wait of each is bounded. A refused program counts as late once 0.03 of its time is lost (0.1 before). The log line says `reason` and `reserved`; there is a counter for each reason.

--- a/gate/sched/admission.go
+++ b/gate/sched/admission.go
@@ -18,6 +18,8 @@
 	// passed, zero if it is unknown.
 	TimeLeft time.Duration
 	Arrived  time.Time
+	// RetryWithin is the longest retry delay that the caller honors, zero if it is unknown.
+	RetryWithin time.Duration
 }
 
 // late reports whether the program's deadline has passed.
@@ -25,12 +27,27 @@
 	return t.TimeLeft != 0 && now.Sub(t.Arrived) >= t.TimeLeft
 }
 
+// RefusalReason is why a program may not start.
+type RefusalReason string
+
+// The reasons.
+const (
+	// RefusedForLoad means that the engines have no room for all programs of the priority.
+	RefusedForLoad RefusalReason = "load"
+	// RefusedAsLate means that the program is unlikely to meet its deadline, and others go first.
+	RefusedAsLate RefusalReason = "late"
+)
+
 // AdmissionDecision is the admission decision on a turn.
 type AdmissionDecision struct {
 	// Refuse is set if the turn is refused before any of it has run.
 	Refuse bool
 	// RetryAfter is how long the caller should wait before it retries.
 	RetryAfter time.Duration
+	// Reserved is set if the program goes before new ones of its rank once that time has passed.
+	Reserved bool
+	// Reason is why the program is refused, empty if it is not.
+	Reason RefusalReason
 	// Slowdown and Utilization are the load figures that the decision was based on; see Overload.
 	Slowdown, Utilization float64
 }
@@ -43,7 +60,8 @@
 	Estimates EngineEstimates
 	Overload  Overload
 	profiles  profiles
-	latePace  latePace
+	pace      startPace
+	retries   retrySchedule
 	// active holds the programs that have started and not yet been forgotten, by name.
 	active map[string]*activeProgram
 	// refused holds the programs that were refused before they started, by name.
@@ -60,20 +78,15 @@
 	lastTurnEnd time.Time
 }
 
-// refusal records the first refusal of a program that has not started.
-type refusal struct {
-	at       time.Time
-	timeLeft time.Duration
-}
-
 const (
-	// minRetryAfter is the minimum retry delay. In a shorter time hardly any turn ends.
-	minRetryAfter = 150 * time.Millisecond
 	// maxLostTimeShare is the share of the time until its deadline that a refused program may lose
-	// before it counts as unlikely to meet the deadline.
-	maxLostTimeShare = 0.1
+	// before it counts as unlikely to meet the deadline. With 0.1, retries take places under overload from
+	// programs that have all of their time: in gate/replay, "full engines" gave 0.49 instead of 0.54.
+	maxLostTimeShare = 0.03
 	// maxRefused bounds the number of remembered refusals.
 	maxRefused = 10_000
+	// refusedTimeout is how long a refusal is remembered. It exceeds the time in which a caller retries.
+	refusedTimeout = 10 * time.Second
 	// programIdleTimeout is the idle time after which a program counts as ended. Most pauses between
 	// turns are shorter. forgetBatch is the number of programs that each call of forget checks.
 	programIdleTimeout = 2 * time.Second
@@ -82,7 +95,9 @@
 
 // NewAdmission returns an Admission without any history.
 func NewAdmission() *Admission {
-	return &Admission{profiles: profiles{}, active: map[string]*activeProgram{}, refused: map[string]refusal{}}
+	return &Admission{
+		profiles: profiles{}, retries: retrySchedule{advanced: map[int]int{}}, active: map[string]*activeProgram{}, refused: map[string]refusal{},
+	}
 }
 
 // Admit decides on a turn that has just arrived.
@@ -93,35 +108,95 @@
 	}
 	share := a.Overload.admitShare(now, turn.Priority)
 	late := a.unlikelyInTime(now, turn)
-	if late && share >= 1 && a.latePace.take(now) {
+	if late && a.mayStartLate(now, turn, share) {
 		return decision
 	}
-	if !late && (share >= 1 || rand.Float64() < share) {
-		a.latePace.started(now)
+	if !late && a.mayStart(now, turn, share) {
+		a.pace.started(now)
 		return decision
 	}
-	a.rememberRefusal(now, turn)
-	decision.Refuse, decision.RetryAfter = true, jitter(a.Estimates.turnTime())
+	decision.Refuse, decision.Reason = true, RefusedForLoad
+	if late {
+		decision.Reason = RefusedAsLate
+	}
+	decision.RetryAfter, decision.Reserved = a.refuse(now, turn, late)
 	return decision
 }
 
-// jitter returns a random retry delay between wait and twice wait, so that callers that were
-// refused together don't retry together.
-func jitter(wait time.Duration) time.Duration {
-	wait = max(wait, minRetryAfter)
-	return wait + rand.N(wait)
+// mayStart decides on a program that can end in time, of whose priority the share is admitted.
+func (a *Admission) mayStart(now time.Time, turn Turn, share float64) bool {
+	if share >= 1 {
+		return true
+	}
+	admitted := rand.Float64() < share
+	if a.refused[turn.Program].onTime(now) {
+		return admitted || a.retries.advance(turn.Priority, share)
+	}
+	return admitted && !a.retries.repay(turn.Priority)
 }
 
-// rememberRefusal records the refusal of a program, unless an earlier one is recorded or its deadline
-// is unknown or past.
-func (a *Admission) rememberRefusal(now time.Time, turn Turn) {
-	if _, ok := a.refused[turn.Program]; ok || turn.TimeLeft <= 0 {
-		return
+// mayStartLate decides on a program that is unlikely to meet its deadline. It starts where all others of
+// its priority do, after the late programs that were refused before it.
+func (a *Admission) mayStartLate(now time.Time, turn Turn, share float64) bool {
+	return share >= 1 && a.pace.mayTakeLate(now) && a.isOldestLate(now, turn) && a.pace.takeLate()
+}
+
+// isOldestLate reports whether no program that waits was refused before this one.
+func (a *Admission) isOldestLate(now time.Time, turn Turn) bool {
+	own, ok := a.refused[turn.Program]
+	if !ok {
+		own.at = now
+	}
+	for name, other := range a.refused {
+		if name != turn.Program && other.at.Before(own.at) && other.waiting(now) {
+			return false
+		}
 	}
+	return true
+}
+
+// refuse records the refusal of a program and returns its retry delay. reserved is set if the delay ends
+// at a time that is reserved for the program.
+func (a *Admission) refuse(now time.Time, turn Turn, late bool) (after time.Duration, reserved bool) {
+	rec, ok := a.refused[turn.Program]
+	if !ok {
+		rec = refusal{at: now, timeLeft: turn.TimeLeft}
+	}
+	within := turn.RetryWithin
+	if within <= 0 {
+		within = defaultRetryWithin
+	}
+	if !rec.due.After(now) {
+		rec.due = time.Time{}
+		if !late {
+			rec.due, _ = a.retries.reserve(now, a.pace.step(now), within)
+		}
+	}
+	after, reserved = max(rec.due.Sub(now), minRetryAfter), !rec.due.IsZero()
+	if !reserved {
+		after = spread(within)
+	}
+	rec.seenAt, rec.retryAfter = now, after
+	a.forgetRefused(now)
 	if len(a.refused) >= maxRefused {
 		clear(a.refused)
 	}
-	a.refused[turn.Program] = refusal{at: now, timeLeft: turn.TimeLeft}
+	a.refused[turn.Program] = rec
+	return after, reserved
+}
+
+// forgetRefused removes refused programs that have not returned for refusedTimeout. It checks forgetBatch
+// programs per call.
+func (a *Admission) forgetRefused(now time.Time) {
+	checked := 0
+	for name, rec := range a.refused {
+		if now.Sub(rec.seenAt) > refusedTimeout {
+			delete(a.refused, name)
+		}
+		if checked++; checked >= forgetBatch {
+			return
+		}
+	}
 }
 
 // unlikelyInTime reports whether a program that has not started is unlikely to meet its deadline.
@@ -130,7 +205,7 @@
 		return true
 	}
 	first, ok := a.refused[turn.Program]
-	return ok && float64(now.Sub(first.at)) > maxLostTimeShare*float64(first.timeLeft)
+	return ok && first.timeLeft > 0 && float64(now.Sub(first.at)) > maxLostTimeShare*float64(first.timeLeft)
 }
 
 // TurnStarted records that a turn has got its place.
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -33,7 +33,8 @@
 	// minTimeAfterRetry is the time that must remain before the deadline when the caller of a postponed turn
 	// retries. It allows for the turn itself and for a pause without events.
 	minTimeAfterRetry = 2500 * time.Millisecond
-	// retryDelayDivisor sets the retry delay of a postponed turn: its remaining time divided by this.
+	// retryDelayDivisor is the part of its remaining time that a caller waits at most before a retry: a
+	// third.
 	retryDelayDivisor = 3
 	// lastEventHeader makes a replica resume after the given event.
 	lastEventHeader = "Last-Event-Id"
@@ -163,9 +164,10 @@
 	if !decision.Refuse {
 		return nil
 	}
-	t.log.Info("turns: program not begun", "id", t.call.ID, "program", t.call.Turn.Program, "route", t.route.Name, "left", t.call.Turn.Left,
-		"stretch", decision.Slowdown, "taken", decision.Utilization, "retry_after", decision.RetryAfter)
+	t.log.Info("turns: program not begun", "id", t.call.ID, "program", t.call.Turn.Program, "route", t.route.Name, "left", t.call.Turn.Left, "reason", string(decision.Reason),
+		"stretch", decision.Slowdown, "taken", decision.Utilization, "retry_after", decision.RetryAfter, "reserved", decision.Reserved)
 	t.counts.Count("turns.not_begun", 1)
+	t.counts.Count("turns.not_begun_"+string(decision.Reason), 1)
 	return fault.Refuse(fault.Overloaded, "a new program would not finish in time").WithRetryAfter(decision.RetryAfter)
 }
 
@@ -237,7 +239,7 @@
 		WorkKind: t.route.Name, Services: t.route.Splits, Regions: t.call.Regions, Exclude: avoid, Prompt: t.call.Prompt, CachedTokens: t.cachedTokens,
 		Turn: sched.Turn{
 			Program: t.open.Program, Kind: t.route.Name, NewProgram: t.firstTurn, Priority: t.route.Priority, TimeLeft: t.call.Turn.Left,
-			Arrived: t.call.Arrived,
+			Arrived: t.call.Arrived, RetryWithin: time.Until(t.call.Deadline) / retryDelayDivisor,
 		},
 	}
 }
