sched: start late programs after all that are in time

Cause: a late program of an urgent kind started while less urgent programs that could still end in time were refused, and late ones started in the order of their refusals whatever their priority.

Change: a late program starts only where no priority that asked within 2 s is refused, urgent ones first; a second of waiting outweighs a step of priority, so that every late program's wait is bounded.

--- a/gate/sched/admission.go
+++ b/gate/sched/admission.go
@@ -62,6 +62,8 @@
 	profiles  profiles
 	pace      startPace
 	retries   retrySchedule
+	// priorities holds the priorities of the programs that asked to start.
+	priorities priorities
 	// active holds the programs that have started and not yet been forgotten, by name.
 	active map[string]*activeProgram
 	// refused holds the programs that were refused before they started, by name.
@@ -96,7 +98,7 @@
 // NewAdmission returns an Admission without any history.
 func NewAdmission() *Admission {
 	return &Admission{
-		profiles: profiles{}, retries: retrySchedule{advanced: map[int]int{}}, active: map[string]*activeProgram{}, refused: map[string]refusal{},
+		profiles: profiles{}, priorities: priorities{}, retries: retrySchedule{advanced: map[int]int{}}, active: map[string]*activeProgram{}, refused: map[string]refusal{},
 	}
 }
 
@@ -106,9 +108,10 @@
 	if !turn.NewProgram {
 		return decision
 	}
+	a.priorities.seen(now, turn.Priority)
 	share := a.Overload.admitShare(now, turn.Priority)
 	late := a.unlikelyInTime(now, turn)
-	if late && a.mayStartLate(now, turn, share) {
+	if late && a.mayStartLate(now, turn) {
 		return decision
 	}
 	if !late && a.mayStart(now, turn, share) {
@@ -135,20 +138,21 @@
 	return admitted && !a.retries.repay(turn.Priority)
 }
 
-// mayStartLate decides on a program that is unlikely to meet its deadline. It starts where all others of
-// its priority do, after the late programs that were refused before it.
-func (a *Admission) mayStartLate(now time.Time, turn Turn, share float64) bool {
-	return share >= 1 && a.pace.mayTakeLate(now) && a.isOldestLate(now, turn) && a.pace.takeLate()
+// mayStartLate decides on a program that is unlikely to meet its deadline. It starts where all programs in
+// time do, of whichever priority, and after the late programs that are before it in the order.
+func (a *Admission) mayStartLate(now time.Time, turn Turn) bool {
+	leastUrgent := a.priorities.leastUrgent(now, turn.Priority)
+	return a.Overload.admitShare(now, leastUrgent) >= 1 && a.pace.mayTakeLate(now) && a.isFirst(now, turn) && a.pace.takeLate()
 }
 
-// isOldestLate reports whether no program that waits was refused before this one.
-func (a *Admission) isOldestLate(now time.Time, turn Turn) bool {
+// isFirst reports whether no program that waits is before this one in the order of late programs.
+func (a *Admission) isFirst(now time.Time, turn Turn) bool {
 	own, ok := a.refused[turn.Program]
 	if !ok {
-		own.at = now
+		own = refusal{at: now, priority: turn.Priority}
 	}
 	for name, other := range a.refused {
-		if name != turn.Program && other.at.Before(own.at) && other.waiting(now) {
+		if name != turn.Program && other.before(own) && other.waiting(now) {
 			return false
 		}
 	}
@@ -160,7 +164,7 @@
 func (a *Admission) refuse(now time.Time, turn Turn, late bool) (after time.Duration, reserved bool) {
 	rec, ok := a.refused[turn.Program]
 	if !ok {
-		rec = refusal{at: now, timeLeft: turn.TimeLeft}
+		rec = refusal{at: now, timeLeft: turn.TimeLeft, priority: turn.Priority}
 	}
 	within := turn.RetryWithin
 	if within <= 0 {
--- a/gate/sched/retry.go
+++ b/gate/sched/retry.go
@@ -11,6 +11,7 @@
 	// not positive if the deadline was past or unknown.
 	at       time.Time
 	timeLeft time.Duration
+	priority int
 	// seenAt is the time of the last refusal, and retryAfter the delay that it gave.
 	seenAt     time.Time
 	retryAfter time.Duration
@@ -23,6 +24,27 @@
 	return now.Sub(r.seenAt) <= r.retryAfter+retryGrace
 }
 
+// before reports whether a late program is before another in the order of late programs: by priority, and
+// by the time of the first refusal, where a step of priority counts as much as lateAging.
+func (r refusal) before(other refusal) bool {
+	return r.at.Add(time.Duration(r.priority) * lateAging).Before(other.at.Add(time.Duration(other.priority) * lateAging))
+}
+
+// priorities holds when each priority was last asked for.
+type priorities map[int]time.Time
+
+func (p priorities) seen(now time.Time, priority int) { p[priority] = now }
+
+// leastUrgent returns the least urgent priority of the last priorityWindow, and at least the given one.
+func (p priorities) leastUrgent(now time.Time, priority int) int {
+	for other, at := range p {
+		if now.Sub(at) <= priorityWindow {
+			priority = max(priority, other)
+		}
+	}
+	return priority
+}
+
 // onTime reports whether a time was reserved for the program and has come.
 func (r refusal) onTime(now time.Time) bool {
 	return !r.due.IsZero() && !now.Before(r.due)
@@ -48,6 +70,11 @@
 	// retryGrace is how long after its retry delay a caller may still return: a caller that gives up a
 	// call starts the turn again within 0.4 s.
 	retryGrace = 600 * time.Millisecond
+	// lateAging is the wait of a late program that outweighs a step of priority, so that urgent ones can't
+	// keep others waiting for longer. It is about as long as a caller retries.
+	lateAging = time.Second
+	// priorityWindow is how long a priority counts as present after a program asked to start with it.
+	priorityWindow = 2 * time.Second
 	// maxAdvanced bounds how many programs of a priority may start beyond the admitted share.
 	maxAdvanced = 2
 )
--- a/gate/sched/retry_test.go
+++ b/gate/sched/retry_test.go
@@ -168,6 +168,55 @@
 	}
 }
 
+// TestLateOrderByPriority checks that of two late programs the more urgent one starts first, unless the
+// other has waited for longer by lateAging.
+func TestLateOrderByPriority(t *testing.T) {
+	now := testStart
+	urgent, other := refusal{at: now.Add(lateAging / 2)}, refusal{at: now, priority: 1}
+	if !urgent.before(other) || other.before(urgent) {
+		t.Error("a program is before a more urgent one that was refused soon after it")
+	}
+	urgent.at = now.Add(2 * lateAging)
+	if urgent.before(other) || !other.before(urgent) {
+		t.Error("a program is after a more urgent one that was refused long after it")
+	}
+}
+
+// TestInTimeBeforeLate checks that a late program does not start while some less urgent programs in time
+// are refused, and that it starts at the same load once those are gone.
+func TestInTimeBeforeLate(t *testing.T) {
+	adm, now := newLoadedAdmission(0.9, 0.85)
+	late := Turn{Program: "late", Kind: "k", NewProgram: true, TimeLeft: -time.Second, Arrived: now}
+	if n := countAdmitted(adm, now, Turn{Kind: "other", NewProgram: true, Priority: 2}); n == 0 || n == 100 {
+		t.Fatalf("%d of 100 less urgent programs in time are admitted, want a part", n)
+	}
+	if !adm.Admit(now, late).Refuse {
+		t.Error("a late program starts while less urgent ones in time are refused")
+	}
+	for range 40 {
+		now = now.Add(priorityWindow / 20)
+		adm.Overload.ObserveTurn(now, 0.9, 1)
+	}
+	late.Arrived = now
+	if adm.Admit(now, late).Refuse {
+		t.Error("a late program is refused although all others start")
+	}
+}
+
+// TestUrgentRefusedLeast checks that at each load at most as many programs of a priority are refused as
+// of any less urgent one.
+func TestUrgentRefusedLeast(t *testing.T) {
+	for load := 0.5; load < 1.6; load += 0.01 {
+		for _, o := range []Overload{{slowdown: load, utilization: -1}, {utilization: load}, {utilization: 0.5, meanUtilization: load}} {
+			for priority := range 3 {
+				if urgent, less := o.admitShare(time.Time{}, priority), o.admitShare(time.Time{}, priority+1); urgent < less {
+					t.Errorf("load %.2f: %.2f of priority %d are admitted, and %.2f of the next", load, urgent, priority, less)
+				}
+			}
+		}
+	}
+}
+
 func contains(list []string, name string) bool {
 	for _, item := range list {
 		if item == name {
