--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -33,7 +33,8 @@
 	// minTimeAfterRetry is the time that must remain before the deadline when the caller of a postponed turn
 	// retries. It allows for the turn itself and for a pause without events.
 	minTimeAfterRetry = 2500 * time.Millisecond
-	// retryDelayDivisor sets the retry delay of a postponed turn: its remaining time divided by this.
+	// retryDelayDivisor is the part of its remaining time that a caller waits at most before a retry: a
+	// third.
 	retryDelayDivisor = 3
 	// lastEventHeader makes a replica resume after the given event.
 	lastEventHeader = "Last-Event-Id"
@@ -89,7 +90,7 @@
 	// before any of the answer is sent to the caller; nil if the turn needs no such record or the log holds
 	// it.
 	started *shard.PendingWrite
-	// firstTurn is set for a program's first turn. failures counts the consecutive failed attempts of this
+	// firstTurn is set for the first turn of a program that continues no stored turn. failures counts the consecutive failed attempts of this
 	// turn.
 	firstTurn bool
 	failures  int
@@ -146,7 +147,8 @@
 // enter starts the turn in the slot's state. A new program that would not finish in time is refused before
 // any record of it is written.
 func (t *turn) enter(state *chain.State) error {
-	t.firstTurn = !state.HasStarted(t.open.Program)
+	// A program that continues a turn of another one, as a sub-agent does, is part of work that has begun.
+	t.firstTurn = t.open.Previous == "" && !state.HasStarted(t.open.Program)
 	t.failures = state.FailureCount(t.open)
 	if err := t.admit(); err != nil {
 		return err
@@ -163,9 +165,10 @@
 	if !decision.Refuse {
 		return nil
 	}
-	t.log.Info("turns: program not begun", "id", t.call.ID, "program", t.call.Turn.Program, "route", t.route.Name, "left", t.call.Turn.Left,
-		"stretch", decision.Slowdown, "taken", decision.Utilization, "retry_after", decision.RetryAfter)
+	t.log.Info("turns: program not begun", "id", t.call.ID, "program", t.call.Turn.Program, "route", t.route.Name, "left", t.call.Turn.Left, "reason", string(decision.Reason),
+		"stretch", decision.Slowdown, "taken", decision.Utilization, "retry_after", decision.RetryAfter, "reserved", decision.Reserved)
 	t.counts.Count("turns.not_begun", 1)
+	t.counts.Count("turns.not_begun_"+string(decision.Reason), 1)
 	return fault.Refuse(fault.Overloaded, "a new program would not finish in time").WithRetryAfter(decision.RetryAfter)
 }
 
@@ -237,7 +240,7 @@
 		WorkKind: t.route.Name, Services: t.route.Splits, Regions: t.call.Regions, Exclude: avoid, Prompt: t.call.Prompt, CachedTokens: t.cachedTokens,
 		Turn: sched.Turn{
 			Program: t.open.Program, Kind: t.route.Name, NewProgram: t.firstTurn, Priority: t.route.Priority, TimeLeft: t.call.Turn.Left,
-			Arrived: t.call.Arrived,
+			Arrived: t.call.Arrived, RetryWithin: time.Until(t.call.Deadline) / retryDelayDivisor,
 		},
 	}
 }
