remote: count the checks of turns in progress only

Traced beside 30 busy processes: 4 of 4 runs open 1 or 2 connections with no event late, all of them while turns begin, when 100 Continue takes longer than 40 ms and the box is checked as for a suspicion, as designed. Change: connections count from the moment when all turns have begun; a check is allowed only for an event that came as late as silentAfter, which is counted.

--- a/gate/remote/reach_test.go
+++ b/gate/remote/reach_test.go
@@ -276,6 +276,29 @@
 	return nil
 }
 
+// gapAnswer is a work.Answer that counts the times without data that are long enough for a check.
+type gapAnswer struct {
+	last time.Time
+	gaps int64
+	// begin is called when the answer begins.
+	begin func()
+}
+
+func (a *gapAnswer) Begin(work.Head) error {
+	a.begin()
+	return nil
+}
+
+func (a *gapAnswer) Write([]byte) error {
+	const margin = 20 * time.Millisecond // the data is counted a little later here than by the client
+	now := time.Now()
+	if now.Sub(a.last) >= silentAfter-margin {
+		a.gaps++
+	}
+	a.last = now
+	return nil
+}
+
 // longTurn sends a turn to the box and returns its result and the time it took.
 func longTurn(c *Client, box work.Box, out work.Answer) (time.Duration, error) {
 	now := time.Now()
@@ -334,7 +357,9 @@
 }
 
 // TestTurnsInProgressShareChecks checks that many turns that wait for a slow box share its checks, and that a turn that
-// gets events is not checked for.
+// gets events is not checked for. On a busy machine, turns may begin so late that their box is checked as for a
+// suspicion, so connections count once all turns have begun; and an event may arrive so late that a check is due, of
+// up to contactTries connections.
 func TestTurnsInProgressShareChecks(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -368,16 +393,24 @@
 			client := newNearClient()
 			const turns = 50
 			var all sync.WaitGroup
+			var gaps, begun, connsAtBegin atomic.Int64
+			begin := func() {
+				if begun.Add(1) == turns {
+					connsAtBegin.Store(conns.Load())
+				}
+			}
 			for range turns {
 				all.Go(func() {
-					if took, err := longTurn(client, box, &partialAnswer{}); took < 2900*time.Millisecond {
+					out := &gapAnswer{last: time.Now(), begin: begin}
+					if took, err := longTurn(client, box, out); took < 2900*time.Millisecond {
 						t.Errorf("%v after %v", err, took)
 					}
+					gaps.Add(out.gaps)
 				})
 			}
 			all.Wait()
-			if got := conns.Load() - turns; got > c.most {
-				t.Errorf("%d connections for checks", got)
+			if got := conns.Load() - connsAtBegin.Load(); begun.Load() < turns || got > c.most+contactTries*gaps.Load() {
+				t.Errorf("%d connections for checks, %d events were late, %d turns began", got, gaps.Load(), begun.Load())
 			}
 		})
 	}
