--- a/bench/mutant/list.go
+++ b/bench/mutant/list.go
@@ -18,7 +18,29 @@
 
 // All returns all mutants.
 func All() []Mutant {
-	return slices.Concat(ownership(), budgets(), configuration(), slotsAndGrants(), accessAndTargets())
+	return slices.Concat(ownership(), budgets(), configuration(), slotsAndGrants(), accessAndTargets(), highLoad())
+}
+
+// highLoad returns the mutants of failover, prefix-aware placement, retries and slow readers.
+func highLoad() []Mutant {
+	return []Mutant{
+		{
+			Name: "claim_after_recovery", Property: "an owner that answers again keeps its slot", File: "gate/shard/claim.go", TestPackage: "./shard",
+			Old: "if ranked.Name != m.self.Name && !released && !m.mayTakeOver(number) {", New: "if false {",
+		},
+		{
+			Name: "search_without_confirmation", Property: "no turn is reported missing that another box holds", File: "gate/entry/find.go", TestPackage: "./...",
+			Old: "if confirm {", New: "if false {",
+		},
+		{
+			Name: "prefixes_fill_memory", Property: "assigned prefixes leave room for running calls", File: "gate/sched/prefix.go", TestPackage: "./sched",
+			Old: "if assigned[i]+o.part.tokens > bound {", New: "if assigned[i] > 1<<40 {",
+		},
+		{
+			Name: "retry_time_ignored", Property: "a program that returns on its reserved time goes before new ones", File: "gate/sched/retry.go", TestPackage: "./sched",
+			Old: "return !r.due.IsZero() && !now.Before(r.due)", New: "return false",
+		},
+	}
 }
 
 // accessAndTargets returns the mutants of access, quotas, replicas and what boxes learn about them.
