--- a/bench/mutant/list.go
+++ b/bench/mutant/list.go
@@ -26,7 +26,7 @@
 	return []Mutant{
 		{
 			Name: "claim_after_recovery", Property: "an owner that answers again keeps its slot", File: "gate/shard/claim.go", TestPackage: "./shard",
-			Old: "if ranked.Name != m.self.Name && !released && !m.mayTakeOver(number) {", New: "if false {",
+			Old: "if ranked.Name != m.self.Name && !released && !m.mayTakeOver(number) {", New: "if ranked.Name == \"\" && !released && !m.mayTakeOver(number) {",
 		},
 		{
 			Name: "search_without_confirmation", Property: "no turn is reported missing that another box holds", File: "gate/entry/find.go", TestPackage: "./...",
