--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -182,7 +182,7 @@
 }
 
 // errUnreachable is the cause of the end of a context of untilUnreachable.
-var errUnreachable = errors.New("the box does not accept connections")
+var errUnreachable error = fault.Refuse(fault.PeerUnreachable, "the box does not accept connections")
 
 // untilUnreachable returns a context for an idempotent request, which ends with errUnreachable if a near box has not
 // responded within suspectAfter and does not accept connections then.
--- a/gate/target/prefix.go
+++ b/gate/target/prefix.go
@@ -104,7 +104,7 @@
 	cached.claimed = max(cached.claimed, cached.sent)
 	cached.tokens = cached.claimed
 	if use, ok := s.prefixUses[cached.lastShared]; ok {
-		use.judge()
+		use.evaluate()
 		cached.tokens -= int(use.currentDoubt(now) * float64(min(cached.claimed, cached.shared)))
 	}
 	return cached
@@ -128,7 +128,7 @@
 
 // prefixUse is what this box observed of the use of a shared part at a replica.
 type prefixUse struct {
-	// last is the last call that should find the part cached, nil once its first event has been judged. The
+	// last is the last call that should find the part cached, nil once its first event has been evaluated. The
 	// event is late if it takes longer than limit.
 	last  *Lease
 	limit time.Duration
@@ -155,8 +155,8 @@
 	return u.doubt * math.Exp2(-now.Sub(u.doubtAt).Seconds()/doubtHalfLife.Seconds())
 }
 
-// judge evaluates the last call if its first event has arrived.
-func (u *prefixUse) judge() {
+// evaluate rates the last call if its first event has arrived.
+func (u *prefixUse) evaluate() {
 	if u.last == nil || u.last.firstEventAfter == 0 {
 		return
 	}
--- a/gate/view/failover_test.go
+++ b/gate/view/failover_test.go
@@ -162,9 +162,9 @@
 // confirm has b1 confirm the failure of a1, and returns the result and the time taken.
 func (w *failoverWorld) confirm() (bool, time.Duration) {
 	start := time.Now()
-	judge, suspect := w.boxes["b1"], w.boxes["a1"].self
-	judge.Confirm(context.Background(), []work.Box{suspect}, func() { w.likely.Add(1) })
-	return judge.Failed(suspect), time.Since(start)
+	checker, suspect := w.boxes["b1"], w.boxes["a1"].self
+	checker.Confirm(context.Background(), []work.Box{suspect}, func() { w.likely.Add(1) })
+	return checker.Failed(suspect), time.Since(start)
 }
 
 // TestFailureIsConfirmed checks that each kind of loss is confirmed well before the log notices it, and guards
@@ -200,7 +200,7 @@
 }
 
 // TestFailureIsNotConfirmed checks the cases in which a box must not confirm a failure: the suspect is alive, or
-// the box itself is in no position to judge.
+// the box itself is unable to tell.
 func TestFailureIsNotConfirmed(t *testing.T) {
 	cases := []struct {
 		name string
@@ -216,22 +216,22 @@
 				}
 			}
 		}},
-		{"the judge's zone is cut off", func(w *failoverWorld) { w.cutZone("b", true) }},
-		{"the judge reaches nobody", func(w *failoverWorld) {
+		{"the checking box's zone is cut off", func(w *failoverWorld) { w.cutZone("b", true) }},
+		{"the checking box reaches nobody", func(w *failoverWorld) {
 			for name := range w.boxes {
 				w.links.cutLinks[[2]string{"b1", name}] = true
 			}
 		}},
-		{"the judge is cut off as the detector sees it", func(w *failoverWorld) {
+		{"the checking box is cut off as the detector sees it", func(w *failoverWorld) {
 			w.links.killed["a1"] = true
 			*w.cutOff["b1"] = true
 		}},
-		{"the judge is without the log", func(w *failoverWorld) {
+		{"the checking box is without the log", func(w *failoverWorld) {
 			w.links.killed["a1"] = true
 			w.log.setCutOff("b1", true)
 			time.Sleep(time.Second)
 		}},
-		{"the judge has not settled again after an outage of the log", func(w *failoverWorld) {
+		{"the checking box has not settled again after an outage of the log", func(w *failoverWorld) {
 			w.links.killed["a1"] = true
 			w.log.setCutOff("b1", true)
 			time.Sleep(3 * time.Second)
@@ -319,9 +319,9 @@
 	}
 }
 
-// TestLonelyBoxConfirmsOnlyRefusal checks that without a third box only a refused connection counts as a failure:
+// TestTwoBoxFleetConfirmsOnlyRefusal checks that without a third box only a refused connection counts as a failure:
 // silence may come from a broken link.
-func TestLonelyBoxConfirmsOnlyRefusal(t *testing.T) {
+func TestTwoBoxFleetConfirmsOnlyRefusal(t *testing.T) {
 	for got, want := range map[Contact]bool{Gone: true, Silent: false, Answered: false, Unknown: false} {
 		if (pollResult{own: got}).confirms() != want {
 			t.Errorf("%s counts as a failure: %v", got, !want)
