turns, relay: log how replicas frame their answers

Log whether an answer has a length or chunks ("framed") and whether its body ended inside an event ("in_event"), count answers that end with their connection, and log streams that break off after their beginning was passed on. No decision changes.

--- a/gate/dial/send.go
+++ b/gate/dial/send.go
@@ -53,6 +53,9 @@
 	Header http.Header
 	// Length is negative if the response does not announce it.
 	Length int64
+	// Framed reports whether the response announces its length or is chunked. Any other body ends with its
+	// connection, so that its end does not prove that it is complete.
+	Framed bool
 
 	pool *Pool
 	conn *conn
@@ -171,6 +174,7 @@
 
 func (r *Response) setHead(resp *http.Response, skipped bool) {
 	r.Status, r.Header, r.Length, r.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
+	r.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
 	r.reusable = !resp.Close && !skipped
 }
 
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -83,6 +83,8 @@
 // answer is a replica's answer that is ready to be forwarded.
 type answer struct {
 	head work.Head
+	// framed is work.Reply.Framed.
+	framed bool
 	// body is the complete body, or its beginning if rest is set.
 	body []byte
 	rest io.Reader
@@ -238,7 +240,7 @@
 		lease.Done(out, time.Since(start)-writeTime)
 	}
 	if err == nil && len(body) == maxBuffered {
-		return answer{head: reply.Head, body: body, rest: reply.Body, end: end}, nil
+		return answer{head: reply.Head, framed: reply.Framed, body: body, rest: reply.Body, end: end}, nil
 	}
 	if err != nil {
 		reply.Body.Close()
@@ -252,7 +254,8 @@
 	}
 	end(replyOutcome(reply), 0)
 	a.log.Info("relay: call answered", "id", a.call.ID, "route", a.route.Name, "replica", lease.Replica.ID, "status", reply.Head.Status,
-		"score", lease.ExpectedCost, "among", lease.Candidates, "sent", a.sent, "took", time.Since(a.call.Arrived))
+		"score", lease.ExpectedCost, "among", lease.Candidates, "sent", a.sent, "framed", reply.Framed, "took", time.Since(a.call.Arrived))
+	a.countFraming(reply.Framed)
 	if a.retriesFailure(reply) {
 		return answer{}, fault.Fail(fault.TargetFailed, "the replica failed the call")
 	}
@@ -267,7 +270,7 @@
 		stop()
 		lease.Done(out, 0)
 	}
-	return answer{head: reply.Head, rest: reply.Body, end: end}
+	return answer{head: reply.Head, framed: reply.Framed, rest: reply.Body, end: end}
 }
 
 // replyOutcome returns Failed for a status of 500 or above, and Answered for others.
@@ -306,13 +309,23 @@
 	}
 	if err := work.CopyBody(got.rest, out, fault.TargetFailed); err != nil {
 		got.close(brokenOutcome(ctx, out, err), out.writeTime)
+		a.log.Info("relay: answer broke off", "id", a.call.ID, "route", a.route.Name, "sent", a.sent, "framed", got.framed,
+			"after", time.Since(a.call.Arrived), "cause", err)
 		return err
 	}
 	got.close(target.Answered, out.writeTime)
-	a.log.Info("relay: answer passed on", "id", a.call.ID, "route", a.route.Name, "sent", a.sent, "took", time.Since(a.call.Arrived))
+	a.log.Info("relay: answer passed on", "id", a.call.ID, "route", a.route.Name, "sent", a.sent, "framed", got.framed, "took", time.Since(a.call.Arrived))
+	a.countFraming(got.framed)
 	return nil
 }
 
+// countFraming counts a complete answer that ended with its connection.
+func (a *attempts) countFraming(framed bool) {
+	if !framed {
+		a.counts.Count("relay.unframed", 1)
+	}
+}
+
 // brokenOutcome returns the outcome to report for the replica after an answer that was forwarded only in part: a
 // caller that does not take it, or leaves, does not count against the replica, unless that was silent.
 func brokenOutcome(ctx context.Context, out *timedAnswer, err error) target.Outcome {
--- a/gate/turns/answer.go
+++ b/gate/turns/answer.go
@@ -29,6 +29,7 @@
 // turn.
 func (t *turn) copyReply(ctx context.Context, reply work.Reply) (complete bool, err error) {
 	defer reply.Body.Close()
+	t.framed = reply.Framed
 	if err := t.awaitStart(ctx); err != nil {
 		t.lease.Done(target.Abandoned, 0)
 		return false, err
@@ -107,7 +108,9 @@
 		t.answer.head = reply.Head
 		t.answer.head.Length = -1
 	}
-	err := work.CopyBody(reply.Body, t.answer, fault.TargetFailed)
+	body := work.NewEventBody(reply.Body)
+	err := work.CopyBody(body, t.answer, fault.TargetFailed)
+	t.inEvent = body.InEvent()
 	if err == nil {
 		return nil
 	}
--- a/gate/work/call.go
+++ b/gate/work/call.go
@@ -119,7 +119,10 @@
 	NotRun bool
 	// Signed reports whether the answer carries the replica's signature and has no content encoding.
 	Signed bool
-	// Body returns io.EOF only after the complete answer.
+	// Framed reports whether the answer announces its length or is chunked. Any other answer ends with its
+	// connection.
+	Framed bool
+	// Body returns io.EOF at the end of the answer, which is complete if it is framed.
 	Body Body
 }
 
