work: do not take a stream cut inside an event for complete

Cause: an answer with neither a length nor chunks ends with its connection, and the HTTP client returns io.EOF for it whatever has arrived. The senders of calls promised that io.EOF means a complete answer, and turns and relay relied on that: the turn was stored with the events that had arrived, and the response to the caller ended properly.

Check the boundaries of events in every reply that is an event stream, whatever its framing, and fail a body that ends inside an event like one whose connection was reset: the caller's response is aborted, the turn is not stored and counts its maximum, the replica is rated Incomplete, and a resumable stream goes on at another replica. Streams that end between two events are served as before.

--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -199,6 +199,7 @@
 		return answer{}, fault.Refuse(fault.Overloaded, "the replica did not run the call")
 	}
 	a.runs++
+	reply = reply.CheckEvents(a.route.Kind)
 	if a.route.Kind == work.Stream {
 		return a.streamed(lease, reply, stop), nil
 	}
--- a/gate/turns/answer.go
+++ b/gate/turns/answer.go
@@ -108,9 +108,7 @@
 		t.answer.head = reply.Head
 		t.answer.head.Length = -1
 	}
-	body := work.NewEventBody(reply.Body)
-	err := work.CopyBody(body, t.answer, fault.TargetFailed)
-	t.inEvent = body.InEvent()
+	err := work.CopyBody(reply.Body, t.answer, fault.TargetFailed)
 	if err == nil {
 		return nil
 	}
--- a/gate/turns/ledger.go
+++ b/gate/turns/ledger.go
@@ -229,5 +229,5 @@
 	}
 	t.log.Info("turns: turn answered", "id", t.call.ID, "program", t.call.Turn.Program, "route", t.route.Name, "slot", t.slot.Number(),
 		"replica", t.lease.Replica.ID, "prompt", promptTokens(t.call), "cached", t.lease.CachedTokens, "score", t.lease.ExpectedCost, "among", t.lease.Candidates,
-		"sent", t.sent, "placed", t.sentAt.Sub(t.call.Arrived), "events", t.answer.collected.count, "framed", t.framed, "in_event", t.inEvent, "first", t.firstEventLatency, "confirm", confirm, "took", time.Since(t.call.Arrived))
+		"sent", t.sent, "placed", t.sentAt.Sub(t.call.Arrived), "events", t.answer.collected.count, "framed", t.framed, "first", t.firstEventLatency, "confirm", confirm, "took", time.Since(t.call.Arrived))
 }
--- a/gate/work/call.go
+++ b/gate/work/call.go
@@ -122,7 +122,7 @@
 	// Framed reports whether the answer announces its length or is chunked. Any other answer ends with its
 	// connection.
 	Framed bool
-	// Body returns io.EOF at the end of the answer, which is complete if it is framed.
+	// Body returns io.EOF at the end of the answer, which is complete if it is framed. See CheckEvents.
 	Body Body
 }
 
--- a/gate/work/events.go
+++ b/gate/work/events.go
@@ -2,26 +2,38 @@
 
 import (
 	"bytes"
+	"io"
 	"mime"
 	"net/http"
+
+	"mulleingate.dev/base/fault"
 )
 
 // eventStreamType is the media type of a stream of server-sent events.
 const eventStreamType = "text/event-stream"
 
-// IsEventStream reports whether the reply to a call of a route of the given kind is a stream of server-sent events. A
-// success without a media type is one on a route whose answers are streams.
-func (r Reply) IsEventStream(kind Kind) bool {
+// CheckEvents returns the reply to a call of a route of the given kind. If it is a stream of server-sent events, its
+// body fails where it would end inside an event.
+func (r Reply) CheckEvents(kind Kind) Reply {
+	if r.isEventStream(kind) {
+		r.Body = &eventBody{Body: r.Body}
+	}
+	return r
+}
+
+// isEventStream reports whether the reply is a stream of server-sent events. A success without a media type is one if
+// the answers of the route are streams.
+func (r Reply) isEventStream(kind Kind) bool {
 	media := r.Head.Header.Get("Content-Type")
 	if media == "" {
 		return kind == Stream && r.Head.Status < http.StatusMultipleChoices
 	}
-	media, _, err := mime.ParseMediaType(media)
-	return err == nil && media == eventStreamType
+	media, _, _ = mime.ParseMediaType(media) // it also returns a media type whose parameters are malformed
+	return media == eventStreamType
 }
 
-// EventBody is the body of a stream of server-sent events. It finds the boundaries of the events.
-type EventBody struct {
+// eventBody is the body of a stream of server-sent events.
+type eventBody struct {
 	Body
 	// inEvent is set from the first byte of an event until the end of the empty line that ends it.
 	inEvent bool
@@ -29,25 +41,18 @@
 	line []byte
 }
 
-// NewEventBody returns a body that reads from the given one, of which nothing has been read.
-func NewEventBody(body Body) *EventBody {
-	return &EventBody{Body: body}
-}
-
-// Read implements io.Reader.
-func (b *EventBody) Read(data []byte) (int, error) {
+// Read implements io.Reader. It returns io.EOF only between two events.
+func (b *eventBody) Read(data []byte) (int, error) {
 	n, err := b.Body.Read(data)
 	b.scan(data[:n])
+	if err == io.EOF && b.inEvent {
+		return n, fault.Fail(fault.TargetFailed, "the stream ended inside an event")
+	}
 	return n, err
 }
 
-// InEvent reports whether the bytes read so far end inside an event.
-func (b *EventBody) InEvent() bool {
-	return b.inEvent
-}
-
 // scan follows the boundaries of the events in raw.
-func (b *EventBody) scan(raw []byte) {
+func (b *eventBody) scan(raw []byte) {
 	for len(raw) > 0 {
 		end := bytes.IndexByte(raw, '\n')
 		if end < 0 {
@@ -63,7 +68,7 @@
 }
 
 // extendLine adds raw to the current line, of which at most two bytes are kept.
-func (b *EventBody) extendLine(raw []byte) {
+func (b *eventBody) extendLine(raw []byte) {
 	const kept = len("\r") + 1
 	b.line = append(b.line, raw[:min(len(raw), kept-len(b.line))]...)
 }
