work: do not take an unframed stream without events for complete

A stream with neither a length nor chunks whose replica crashed after the head of its answer reached the caller as a complete, empty answer: on programs' routes as an empty 200 without the replica's headers, otherwise with them.

Cause: as for streams cut inside an event, the end of the connection was taken for the end of the answer. Nothing shows that such a stream was whole, and nothing of it has reached the caller, so it now fails like a replica that sent no answer: 502, or another replica on a resumable route. A stream that is framed and has no events is complete as before.

--- a/gate/work/events.go
+++ b/gate/work/events.go
@@ -12,21 +12,30 @@
 // eventStreamType is the media type of a stream of server-sent events.
 const eventStreamType = "text/event-stream"
 
+// commentMark begins the lines of a stream that belong to no event.
+const commentMark = ':'
+
 // CheckEvents returns the reply to a call of a route of the given kind. If it is a stream of server-sent events, its
-// body fails where it would end inside an event.
+// body fails where it would end inside an event, and the body of an unframed success also where it would end before
+// the first event.
 func (r Reply) CheckEvents(kind Kind) Reply {
 	if r.isEventStream(kind) {
-		r.Body = &eventBody{Body: r.Body}
+		r.Body = &eventBody{Body: r.Body, needsEvent: !r.Framed && r.succeeded()}
 	}
 	return r
 }
 
+// succeeded reports whether the replica answered with a success.
+func (r Reply) succeeded() bool {
+	return r.Head.Status < http.StatusMultipleChoices
+}
+
 // isEventStream reports whether the reply is a stream of server-sent events. A success without a media type is one if
 // the answers of the route are streams.
 func (r Reply) isEventStream(kind Kind) bool {
 	media := r.Head.Header.Get("Content-Type")
 	if media == "" {
-		return kind == Stream && r.Head.Status < http.StatusMultipleChoices
+		return kind == Stream && r.succeeded()
 	}
 	media, _, _ = mime.ParseMediaType(media) // it also returns a media type whose parameters are malformed
 	return media == eventStreamType
@@ -35,9 +44,11 @@
 // eventBody is the body of a stream of server-sent events.
 type eventBody struct {
 	Body
+	// needsEvent is set until the first event has begun, if a stream without events can't be complete.
+	needsEvent bool
 	// inEvent is set from the first byte of an event until the end of the empty line that ends it.
 	inEvent bool
-	// line holds the first bytes of the current line: as many as tell whether it is empty.
+	// line holds the first bytes of the current line: as many as tell whether it is empty or a comment.
 	line []byte
 }
 
@@ -45,10 +56,16 @@
 func (b *eventBody) Read(data []byte) (int, error) {
 	n, err := b.Body.Read(data)
 	b.scan(data[:n])
-	if err == io.EOF && b.inEvent {
+	switch {
+	case err != io.EOF:
+		return n, err
+	case b.inEvent:
 		return n, fault.Fail(fault.TargetFailed, "the stream ended inside an event")
+	case b.needsEvent:
+		return n, fault.Fail(fault.TargetFailed, "the stream ended before its first event")
+	default:
+		return n, err
 	}
-	return n, err
 }
 
 // scan follows the boundaries of the events in raw.
@@ -61,12 +78,20 @@
 			return
 		}
 		b.extendLine(raw[:end])
-		b.inEvent = len(b.line) > 0 && string(b.line) != "\r"
-		b.line = b.line[:0]
+		b.endLine()
 		raw = raw[end+1:]
 	}
 }
 
+// endLine handles the end of the current line.
+func (b *eventBody) endLine() {
+	b.inEvent = len(b.line) > 0 && string(b.line) != "\r"
+	if b.inEvent && b.line[0] != commentMark {
+		b.needsEvent = false
+	}
+	b.line = b.line[:0]
+}
+
 // extendLine adds raw to the current line, of which at most two bytes are kept.
 func (b *eventBody) extendLine(raw []byte) {
 	const kept = len("\r") + 1
--- a/gate/work/events_test.go
+++ b/gate/work/events_test.go
@@ -20,7 +20,7 @@
 // checkedReply returns the reply with the body after CheckEvents, as a call of a stream route gets it.
 func checkedReply(media string, status int, body io.Reader) Reply {
 	head := Head{Status: status, Header: http.Header{"Content-Type": {media}}}
-	return Reply{Head: head, Body: textBody{body}}.CheckEvents(Stream)
+	return Reply{Head: head, Framed: true, Body: textBody{body}}.CheckEvents(Stream)
 }
 
 // TestEventStreamCutAnywhereIsNotComplete checks that a stream is only complete if it ends between two events.
@@ -56,6 +56,30 @@
 	}
 }
 
+// TestUnframedStreamWithoutEventsIsNotComplete checks that an unframed success must have an event to be complete.
+func TestUnframedStreamWithoutEventsIsNotComplete(t *testing.T) {
+	for _, c := range []struct {
+		name, text       string
+		framed, complete bool
+		status           int
+	}{
+		{"nothing", "", false, false, http.StatusOK},
+		{"only comments", ": hello\n\n\n", false, false, http.StatusOK},
+		{"an event", ": hello\n\ndata: a\n\n", false, true, http.StatusOK},
+		{"nothing, framed", "", true, true, http.StatusOK},
+		{"a failure", "", false, true, http.StatusInternalServerError},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			head := Head{Status: c.status, Header: http.Header{"Content-Type": {eventStreamType}}}
+			reply := Reply{Head: head, Framed: c.framed, Body: textBody{strings.NewReader(c.text)}}.CheckEvents(Stream)
+			_, err := io.ReadAll(reply.Body)
+			if diff := cmp.Diff(c.complete, err == nil); diff != "" {
+				t.Errorf("complete (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestOnlyEventStreamsAreChecked checks that bodies of other media types and failures of a stream route pass unchanged.
 func TestOnlyEventStreamsAreChecked(t *testing.T) {
 	for _, c := range []struct {
