turns: send the head of an answer without events

The caller of a turn whose replica answered with a whole stream without events got an empty 200 without the replica's headers and signature. If another box had forwarded the turn, that one took the empty response for a lost box and answered 502.

Cause: the head was sent with the first bytes of the body, and there were none.

Send the head at the latest once the answer has ended.

--- a/gate/turns/answer.go
+++ b/gate/turns/answer.go
@@ -171,10 +171,11 @@
 	return end
 }
 
-// flush sends the bytes after the last complete event, once the answer has ended.
+// flush sends what has been held back, once the answer has ended: the bytes after the last event, and the head if
+// there was no event.
 func (w *answerWriter) flush() error {
 	if len(w.partial) == 0 {
-		return nil
+		return w.begin()
 	}
 	rest := w.partial
 	w.partial = nil
@@ -186,12 +187,20 @@
 func (w *answerWriter) send(data []byte) error {
 	w.collected.write(data)
 	if !w.begun {
-		w.begun = true
 		w.turn.lease.RecordFirstEvent(time.Since(w.turn.sentAt))
-		w.turn.firstEventLatency = time.Since(w.turn.call.Arrived)
-		if err := w.Begin(w.head); err != nil {
-			return err
-		}
+	}
+	if err := w.begin(); err != nil {
+		return err
 	}
 	return w.Answer.Write(data)
 }
+
+// begin sends the head unless it has been sent.
+func (w *answerWriter) begin() error {
+	if w.begun {
+		return nil
+	}
+	w.begun = true
+	w.turn.firstEventLatency = time.Since(w.turn.call.Arrived)
+	return w.Begin(w.head)
+}
