--- a/gate/spool/conn.go
+++ b/gate/spool/conn.go
@@ -66,6 +66,8 @@
 	draining bool
 	// closing and closingWrite are set if the connection, or its write side, is to be closed after the chunks.
 	closing, closingWrite bool
+	// resetting is set while the end of the connection must be a reset, and zeroLinger once the socket is set to that.
+	resetting, zeroLinger bool
 	// failure is the error that has ended the connection.
 	failure error
 }
@@ -253,7 +255,7 @@
 		_ = c.inner.CloseWrite() // fails only on a connection that has ended
 	}
 	if c.closing {
-		_ = c.inner.Close() // nothing is left to be sent
+		_ = c.closeInner() // nothing is left to be sent
 	}
 	return chunk{}, false
 }
@@ -370,5 +372,25 @@
 		c.closing = true
 		return c.inner.SetReadDeadline(time.Unix(1, 0)) // ends a read in progress
 	}
+	return c.closeInner()
+}
+
+// ResetOnClose sets whether the connection ends with a reset when it is closed or the process ends. For an answer that
+// ends with its connection, that shows the caller that the answer broke off.
+func (c *Conn) ResetOnClose(reset bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resetting = reset
+	if reset {
+		c.zeroLinger = c.inner.SetLinger(0) == nil
+	}
+}
+
+// closeInner closes the socket. Its linger time is restored only now, since the process may end while bytes are kept.
+func (c *Conn) closeInner() error {
+	if c.zeroLinger && !c.resetting {
+		const usual = -1
+		_ = c.inner.SetLinger(usual) // fails only on a closed connection
+	}
 	return c.inner.Close()
 }
--- a/gate/spool/conn_test.go
+++ b/gate/spool/conn_test.go
@@ -143,6 +143,32 @@
 	}
 }
 
+// TestClosedConnectionEndsBrokenAnswerWithReset checks that the caller of an answer that broke off gets a reset, and that of
+// one that was completed gets all bytes, also those that are kept when the connection is closed.
+func TestClosedConnectionEndsBrokenAnswerWithReset(t *testing.T) {
+	for name, completed := range map[string]bool{"broken off": false, "completed": true} {
+		for size, length := range map[string]int{"short": kb, "long": beyondKernel} {
+			t.Run(name+"/"+size, func(t *testing.T) {
+				spool, _ := newSpool(Limits{Answer: unlimited, Connection: unlimited, Workspace: unlimited, Box: unlimited})
+				conn, caller := pair(t, spool)
+				conn.BeginAnswer("i", "w", time.Time{})
+				conn.ResetOnClose(true)
+				writePieces(t, conn, pattern(length))
+				if completed {
+					conn.ResetOnClose(false)
+				}
+				if err := conn.Close(); err != nil {
+					t.Error(err)
+				}
+				got, err := io.ReadAll(caller)
+				if whole := err == nil && len(got) == length; whole != completed || errors.Is(err, syscall.ECONNRESET) == completed {
+					t.Errorf("caller got %d bytes of %d: %v", len(got), length, err)
+				}
+			})
+		}
+	}
+}
+
 // TestFastCallerNeedsNoGoroutine checks that nothing is kept, and nothing allocated, for a caller that keeps up.
 // Small boxes have a fifth of a core.
 func TestFastCallerNeedsNoGoroutine(t *testing.T) {
