dial: accept unframed responses only where the caller checks them

A response that ends with its connection was complete for every user of the pool: a forwarded turn, a search for a turn, or any other answer of a box that broke off would have looked like a shorter one.

Boxes always frame their responses, so that one without is broken or none of theirs.

Fail such bodies with io.ErrUnexpectedEOF unless the request accepts them.

The case "no length" of TestConnectionIsNotReused, which is about the reuse of connections, now accepts the unframed body.

--- a/gate/dial/dial_test.go
+++ b/gate/dial/dial_test.go
@@ -95,7 +95,7 @@
 		t.Run(name, func(t *testing.T) {
 			p := New(serve(t, func(int, *http.Request) (string, bool) { return raw, !strings.Contains(raw, "close") }), 2)
 			for range 3 {
-				if got, err := get(t, p, Request{}); got != "ok" || err != nil {
+				if got, err := get(t, p, Request{AcceptUnframed: true}); got != "ok" || err != nil {
 					t.Fatalf("%q, %v", got, err)
 				}
 				time.Sleep(10 * time.Millisecond)
@@ -107,6 +107,36 @@
 	}
 }
 
+// TestUnframedResponseIsNotComplete checks that a body which ends with its connection is complete only for requests that
+// accept that, and that it is told from framed ones.
+func TestUnframedResponseIsNotComplete(t *testing.T) {
+	for _, c := range []struct {
+		name, raw                string
+		accept, framed, complete bool
+	}{
+		{"a length", okResponse, false, true, true},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false, true, true},
+		{"no body", "HTTP/1.1 204 No Content\r\n\r\n", false, true, true},
+		{"neither", "HTTP/1.1 200 OK\r\n\r\nok", false, false, false},
+		{"neither, accepted", "HTTP/1.1 200 OK\r\n\r\nok", true, false, true},
+		{"http 1.0", "HTTP/1.0 200 OK\r\n\r\nok", false, false, false},
+		{"http 1.0 with a length", "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", false, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := New(serve(t, func(int, *http.Request) (string, bool) { return c.raw, false }), 1)
+			resp, err := p.Send(context.Background(), Request{Method: http.MethodGet, Target: "/x", Host: "h", AcceptUnframed: c.accept})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Close()
+			_, err = io.ReadAll(resp)
+			if diff := cmp.Diff([]bool{c.framed, c.complete}, []bool{resp.Framed, err == nil}); diff != "" {
+				t.Errorf("framed and complete, error %v (-want +got):\n%s", err, diff)
+			}
+		})
+	}
+}
+
 // TestConnectionClosedWhileIdle checks that a request is not sent on a connection that the peer has
 // closed.
 func TestConnectionClosedWhileIdle(t *testing.T) {
--- a/gate/dial/send.go
+++ b/gate/dial/send.go
@@ -45,6 +45,9 @@
 	ConnectTimeout time.Duration
 	// Matches reports whether a response belongs to this request; nil accepts any.
 	Matches func(header http.Header) bool
+	// AcceptUnframed accepts a body that ends with its connection as complete; see Response.Framed. The caller must
+	// check what it can of such a body.
+	AcceptUnframed bool
 }
 
 // Response is a response whose head has been read.
@@ -57,6 +60,9 @@
 	// connection, so that its end does not prove that it is complete.
 	Framed bool
 
+	// acceptUnframed is Request.AcceptUnframed.
+	acceptUnframed bool
+
 	pool *Pool
 	conn *conn
 	body io.ReadCloser
@@ -162,6 +168,7 @@
 		}
 		if req.Matches == nil || req.Matches(resp.Header) {
 			r.setHead(resp, skipped)
+			r.acceptUnframed = req.AcceptUnframed
 			return nil
 		}
 		skipped = true
@@ -178,14 +185,18 @@
 	r.reusable = !resp.Close && !skipped
 }
 
-// Read reads the body. If the response is chunked or announces its length, Read returns io.EOF only after
-// the whole body.
+// Read reads the body. It returns io.EOF only after the whole body, unless the response is unframed and the request
+// accepts that.
 func (r *Response) Read(data []byte) (int, error) {
 	n, err := r.body.Read(data)
-	if err == io.EOF {
-		r.bodyEnded = true
+	if err != io.EOF {
+		return n, err
+	}
+	if !r.Framed && !r.acceptUnframed {
+		return n, io.ErrUnexpectedEOF
 	}
-	return n, err
+	r.bodyEnded = true
+	return n, io.EOF
 }
 
 // Close returns the connection to the pool if it can be reused, and closes it otherwise.
--- a/gate/remote/client_test.go
+++ b/gate/remote/client_test.go
@@ -1,11 +1,14 @@
 package remote
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -114,3 +117,65 @@
 func newNearClient() *Client {
 	return NewClient(func(work.Box) bool { return true }, func(int, work.Box) []work.Box { return nil })
 }
+
+// unframedBox listens as a box that answers every request with the body, whose end only its connection marks.
+func unframedBox(t *testing.T, body string) work.Box {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				in := bufio.NewReader(conn)
+				req, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				if req.Header.Get("Expect") != "" {
+					_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n") // a failure shows in the next write
+				}
+				_, _ = io.Copy(io.Discard, req.Body)                        // the rest of the request
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+body) // the test fails without it
+			}()
+		}
+	}()
+	return work.Box{Name: "b", Peer: netip.MustParseAddrPort(ln.Addr().String())}
+}
+
+// textAnswer collects an answer.
+type textAnswer struct{ strings.Builder }
+
+func (*textAnswer) Begin(work.Head) error { return nil }
+
+func (a *textAnswer) Write(data []byte) error {
+	_, err := a.Builder.Write(data)
+	return err
+}
+
+// TestUnframedResponseOfBoxIsNotComplete checks that a response of another box which ends with its connection is not
+// taken for complete: boxes always frame theirs.
+func TestUnframedResponseOfBoxIsNotComplete(t *testing.T) {
+	head, err := frame(turnResponse{Head: &work.Head{Status: http.StatusOK, Length: -1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	call := &work.Call{ID: "r", Turn: &work.Turn{Program: "p"}, Arrived: now, Deadline: now.Add(5 * time.Second)}
+	out := &textAnswer{}
+	err = newNearClient().Turn(context.Background(), unframedBox(t, string(head)+"data: a\n\n"), 1, nil, call, &work.Route{}, out)
+	if !fault.Is(err, fault.PeerUnreachable) {
+		t.Errorf("turn: %v, with the answer %q", err, out.String())
+	}
+	_, _, err = newNearClient().Find(context.Background(), unframedBox(t, "{}"), "turn", 3, false)
+	if err == nil {
+		t.Error("a search that found nothing")
+	}
+}
