shard, feed, mirror: notice reads of the log that lack records

If an answer of the store with neither a length nor chunks broke off between two records, a box that claimed a slot could take the slot's records for complete without the last ones, so that turns would be unknown and tokens forgotten, and a configuration or a list of replicas for current that was not.

The offset of the log's end, with which each answer to a read begins, was ignored.

Keep that offset in the page. Configuration, list and copies of sources count as current only after a page that reaches the end.

--- a/gate/feed/feed.go
+++ b/gate/feed/feed.go
@@ -368,7 +368,9 @@
 	for _, rec := range page.Records {
 		f.onRecord(rec, until)
 	}
-	f.reportFreshness(start, page.Age)
+	if !page.Behind() {
+		f.reportFreshness(start, page.Age)
+	}
 	return nil
 }
 
--- a/gate/feed/feed_test.go
+++ b/gate/feed/feed_test.go
@@ -29,6 +29,8 @@
 	unavailable bool
 	// noWakeup makes reads that wait for new records return only when their wait is over.
 	noWakeup bool
+	// short makes reads return no records, as an answer that was cut off does.
+	short bool
 	// age is the age of all answers, as when another box relays them.
 	age time.Duration
 	// delay is how much longer than requested a read takes.
@@ -85,7 +87,7 @@
 	}
 	for end := time.Now().Add(wait); ; time.Sleep(50 * time.Millisecond) {
 		l.mu.Lock()
-		recs, first, unavailable, noWakeup, age := l.topics[topic], l.first[topic], l.unavailable, l.noWakeup, l.age
+		recs, first, unavailable, noWakeup, age, short := l.topics[topic], l.first[topic], l.unavailable, l.noWakeup, l.age, l.short
 		l.mu.Unlock()
 		switch {
 		case noWakeup && time.Now().Before(end):
@@ -95,7 +97,11 @@
 		case from < first:
 			return work.Page{}, fault.Refuse(fault.HistoryGone, "gone")
 		case int64(len(recs)) > from || time.Now().After(end) || ctx.Err() != nil:
-			return work.Page{Records: recs[from:], Next: int64(len(recs)), First: first, Age: age}, nil
+			next := int64(len(recs))
+			if short {
+				next = from
+			}
+			return work.Page{Records: recs[from:next], Next: next, First: first, End: int64(len(recs)), Age: age}, nil
 		}
 	}
 }
@@ -250,6 +256,23 @@
 	})
 }
 
+// TestShortPageDoesNotMakeConfigurationCurrent checks that answers without the newest records leave the configuration and the
+// list as old as they were.
+func TestShortPageDoesNotMakeConfigurationCurrent(t *testing.T) {
+	runFeed(t, func(t *testing.T, log *fakeLog, f *Feed, _ *fakeTargets) {
+		const outage = 5 * time.Second // longer than an interval and a read
+		log.put(work.Settings, "config", "9")
+		log.put(work.Replicas, "c", "x")
+		log.mu.Lock()
+		log.short = true
+		log.mu.Unlock()
+		time.Sleep(outage)
+		if f.ConfigAge() < outage-time.Second || f.ListAge() < outage-time.Second {
+			t.Errorf("configuration age %v, replicas age %v after %v without the newest records", f.ConfigAge(), f.ListAge(), outage)
+		}
+	})
+}
+
 // TestChangeWithoutWakeup checks that a change is known in time even if the log does not wake the read
 // that waits for it. Otherwise replicas would get calls after they have left.
 func TestChangeWithoutWakeup(t *testing.T) {
--- a/gate/mirror/copy.go
+++ b/gate/mirror/copy.go
@@ -106,7 +106,7 @@
 }
 
 // Add appends an answer of the log, which must continue where the copy ends. sentAt is when the request was
-// sent.
+// sent. An answer without the newest records does not make the copy fresh.
 func (c *topicCopy) Add(page work.Page, sentAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -122,7 +122,9 @@
 		c.history = slices.Delete(c.history, 0, 1)
 	}
 	c.next = page.Next
-	c.verifiedAt = sentAt
+	if !page.Behind() {
+		c.verifiedAt = sentAt
+	}
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
--- a/gate/mirror/mirror_test.go
+++ b/gate/mirror/mirror_test.go
@@ -416,6 +416,28 @@
 	})
 }
 
+// TestShortPageDoesNotMakeCopyFresh checks that a source's copy is as old as the last answer with the newest records.
+func TestShortPageDoesNotMakeCopyFresh(t *testing.T) {
+	start := time.Now()
+	for name, c := range map[string]struct {
+		page  work.Page
+		fresh bool
+	}{
+		"whole":       {work.Page{Next: 7, End: 7}, true},
+		"unknown end": {work.Page{Next: 7}, true},
+		"short":       {work.Page{Next: 7, End: 8}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cached := newCopy(func(work.Record) string { return "" }, work.Snapshot{Next: 7}, start)
+			cached.Add(c.page, start.Add(time.Minute))
+			_, err := cached.ageIfFresh(start.Add(time.Minute))
+			if diff := cmp.Diff(c.fresh, err == nil); diff != "" {
+				t.Errorf("fresh (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestMembersAfterSourcesDie checks that all boxes get the members after all their sources died, without
 // reading them from the log more than once each on average.
 func TestMembersAfterSourcesDie(t *testing.T) {
--- a/gate/shard/claim.go
+++ b/gate/shard/claim.go
@@ -182,9 +182,12 @@
 		if err != nil {
 			return err
 		}
-		if len(page.Records) == 0 {
+		if len(page.Records) == 0 && !page.Behind() {
 			return nil
 		}
+		if page.Next <= next {
+			return fault.Fail(fault.LogUnavailable, "the log returned none of the slot's records")
+		}
 		for _, rec := range page.Records {
 			loader.apply(rec)
 		}
--- a/gate/shard/claim_test.go
+++ b/gate/shard/claim_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"log/slog"
 	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/chain"
+	"mulleingate.dev/gate/work"
 )
 
 // TestClaimSlowToLoad checks that a slot that takes many times callTimeout to read can still be
@@ -124,3 +129,46 @@
 		}
 	})
 }
+
+// shortLog is a log whose reads return only the given numbers of its records, one number a read.
+type shortLog struct {
+	Log
+	recs  []work.Record
+	reads []int
+}
+
+func (l *shortLog) Read(_ context.Context, _ work.Shard, from int64, _ time.Duration) (work.Page, error) {
+	n := int64(len(l.recs)) - from
+	if len(l.reads) > 0 {
+		n = min(n, int64(l.reads[0]))
+		l.reads = l.reads[1:]
+	}
+	return work.Page{Records: l.recs[from : from+n], Next: from + n, End: int64(len(l.recs))}, nil
+}
+
+// TestClaimReadsOnAfterShortPage checks that a slot is not claimed without the records that a read of the log left out.
+func TestClaimReadsOnAfterShortPage(t *testing.T) {
+	var recs []work.Record
+	for _, box := range []string{"a", "b", "c"} {
+		recs = append(recs, work.Record{Key: ownerKey, Value: []byte(`{"box":"` + box + `"}`)})
+	}
+	for name, c := range map[string]struct {
+		reads []int
+		owner string
+		fails bool
+	}{
+		"whole":                 {nil, "c", false},
+		"some records":          {[]int{1, 1}, "c", false},
+		"no records":            {[]int{0}, "", true},
+		"no records after some": {[]int{2, 0}, "b", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := &Manager{log: &shortLog{recs: recs, reads: c.reads}, logger: slog.New(slog.DiscardHandler)}
+			loader := &slotLoader{state: chain.New(), manager: m}
+			err := m.catchUp(context.Background(), work.Shard{Topic: work.Turns}, 0, loader)
+			if diff := cmp.Diff([]any{c.owner, c.fails}, []any{loader.owner.Box, fault.Is(err, fault.LogUnavailable)}); diff != "" {
+				t.Errorf("newest owner read and failure %v (-want +got):\n%s", err, diff)
+			}
+		})
+	}
+}
--- a/gate/work/record.go
+++ b/gate/work/record.go
@@ -44,10 +44,17 @@
 	// Next is the offset to continue from after this page. First is the oldest offset that is still
 	// stored.
 	Next, First int64
+	// End is the offset behind the newest record of the shard when the log answered; zero if it is not known.
+	End int64 `json:",omitempty"`
 	// Age is the staleness of the records at the time of the request; zero if the log itself answered.
 	Age time.Duration `json:",omitempty"`
 }
 
+// Behind reports whether the log is known to hold records after the page, since its answer was limited or cut off.
+func (p Page) Behind() bool {
+	return p.Next < p.End
+}
+
 // Snapshot is a snapshot of a topic: the newest record of each key that a box has.
 type Snapshot struct {
 	Records []Record
