client, peer: refuse responses that may have been cut off at their start

A response of another box with neither a length nor chunks that broke off was taken for whole: an empty reply on a revision means "none newer", and a forwarded response ended early for the caller. For operators' commands and other clients, an empty response is a success with no content.

Boxes always frame their responses; other services may not, but what they send is JSON.

Requests between boxes require a framed response. Decode takes an empty body for a result only if the response is framed; any other body must be valid JSON, as before.

--- a/base/client/client.go
+++ b/base/client/client.go
@@ -30,7 +30,7 @@
 
 // New returns a client. The name identifies it to go-zero; clients for different purposes need
 // different names. If transport is nil, the client uses a new one from Transport.
-func New(name string, transport *http.Transport) *Client {
+func New(name string, transport http.RoundTripper) *Client {
 	if transport == nil {
 		transport = Transport()
 	}
@@ -98,7 +98,8 @@
 	return req, nil
 }
 
-// Decode reads a complete JSON response into out, or returns an error response as a fault.
+// Decode reads a complete JSON response into out, or returns an error response as a fault. A response that ends with
+// its connection is complete if it is valid JSON.
 func Decode(resp *http.Response, out any) error {
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody))
 	if err != nil {
@@ -107,7 +108,7 @@
 	if resp.StatusCode >= http.StatusBadRequest {
 		return responseFault(resp.StatusCode, raw)
 	}
-	if out == nil || len(raw) == 0 {
+	if out == nil || (len(raw) == 0 && isFramed(resp)) {
 		return nil
 	}
 	if err := json.Unmarshal(raw, out); err != nil {
--- a/gate/peer/peer.go
+++ b/gate/peer/peer.go
@@ -40,9 +40,10 @@
 		scheme = "https"
 		transport.TLSClientConfig = tlsConf
 	}
+	framed := client.RequireFraming(transport)
 	return &Dialer{
-		scheme: scheme, http: &http.Client{Transport: transport},
-		forwarder: client.New("peer", transport), clients: map[netip.AddrPort]wire.Peers{},
+		scheme: scheme, http: &http.Client{Transport: framed},
+		forwarder: client.New("peer", framed), clients: map[netip.AddrPort]wire.Peers{},
 	}
 }
 
