relay: check the signature of streams and long answers

A caller got a 200 without the replica's signature if the answer was a stream outside programs or had 64 KiB and more.

Cause: only answers that are read whole before they are forwarded were checked.

Check the head of each success before anything is forwarded: the call fails with 502, and a repeatable one is sent to another replica.

--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -199,6 +199,12 @@
 		return answer{}, fault.Refuse(fault.Overloaded, "the replica did not run the call")
 	}
 	a.runs++
+	if reply.Succeeded() && !reply.Signed {
+		reply.Body.Close()
+		stop()
+		lease.Done(target.Incomplete, 0)
+		return answer{}, fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
+	}
 	reply = reply.CheckEvents(a.route.Kind)
 	if a.route.Kind == work.Stream {
 		return a.streamed(lease, reply, stop), nil
@@ -249,10 +255,6 @@
 		a.runs--
 		return answer{}, a.endFailed(ctx, lease, start, fault.Fail(fault.TargetFailed, "the answer broke off").WithCause(err))
 	}
-	if reply.Head.Status < http.StatusMultipleChoices && !reply.Signed {
-		end(target.Incomplete, 0)
-		return answer{}, fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
-	}
 	end(replyOutcome(reply), 0)
 	a.log.Info("relay: call answered", "id", a.call.ID, "route", a.route.Name, "replica", lease.Replica.ID, "status", reply.Head.Status,
 		"score", lease.ExpectedCost, "among", lease.Candidates, "sent", a.sent, "framed", reply.Framed, "took", time.Since(a.call.Arrived))
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -23,6 +23,8 @@
 	failOnce string
 	fault    error
 	body     string
+	// unsigned makes answers lack the replica's signature.
+	unsigned bool
 	// sent counts the calls by replica, failed ones included.
 	sent map[string]int
 }
@@ -35,7 +37,7 @@
 		r.failOnce = ""
 		return work.Reply{}, r.fault
 	}
-	return work.Reply{Head: work.Head{Status: http.StatusOK}, Signed: true, Body: fakeBody{strings.NewReader(r.body)}}, nil
+	return work.Reply{Head: work.Head{Status: http.StatusOK}, Signed: !r.unsigned, Body: fakeBody{strings.NewReader(r.body)}}, nil
 }
 
 type fakePool struct{}
@@ -104,6 +106,38 @@
 	}
 }
 
+// countingAnswer counts the answers that have begun.
+type countingAnswer struct {
+	discardedAnswer
+	begun int
+}
+
+func (a *countingAnswer) Begin(work.Head) error {
+	a.begun++
+	return nil
+}
+
+// TestUnsignedSuccessIsNotForwarded checks that a success without the replica's signature reaches no caller, whatever its
+// kind and length.
+func TestUnsignedSuccessIsNotForwarded(t *testing.T) {
+	quiet := slog.New(slog.DiscardHandler)
+	for kind, body := range map[work.Kind]string{work.Stream: "data: x\n\n", work.AtMostOnce: "short", work.Repeatable: strings.Repeat("x", 2*maxBuffered)} {
+		t.Run(string(kind), func(t *testing.T) {
+			replicas := &fakeReplicas{body: body, unsigned: true, sent: map[string]int{}}
+			targets := target.New("z", replicas, quiet)
+			targets.Configure(work.NewConfig(1, nil, []work.Service{{Name: "s", Connections: 100}}, work.Limits{}))
+			targets.Put(work.Replica{ID: "a", Service: "s", Zone: "z", Addr: netip.MustParseAddrPort("10.0.0.1:1000")})
+			out := &countingAnswer{}
+			route := &work.Route{Name: "r", Kind: kind, Splits: []work.Split{{Service: "s", Weight: 1}}, Attempts: 1}
+			call := &work.Call{ID: "i", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+			err := New(targets, replicas, noCounts{}, quiet).Forward(context.Background(), call, route, out)
+			if !fault.Is(err, fault.Protocol) || fault.From(err).NotRun || out.begun != 0 {
+				t.Errorf("%v, %d answers begun", err, out.begun)
+			}
+		})
+	}
+}
+
 // unconnected opens pools without idle connections, so that no replica is preferred for having one.
 type unconnected struct{ *fakeReplicas }
 
--- a/gate/turns/answer.go
+++ b/gate/turns/answer.go
@@ -65,7 +65,7 @@
 // forwardFailure handles a reply that is not a signed event stream: it rejects an unsigned success and
 // forwards an error status to the caller, unless part of the answer was already sent.
 func (t *turn) forwardFailure(reply work.Reply) error {
-	if reply.Head.Status < http.StatusMultipleChoices {
+	if reply.Succeeded() {
 		t.lease.Done(target.Incomplete, 0)
 		return fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
 	}
--- a/gate/work/call.go
+++ b/gate/work/call.go
@@ -126,6 +126,11 @@
 	Body Body
 }
 
+// Succeeded reports whether the replica answered with a success.
+func (r Reply) Succeeded() bool {
+	return r.Head.Status < http.StatusMultipleChoices
+}
+
 // Body is the body of an answer.
 type Body interface {
 	io.Reader
--- a/gate/work/events.go
+++ b/gate/work/events.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"mime"
-	"net/http"
 
 	"mulleingate.dev/base/fault"
 )
@@ -20,22 +19,17 @@
 // the first event.
 func (r Reply) CheckEvents(kind Kind) Reply {
 	if r.isEventStream(kind) {
-		r.Body = &eventBody{Body: r.Body, needsEvent: !r.Framed && r.succeeded()}
+		r.Body = &eventBody{Body: r.Body, needsEvent: !r.Framed && r.Succeeded()}
 	}
 	return r
 }
 
-// succeeded reports whether the replica answered with a success.
-func (r Reply) succeeded() bool {
-	return r.Head.Status < http.StatusMultipleChoices
-}
-
 // isEventStream reports whether the reply is a stream of server-sent events. A success without a media type is one if
 // the answers of the route are streams.
 func (r Reply) isEventStream(kind Kind) bool {
 	media := r.Head.Header.Get("Content-Type")
 	if media == "" {
-		return kind == Stream && r.succeeded()
+		return kind == Stream && r.Succeeded()
 	}
 	media, _, _ = mime.ParseMediaType(media) // it also returns a media type whose parameters are malformed
 	return media == eventStreamType
