front, relay, turns: do not frame what the replica did not frame

An answer with neither a length nor chunks that its replica broke off reached the caller with a Content-Length or a last chunk if nothing showed the break: a plain answer, the body of an error status, or a stream that was cut between two events.

Cause: the box framed each answer anew, and so vouched for an end that it could not know.

Pass such an answer on as it came: it ends with the connection, and the caller knows as much of its end as the box. Framed answers stay as they were.

--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -83,8 +83,6 @@
 // answer is a replica's answer that is ready to be forwarded.
 type answer struct {
 	head work.Head
-	// framed is work.Reply.Framed.
-	framed bool
 	// body is the complete body, or its beginning if rest is set.
 	body []byte
 	rest io.Reader
@@ -247,7 +245,7 @@
 		lease.Done(out, time.Since(start)-writeTime)
 	}
 	if err == nil && len(body) == maxBuffered {
-		return answer{head: reply.Head, framed: reply.Framed, body: body, rest: reply.Body, end: end}, nil
+		return answer{head: reply.Head, body: body, rest: reply.Body, end: end}, nil
 	}
 	if err != nil {
 		reply.Body.Close()
@@ -257,8 +255,8 @@
 	}
 	end(replyOutcome(reply), 0)
 	a.log.Info("relay: call answered", "id", a.call.ID, "route", a.route.Name, "replica", lease.Replica.ID, "status", reply.Head.Status,
-		"score", lease.ExpectedCost, "among", lease.Candidates, "sent", a.sent, "framed", reply.Framed, "took", time.Since(a.call.Arrived))
-	a.countFraming(reply.Framed)
+		"score", lease.ExpectedCost, "among", lease.Candidates, "sent", a.sent, "framed", !reply.Head.Unframed, "took", time.Since(a.call.Arrived))
+	a.countFraming(reply.Head)
 	if a.retriesFailure(reply) {
 		return answer{}, fault.Fail(fault.TargetFailed, "the replica failed the call")
 	}
@@ -273,7 +271,7 @@
 		stop()
 		lease.Done(out, 0)
 	}
-	return answer{head: reply.Head, framed: reply.Framed, rest: reply.Body, end: end}
+	return answer{head: reply.Head, rest: reply.Body, end: end}
 }
 
 // replyOutcome returns Failed for a status of 500 or above, and Answered for others.
@@ -312,19 +310,19 @@
 	}
 	if err := work.CopyBody(got.rest, out, fault.TargetFailed); err != nil {
 		got.close(brokenOutcome(ctx, out, err), out.writeTime)
-		a.log.Info("relay: answer broke off", "id", a.call.ID, "route", a.route.Name, "sent", a.sent, "framed", got.framed,
+		a.log.Info("relay: answer broke off", "id", a.call.ID, "route", a.route.Name, "sent", a.sent, "framed", !got.head.Unframed,
 			"after", time.Since(a.call.Arrived), "cause", err)
 		return err
 	}
 	got.close(target.Answered, out.writeTime)
-	a.log.Info("relay: answer passed on", "id", a.call.ID, "route", a.route.Name, "sent", a.sent, "framed", got.framed, "took", time.Since(a.call.Arrived))
-	a.countFraming(got.framed)
+	a.log.Info("relay: answer passed on", "id", a.call.ID, "route", a.route.Name, "sent", a.sent, "framed", !got.head.Unframed, "took", time.Since(a.call.Arrived))
+	a.countFraming(got.head)
 	return nil
 }
 
 // countFraming counts a complete answer that ended with its connection.
-func (a *attempts) countFraming(framed bool) {
-	if !framed {
+func (a *attempts) countFraming(head work.Head) {
+	if head.Unframed {
 		a.counts.Count("relay.unframed", 1)
 	}
 }
--- a/gate/turns/answer.go
+++ b/gate/turns/answer.go
@@ -29,7 +29,7 @@
 // turn.
 func (t *turn) copyReply(ctx context.Context, reply work.Reply) (complete bool, err error) {
 	defer reply.Body.Close()
-	t.framed = reply.Framed
+	t.unframed = reply.Head.Unframed
 	if err := t.awaitStart(ctx); err != nil {
 		t.lease.Done(target.Abandoned, 0)
 		return false, err
--- a/gate/turns/ledger.go
+++ b/gate/turns/ledger.go
@@ -224,10 +224,10 @@
 // log.
 func (t *turn) answered(confirm time.Duration) {
 	t.counts.Time("turns.first_event{class="+t.route.Name+"}", t.firstEventLatency)
-	if !t.framed {
+	if t.unframed {
 		t.counts.Count("turns.unframed", 1)
 	}
 	t.log.Info("turns: turn answered", "id", t.call.ID, "program", t.call.Turn.Program, "route", t.route.Name, "slot", t.slot.Number(),
 		"replica", t.lease.Replica.ID, "prompt", promptTokens(t.call), "cached", t.lease.CachedTokens, "score", t.lease.ExpectedCost, "among", t.lease.Candidates,
-		"sent", t.sent, "placed", t.sentAt.Sub(t.call.Arrived), "events", t.answer.collected.count, "framed", t.framed, "first", t.firstEventLatency, "confirm", confirm, "took", time.Since(t.call.Arrived))
+		"sent", t.sent, "placed", t.sentAt.Sub(t.call.Arrived), "events", t.answer.collected.count, "framed", !t.unframed, "first", t.firstEventLatency, "confirm", confirm, "took", time.Since(t.call.Arrived))
 }
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -101,8 +101,8 @@
 	lease *target.Lease
 	// sent counts the replicas that the turn was sent to, runs those that may have run it.
 	sent, runs int
-	// framed is work.Reply.Framed of the latest answer.
-	framed bool
+	// unframed is work.Head.Unframed of the latest answer.
+	unframed bool
 	// answer forwards the answer to the caller.
 	answer *answerWriter
 	// firstEventLatency is the time from the turn's arrival to the first bytes sent to the caller.
@@ -186,7 +186,7 @@
 func (t *turn) abandon(ctx context.Context, err error) {
 	t.log.Info("turns: turn failed", "id", t.call.ID, "program", t.call.Turn.Program, "route", t.route.Name, "slot", t.slot.Number(), "ran", t.mayHaveRun,
 		"replica", t.lease.Replica.ID, "sent", t.sent, "caller_gone", ctx.Err() == context.Canceled, "after", time.Since(t.call.Arrived),
-		"framed", t.framed, "kind", fault.From(err).Kind, "cause", err)
+		"framed", !t.unframed, "kind", fault.From(err).Kind, "cause", err)
 	t.counts.Count("turns.failed", 1)
 	t.ledger.abort()
 }
--- a/gate/work/call.go
+++ b/gate/work/call.go
@@ -102,6 +102,9 @@
 	Header http.Header
 	// Length is the number of bytes of the body, or negative if it isn't known in advance.
 	Length int64
+	// Unframed reports that the replica announced no length and sent no chunks. The body ends with the connection,
+	// whether it is complete or not, and must not be framed for the caller as if it were known to be complete.
+	Unframed bool `json:",omitempty"`
 }
 
 // Answer receives the answer of a call. Its methods are not called concurrently.
@@ -119,10 +122,7 @@
 	NotRun bool
 	// Signed reports whether the answer carries the replica's signature and has no content encoding.
 	Signed bool
-	// Framed reports whether the answer announces its length or is chunked. Any other answer ends with its
-	// connection.
-	Framed bool
-	// Body returns io.EOF at the end of the answer, which is complete if it is framed. See CheckEvents.
+	// Body returns io.EOF at the end of the answer, which is complete unless the head is Unframed. See CheckEvents.
 	Body Body
 }
 
--- a/gate/work/events.go
+++ b/gate/work/events.go
@@ -19,7 +19,7 @@
 // the first event.
 func (r Reply) CheckEvents(kind Kind) Reply {
 	if r.isEventStream(kind) {
-		r.Body = &eventBody{Body: r.Body, needsEvent: !r.Framed && r.Succeeded()}
+		r.Body = &eventBody{Body: r.Body, needsEvent: r.Head.Unframed && r.Succeeded()}
 	}
 	return r
 }
--- a/gate/work/events_test.go
+++ b/gate/work/events_test.go
@@ -20,7 +20,7 @@
 // checkedReply returns the reply with the body after CheckEvents, as a call of a stream route gets it.
 func checkedReply(media string, status int, body io.Reader) Reply {
 	head := Head{Status: status, Header: http.Header{"Content-Type": {media}}}
-	return Reply{Head: head, Framed: true, Body: textBody{body}}.CheckEvents(Stream)
+	return Reply{Head: head, Body: textBody{body}}.CheckEvents(Stream)
 }
 
 // TestEventStreamCutAnywhereIsNotComplete checks that a stream is only complete if it ends between two events.
@@ -70,8 +70,8 @@
 		{"a failure", "", false, true, http.StatusInternalServerError},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			head := Head{Status: c.status, Header: http.Header{"Content-Type": {eventStreamType}}}
-			reply := Reply{Head: head, Framed: c.framed, Body: textBody{strings.NewReader(c.text)}}.CheckEvents(Stream)
+			head := Head{Status: c.status, Header: http.Header{"Content-Type": {eventStreamType}}, Unframed: !c.framed}
+			reply := Reply{Head: head, Body: textBody{strings.NewReader(c.text)}}.CheckEvents(Stream)
 			_, err := io.ReadAll(reply.Body)
 			if diff := cmp.Diff(c.complete, err == nil); diff != "" {
 				t.Errorf("complete (-want +got):\n%s", diff)
