relay, dial, work: keep checks of answers in functions of their own

The check of a reply's signature had made the function that sends a call to a replica long, and the linter asked for errors.Is where the end of a body is recognized.

Move what follows a reply that has run into accept, and set all that a response's head tells in one place. No behavior changes.

--- a/gate/dial/send.go
+++ b/gate/dial/send.go
@@ -167,8 +167,7 @@
 			continue
 		}
 		if req.Matches == nil || req.Matches(resp.Header) {
-			r.setHead(resp, skipped)
-			r.acceptUnframed = req.AcceptUnframed
+			r.setHead(resp, skipped, req.AcceptUnframed)
 			return nil
 		}
 		skipped = true
@@ -179,9 +178,10 @@
 	return fault.Fail(fault.Protocol, "the target sent responses to other requests")
 }
 
-func (r *Response) setHead(resp *http.Response, skipped bool) {
+func (r *Response) setHead(resp *http.Response, skipped, acceptUnframed bool) {
 	r.Status, r.Header, r.Length, r.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
 	r.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
+	r.acceptUnframed = acceptUnframed
 	r.reusable = !resp.Close && !skipped
 }
 
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -197,13 +197,17 @@
 		return answer{}, fault.Refuse(fault.Overloaded, "the replica did not run the call")
 	}
 	a.runs++
+	return a.accept(ctx, lease, reply.CheckEvents(a.route.Kind), stop, start)
+}
+
+// accept returns the answer to forward for the reply of a replica that has run the call.
+func (a *attempts) accept(ctx context.Context, lease *target.Lease, reply work.Reply, stop func(), start time.Time) (answer, error) {
 	if reply.Succeeded() && !reply.Signed {
 		reply.Body.Close()
 		stop()
 		lease.Done(target.Incomplete, 0)
 		return answer{}, fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
 	}
-	reply = reply.CheckEvents(a.route.Kind)
 	if a.route.Kind == work.Stream {
 		return a.streamed(lease, reply, stop), nil
 	}
--- a/gate/work/events.go
+++ b/gate/work/events.go
@@ -5,6 +5,8 @@
 	"io"
 	"mime"
 
+	"github.com/cockroachdb/errors"
+
 	"mulleingate.dev/base/fault"
 )
 
@@ -50,16 +52,16 @@
 func (b *eventBody) Read(data []byte) (int, error) {
 	n, err := b.Body.Read(data)
 	b.scan(data[:n])
-	switch {
-	case err != io.EOF:
+	if !errors.Is(err, io.EOF) {
 		return n, err
-	case b.inEvent:
+	}
+	if b.inEvent {
 		return n, fault.Fail(fault.TargetFailed, "the stream ended inside an event")
-	case b.needsEvent:
+	}
+	if b.needsEvent {
 		return n, fault.Fail(fault.TargetFailed, "the stream ended before its first event")
-	default:
-		return n, err
 	}
+	return n, io.EOF
 }
 
 // scan follows the boundaries of the events in raw.
