--- a/bench/mutant/list.go
+++ b/bench/mutant/list.go
@@ -18,7 +18,7 @@
 
 // All returns all mutants.
 func All() []Mutant {
-	return slices.Concat(ownership(), budgets(), configuration(), slotsAndGrants(), accessAndTargets(), highLoad())
+	return slices.Concat(ownership(), budgets(), configuration(), slotsAndGrants(), accessAndTargets(), highLoad(), truncation())
 }
 
 // highLoad returns the mutants of failover, prefix-aware placement, retries and slow readers.
@@ -43,6 +43,41 @@
 	}
 }
 
+// truncation returns the mutants of answers that are cut off.
+func truncation() []Mutant {
+	const whole = "an answer that broke off does not look complete"
+	return []Mutant{
+		{
+			Name: "cut_event_is_whole", Property: whole, File: "gate/work/events.go", TestPackage: "../platform/whole",
+			Old: "if b.inEvent {", New: "if false {",
+		},
+		{
+			Name: "stream_without_events_is_whole", Property: whole, File: "gate/work/events.go", TestPackage: "./work",
+			Old: "if b.needsEvent {", New: "if false {",
+		},
+		{
+			Name: "unframed_response_of_box_is_whole", Property: whole, File: "gate/dial/send.go", TestPackage: "./remote",
+			Old: "if !r.Framed && !r.acceptUnframed {", New: "if false {",
+		},
+		{
+			Name: "broken_answer_is_not_reset", Property: whole, File: "gate/spool/conn.go", TestPackage: "./spool",
+			Old: "c.zeroLinger = c.inner.SetLinger(0) == nil", New: "c.zeroLinger = false",
+		},
+		{
+			Name: "unframed_answer_is_framed", Property: whole, File: "platform/front/front.go", TestPackage: "../platform/whole",
+			Old: "case head.Unframed || (head.Length < 0 && !a.chunks):", New: "case head.Length < 0 && !a.chunks:",
+		},
+		{
+			Name: "short_page_ends_claim", Property: "a slot is claimed with all of its records", File: "gate/shard/claim.go", TestPackage: "./shard",
+			Old: "if len(page.Records) == 0 && !page.Behind() {", New: "if len(page.Records) == 0 {",
+		},
+		{
+			Name: "short_page_is_current", Property: "a revoked key is refused within the bound", File: "gate/feed/feed.go", TestPackage: "./feed",
+			Old: "if !page.Behind() {", New: "if true {",
+		},
+	}
+}
+
 // accessAndTargets returns the mutants of access, quotas, replicas and what boxes learn about them.
 func accessAndTargets() []Mutant {
 	const platformTests = "../platform/whole"
