turns, whole: test rating and charge of streams cut inside an event

What a stream that ends inside an event means for its replica and its program was only shown for streams in chunks.

TestCutStreamCountsAgainstReplica checks that such a stream is an incomplete answer of its replica and that its turn is not finished.

--- a/gate/turns/turns_test.go
+++ b/gate/turns/turns_test.go
@@ -171,6 +171,24 @@
 	}
 }
 
+// TestCutStreamCountsAgainstReplica checks that a stream which ends inside an event is an incomplete answer of its replica,
+// although its connection ended without an error, and that the turn is not finished.
+func TestCutStreamCountsAgainstReplica(t *testing.T) {
+	ends := &countingLedger{}
+	tr := newAnsweredTurn(t, &caller{takes: 2}, ends)
+	reply := work.Reply{Head: work.Head{Status: http.StatusOK, Unframed: true}, Signed: true, Body: &pieces{texts: []string{"data: a\n\n", "data: b"}, err: io.EOF}}
+	complete, err := tr.copyReply(context.Background(), reply.CheckEvents(work.Stream))
+	if complete || !fault.Is(err, fault.TargetFailed) || fault.From(err).NotRun {
+		t.Fatalf("complete: %v, fault %v", complete, err)
+	}
+	if diff := cmp.Diff(target.Incomplete, tr.errorOutcome(context.Background(), err)); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]int{0, 1, 0}, []int{ends.finished, tr.answer.collected.started(), len(tr.answer.partial)}); diff != "" {
+		t.Errorf("finished turns, events that may have been delivered, bytes held back (-want +got):\n%s", diff)
+	}
+}
+
 // TestSlowCallerDoesNotMakeReplicaSilent checks that a replica does not count as silent for the time in which the
 // caller took a piece of the answer. It did, so that slow callers counted against replicas.
 func TestSlowCallerDoesNotMakeReplicaSilent(t *testing.T) {
