fleet: fail if a box could not start, take ports below the ephemeral range

TestPlannedStop failed once: the stopped box had exited with 2, while all 190 programs finished and nothing was refused or failed. Exit code 2 is that of settings that cannot be used, among them an address that is taken.

Cause: FreePorts released ports of the ephemeral range, and listeners on port 0 and outgoing connections could take one before the box listened on it. That box exited at its start, the others took over its slots, WaitReady counted only running boxes, and the load ran without it. With box-1's address held by another listener, TestPlannedStop fails with the recorded figures: 190 of 190 finished, refused 0, failed 0, exit code 2. The log of the recorded run no longer exists, so that this is shown to be sufficient, not to be what happened then.

Change: ports come from below the ephemeral range and an address of the process; New fails if a box has exited and quotes the end of its log; TestPlannedStop prints that log if the exit code is wrong.

TestFleetNeedsAllBoxes failed before (the fleet was ready without box-1).

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -131,7 +131,37 @@
 			return err
 		}
 	}
-	return f.WaitReady(ctx)
+	if err := f.WaitReady(ctx); err != nil {
+		return err
+	}
+	return f.checkRunning()
+}
+
+// checkRunning returns a fault if the process of a box has ended. The other boxes take over its slots, so that
+// WaitReady does not notice.
+func (f *Fleet) checkRunning() error {
+	for i, b := range f.boxes {
+		if !f.Running(i) {
+			return fault.Fail(fault.Internal, fmt.Sprintf("%s exited with %d: %s", b.Name, f.Wait(i), f.LogTail(i)))
+		}
+	}
+	return nil
+}
+
+// logTailBytes is the length of the end of a log that LogTail returns.
+const logTailBytes = 4 << 10
+
+// LogTail returns the end of the log of box i.
+func (f *Fleet) LogTail(i int) string {
+	raw, err := os.ReadFile(f.logPath(f.boxes[i]))
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw[max(0, len(raw)-logTailBytes):])
+}
+
+func (f *Fleet) logPath(b *Box) string {
+	return filepath.Join(f.spec.Dir, b.Name+".log")
 }
 
 func (f *Fleet) newBox(i int, ports []netip.AddrPort) *Box {
@@ -215,7 +245,7 @@
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
 		return fault.Fail(fault.Internal, "cannot write the settings file").WithCause(err)
 	}
-	logFile, err := os.OpenFile(filepath.Join(f.spec.Dir, b.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	logFile, err := os.OpenFile(f.logPath(b), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fault.Fail(fault.Internal, "cannot open the log file").WithCause(err)
 	}
--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"syscall"
 	"testing"
 	"time"
@@ -19,6 +20,17 @@
 
 // startFleet runs three boxes in three zones as processes, with a proxy on every link.
 func startFleet(t *testing.T) (*fleet.Fleet, *fleet.Balancer) {
+	t.Helper()
+	f, err := newFleet(t, shortenTimeouts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f, fleet.NewBalancer(f)
+}
+
+// newFleet is fleet.New for the fleet of startFleet, with the settings as edit changes them.
+func newFleet(t *testing.T, edit func(set *conf.Settings)) (*fleet.Fleet, error) {
 	t.Helper()
 	ctx := context.Background()
 	dir := t.TempDir()
@@ -27,19 +39,14 @@
 		t.Fatal(err)
 	}
 	shape := sample.Ghent()
-	f, err := fleet.New(ctx, fleet.Spec{
+	return fleet.New(ctx, fleet.Spec{
 		Shape: shape, Boxes: 3, GatePath: gate, Dir: dir, Proxied: true,
 		Platform: plat.Spec{
 			Zones: shape.Zones, Engines: 4, Model: "planner", ListLag: 300 * time.Millisecond, Log: applog.Faults{AppendsPerSecond: 400},
 			Services: map[string]int{"booking": 3, "calendar": 2},
 		},
-		EditSettings: shortenTimeouts,
+		EditSettings: edit,
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(f.Close)
-	return f, fleet.NewBalancer(f)
 }
 
 // shortenTimeouts shortens the intervals that delay a takeover.
@@ -106,7 +113,7 @@
 		t.Errorf("failed requests during a planned stop (-want +got):\n%s", diff)
 	}
 	if diff := cmp.Diff(0, f.Wait(1)); diff != "" {
-		t.Errorf("exit code of the stopped box (-want +got):\n%s", diff)
+		t.Errorf("exit code of the stopped box (-want +got):\n%s\nend of its log:\n%s", diff, f.LogTail(1))
 	}
 	if diff := cmp.Diff(stats.Calls-repeatableEffects(f), len(keysWithEffects(f, 1))); diff != "" {
 		t.Errorf("answered bookings and keys with one effect (-want +got):\n%s", diff)
@@ -210,3 +217,23 @@
 		t.Errorf("the engine got a call %v after it was marked as leaving", late)
 	}
 }
+
+// TestFleetNeedsAllBoxes checks that a fleet is not ready without a box that could not start. The other boxes took
+// over its slots, so that tests ran without it and failed only at its exit code, if they looked at that.
+func TestFleetNeedsAllBoxes(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = taken.Close() }() // the test is over
+	f, err := newFleet(t, func(set *conf.Settings) {
+		shortenTimeouts(set)
+		if set.Box.Name == "box-1" {
+			set.Listen.Callers = taken.Addr().(*net.TCPAddr).AddrPort()
+		}
+	})
+	if err == nil {
+		t.Errorf("a fleet without box-1, which exited with %d, is ready", f.Wait(1))
+		f.Close()
+	}
+}
--- a/stand/plat/plat.go
+++ b/stand/plat/plat.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeromicro/go-zero/rest"
@@ -165,22 +167,39 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
 }
 
-// FreePorts returns n different loopback addresses whose ports are not in use at the moment.
+// firstPort is below the range of ephemeral ports, so that neither listeners on port 0 nor outgoing connections
+// take a port between its test by FreePorts and its use.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// portsUsed counts the ports that FreePorts has tested.
+var portsUsed atomic.Int64
+
+// processAddr returns a loopback address that depends on the process ID, so that processes which run side by side
+// rarely test the same ports.
+func processAddr() netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(1 + pid>>16&0x7f), byte(pid >> 8), byte(pid)})
+}
+
+// FreePorts returns n different loopback addresses whose ports are not in use at the moment. It returns no address
+// twice.
 func FreePorts(n int) ([]netip.AddrPort, error) {
-	lns := make([]net.Listener, 0, n)
 	out := make([]netip.AddrPort, 0, n)
-	defer func() {
-		for _, ln := range lns {
-			_ = ln.Close()
+	for len(out) < n {
+		port := firstPort + portsUsed.Add(1)
+		if port > lastPort {
+			return nil, fault.Refuse(fault.BadSettings, "no free port")
 		}
-	}()
-	for range n {
-		ln, err := net.Listen("tcp", Loopback().String())
+		addr := netip.AddrPortFrom(processAddr(), uint16(port))
+		ln, err := net.Listen("tcp", addr.String())
 		if err != nil {
-			return nil, fault.Refuse(fault.BadSettings, "no free port").WithCause(err)
+			continue
 		}
-		lns = append(lns, ln)
-		out = append(out, ln.Addr().(*net.TCPAddr).AddrPort())
+		_ = ln.Close() // only its port was of interest
+		out = append(out, addr)
 	}
 	return out, nil
 }
