--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -169,6 +169,7 @@
 		return err
 	}
 	call.Workspace = space.Name
+	call.Request = work.FingerprintOf(call, route)
 	if call.Regions, err = e.regionsOf(call, route, space); err != nil {
 		return err
 	}
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -159,7 +159,7 @@
 	case ctx.Err() != nil:
 		kind = fault.TimedOut
 	}
-	a.log.Info("relay: call failed", "id", a.call.ID, "route", a.route.Name, "kind", kind, "sent", a.sent, "ran", a.runs,
+	a.log.Info("relay: call failed", "id", a.call.ID, "request", a.call.Request, "route", a.route.Name, "kind", kind, "sent", a.sent, "ran", a.runs,
 		"after", time.Since(a.call.Arrived), "cause", a.last)
 	a.counts.Count("relay.failed", 1)
 	if a.runs == 0 {
@@ -235,7 +235,7 @@
 		return err
 	}
 	lease.Done(target.Incomplete, 0)
-	a.log.Info("relay: replica gave no answer", "id", a.call.ID, "replica", lease.Replica.ID, "cause", err)
+	a.log.Info("relay: replica gave no answer", "id", a.call.ID, "request", a.call.Request, "replica", lease.Replica.ID, "cause", err)
 	return err
 }
 
@@ -314,7 +314,7 @@
 	}
 	if err := work.CopyBody(got.rest, out, fault.TargetFailed); err != nil {
 		got.close(brokenOutcome(ctx, out, err), out.writeTime)
-		a.log.Info("relay: answer broke off", "id", a.call.ID, "route", a.route.Name, "sent", a.sent, "framed", !got.head.Unframed,
+		a.log.Info("relay: answer broke off", "id", a.call.ID, "request", a.call.Request, "route", a.route.Name, "sent", a.sent, "framed", !got.head.Unframed,
 			"after", time.Since(a.call.Arrived), "cause", err)
 		return err
 	}
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -184,7 +184,7 @@
 
 // abandon logs and ends a turn that has no complete answer.
 func (t *turn) abandon(ctx context.Context, err error) {
-	t.log.Info("turns: turn failed", "id", t.call.ID, "program", t.call.Turn.Program, "route", t.route.Name, "slot", t.slot.Number(), "ran", t.mayHaveRun,
+	t.log.Info("turns: turn failed", "id", t.call.ID, "request", t.call.Request, "program", t.call.Turn.Program, "route", t.route.Name, "slot", t.slot.Number(), "ran", t.mayHaveRun,
 		"replica", t.lease.Replica.ID, "sent", t.sent, "caller_gone", ctx.Err() == context.Canceled, "after", time.Since(t.call.Arrived),
 		"framed", !t.unframed, "kind", fault.From(err).Kind, "cause", err)
 	t.counts.Count("turns.failed", 1)
--- a/gate/work/call.go
+++ b/gate/work/call.go
@@ -54,6 +54,8 @@
 	// to other boxes. Workspace is the workspace that holds the key, empty for calls without one.
 	KeyDigest string `json:"-"`
 	Workspace string `json:",omitempty"`
+	// Request is FingerprintOf the call; set together with Workspace.
+	Request Fingerprint `json:",omitempty"`
 	// Deadline is the earlier of the caller's deadline and the end of the route's timeout.
 	Deadline time.Time `json:"-"`
 	// Arrived is the time at which the box that received the call from the caller had read it.
