--- a/gate/work/fingerprint_test.go
+++ b/gate/work/fingerprint_test.go
@@ -20,7 +20,9 @@
 		change func(call *Call)
 		same   bool
 	}{
-		{"attempt", kept, func(call *Call) { call.ID, call.Deadline, call.Arrived, call.Turn.Left = "2", time.Now(), time.Now(), 1 }, true},
+		{"attempt", kept, func(call *Call) {
+			call.ID, call.Deadline, call.Arrived, call.Turn.Left = "2", time.Now(), time.Now(), 1
+		}, true},
 		{"resumed", kept, func(call *Call) { call.Header = map[string][]string{"Last-Event-Id": {"3"}} }, true},
 		{"host with port", kept, func(call *Call) { call.Host = "DESK.example:80" }, true},
 		{"program", kept, func(call *Call) { call.Turn.Program = "q" }, true},
