crash, target, entry: refuse a request under which three replicas crashed

Callers saw a request under which three replicas had ended sent to further ones, until many had.

Cause: each attempt has an id of its own, and everything that a box remembers of a request is kept under that id. An attempt stays within max_attempts and ends one replica or two; the next one, at this box or another, is a new request to all of them. Class: a bound kept per attempt although what it protects is shared by all attempts.

Change: crash.Tracker counts, by fingerprint, the replicas that crashed while the request was in progress there, and refuses it after three: 400, not run. A crash is shown by a refused connection after a broken answer, a restart, a reused address, or a replica that is silent and no longer listed; a broken connection, a cut and a planned stop are not. An attempt that follows waits for the check, at most 150 ms. Boxes tell each other by datagrams, and again while it matters. An answer clears a request, and requests that met the same crash avoid each other's replicas.

This works since the count belongs to the request and not to the attempt, and is complete before the next attempt is sent.

--- a/base/fault/fault.go
+++ b/base/fault/fault.go
@@ -53,6 +53,8 @@
 	TimedOut         Kind = "timed_out"
 	CallerGone       Kind = "caller_gone"
 	QuotaReached     Kind = "quota_reached"
+	// RequestBlocked is the refusal of a request under which too many targets have crashed.
+	RequestBlocked Kind = "request_blocked"
 )
 
 // statuses holds the HTTP status of each kind.
@@ -98,6 +100,7 @@
 	TimedOut:         http.StatusGatewayTimeout,
 	CallerGone:       http.StatusBadGateway,
 	QuotaReached:     http.StatusTooManyRequests,
+	RequestBlocked:   http.StatusBadRequest,
 }
 
 // Fault is an error with a kind, which can be sent to a caller as a Problem.
--- /dev/null
+++ b/gate/crash/check.go
@@ -0,0 +1,141 @@
+package crash
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mulleingate.dev/gate/work"
+)
+
+const (
+	// checkTimeout bounds a check, and so the time for which a call waits for the check of an earlier attempt.
+	checkTimeout = 150 * time.Millisecond
+	// checkTTL is how long the result of a check is used for further attempts at the replica.
+	checkTTL = 200 * time.Millisecond
+)
+
+// occasion is when a replica is checked. It decides what the result means.
+type occasion int
+
+const (
+	// onBreak is after an answer of a listed replica broke off.
+	onBreak occasion = iota
+	// onRemoval is when a replica is no longer listed after attempts there had ended without a complete answer.
+	onRemoval
+	// afterRemoval is after an answer of a replica that was not listed any more broke off.
+	afterRemoval
+)
+
+// contact is the result of a check.
+type contact int
+
+const (
+	accepted contact = iota
+	refused
+	silent
+)
+
+// check is a check whether a replica accepts connections.
+type check struct {
+	when occasion
+	// waiting holds the attempts that the check decides.
+	waiting []undecided
+	// done is closed once the check has ended; ended and result are zero before.
+	done   chan struct{}
+	ended  time.Time
+	result contact
+}
+
+// check decides whether the replica of the attempt has crashed.
+func (t *Tracker) check(now time.Time, rep work.Replica, ended undecided, listed bool) {
+	run := rep.RunID()
+	if _, ok := t.crashed[run]; ok {
+		t.await(now, rep, ended)
+		return
+	}
+	last := t.checks[run]
+	switch {
+	case last != nil && last.ended.IsZero():
+		last.waiting = append(last.waiting, ended)
+		t.checking[ended.req] = last
+	case last != nil && now.Sub(last.ended) < checkTTL:
+		t.decide(now, rep, last, []undecided{ended})
+	case listed:
+		t.startCheck(now, rep, onBreak, []undecided{ended})
+	default:
+		t.startCheck(now, rep, afterRemoval, []undecided{ended})
+	}
+}
+
+// startCheck starts a check of the replica.
+func (t *Tracker) startCheck(now time.Time, rep work.Replica, when occasion, waiting []undecided) {
+	for run, last := range t.checks {
+		if !last.ended.IsZero() && now.Sub(last.ended) > checkTTL {
+			delete(t.checks, run)
+		}
+	}
+	c := &check{when: when, waiting: waiting, done: make(chan struct{})}
+	t.checks[rep.RunID()] = c
+	for _, ended := range waiting {
+		t.checking[ended.req] = c
+	}
+	t.counts.Count(checkMetric, 1)
+	go func() {
+		result := t.connect(rep)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		c.ended, c.result = time.Now(), result
+		t.decide(c.ended, rep, c, c.waiting)
+		for _, ended := range c.waiting {
+			if t.checking[ended.req] == c {
+				delete(t.checking, ended.req)
+			}
+		}
+		c.waiting = nil
+		close(c.done)
+	}()
+}
+
+// connect tries to connect to the replica.
+func (t *Tracker) connect(rep work.Replica) contact {
+	ctx, stop := context.WithTimeout(context.Background(), checkTimeout)
+	defer stop()
+	err := t.connector.Connect(ctx, rep.Addr)
+	switch {
+	case err == nil:
+		return accepted
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return refused
+	default:
+		return silent
+	}
+}
+
+// decide ends attempts by a check of their replica that has ended. A replica that is no longer listed and refuses
+// connections may have stopped as planned, and cut the answers that were still in progress.
+func (t *Tracker) decide(now time.Time, rep work.Replica, c *check, attempts []undecided) {
+	switch {
+	case c.result == refused && c.when != afterRemoval:
+		t.recordCrash(now, rep.RunID(), false, shownByRefusal, attempts)
+	case c.result == silent && c.when != onBreak:
+		t.recordCrash(now, rep.RunID(), true, shownBySilence, attempts)
+	case c.when == onBreak:
+		for _, ended := range attempts {
+			ended.accepted = c.result == accepted
+			t.await(now, rep, ended)
+		}
+	}
+}
+
+// awaitCheck waits for a check that concerns the request.
+func (t *Tracker) awaitCheck(req work.Fingerprint) {
+	t.mu.Lock()
+	c := t.checking[req]
+	t.mu.Unlock()
+	if c != nil {
+		<-c.done
+	}
+}
--- /dev/null
+++ b/gate/crash/crash_test.go
@@ -0,0 +1,337 @@
+package crash
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/work"
+)
+
+// fakeNet holds the error of connections to each address; nil if they are accepted.
+type fakeNet map[netip.AddrPort]error
+
+func (n fakeNet) Connect(ctx context.Context, addr netip.AddrPort) error {
+	if n[addr] == errSilent {
+		<-ctx.Done()
+	}
+	return n[addr]
+}
+
+const (
+	errRefused = syscall.ECONNREFUSED
+	errSilent  = syscall.ETIMEDOUT
+)
+
+// noCounts records no metrics.
+type noCounts struct{}
+
+func (noCounts) Count(string, int64) {}
+func (noCounts) Gauge(string, int64) {}
+
+func newTracker(net fakeNet) *Tracker {
+	return New(net, noCounts{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
+
+func replica(n int) work.Replica {
+	return work.Replica{ID: fmt.Sprintf("r%d", n), Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+n))}
+}
+
+// begin begins an attempt of the request at the replica.
+func begin(t *testing.T, tracker *Tracker, req work.Fingerprint, rep work.Replica) *Attempt {
+	t.Helper()
+	a, err := tracker.Begin(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Place(rep)
+	return a
+}
+
+// crashUnder makes the replica crash under the requests.
+func crashUnder(t *testing.T, tracker *Tracker, net fakeNet, rep work.Replica, reqs ...work.Fingerprint) {
+	t.Helper()
+	var attempts []*Attempt
+	for _, req := range reqs {
+		attempts = append(attempts, begin(t, tracker, req, rep))
+	}
+	net[rep.Addr] = errRefused
+	for _, a := range attempts {
+		a.End(Broken, true)
+	}
+	synctest.Wait()
+}
+
+// crashes returns the number of replicas that count as crashed under the request.
+func crashes(tracker *Tracker, req work.Fingerprint) int {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	return tracker.history.count(time.Now(), req)
+}
+
+// TestSignsOfCrash checks what shows that a replica crashed under an attempt: what breaks an answer without the end of
+// its replica must not count against the request.
+func TestSignsOfCrash(t *testing.T) {
+	rep := replica(1)
+	started := func(after time.Duration) work.Replica {
+		again := rep
+		again.StartedAt = time.Now().Add(after)
+		return again
+	}
+	reused := rep
+	reused.ID = "other"
+	cases := []struct {
+		name string
+		net  error
+		// how ended the attempt, of a listed replica unless unlisted is set; then follows what happens later.
+		how      Ending
+		unlisted bool
+		then     func(tracker *Tracker)
+		want     int
+	}{
+		{"crash", errRefused, Broken, false, nil, 1},
+		{"broken connection", nil, Broken, false, nil, 0},
+		{"broken connection, later a planned stop without notice", nil, Broken, false, func(tr *Tracker) { tr.ReplicaUnlisted(rep) }, 0},
+		{"broken connection, restarted much later", nil, Broken, false, func(tr *Tracker) { time.Sleep(3 * time.Second); tr.ReplicaRestarted(rep, time.Now()) }, 0},
+		{"crash and restart at once", nil, Broken, false, func(tr *Tracker) { tr.ReplicaRestarted(rep, started(0).StartedAt) }, 1},
+		{"restart known when the attempt ends", nil, Restarted, false, nil, 1},
+		{"address reused", nil, Broken, false, func(tr *Tracker) { time.Sleep(time.Second); tr.ReplicaListed(reused) }, 1},
+		{"silence", errSilent, Broken, false, nil, 0},
+		{"silence, then the entry goes", errSilent, Broken, false, func(tr *Tracker) { time.Sleep(time.Second); tr.ReplicaUnlisted(rep) }, 1},
+		{"silence, the entry goes during the check", errSilent, Broken, false, func(tr *Tracker) { tr.ReplicaUnlisted(rep) }, 1},
+		{"silence, then restarted", errSilent, Broken, false, func(tr *Tracker) { time.Sleep(5 * time.Second); tr.ReplicaRestarted(rep, time.Now()) }, 1},
+		{"caller left a silent replica, then the entry goes", errSilent, Unknown, false, func(tr *Tracker) { tr.ReplicaUnlisted(rep) }, 1},
+		{"caller left, a planned stop without notice", nil, Unknown, false, func(tr *Tracker) { tr.ReplicaUnlisted(rep) }, 0},
+		{"caller left, the entry goes much later", errSilent, Unknown, false, func(tr *Tracker) { time.Sleep(undecidedTTL + time.Second); tr.ReplicaUnlisted(rep) }, 0},
+		{"silence after the entry has gone", errSilent, Unknown, true, nil, 1},
+		{"planned stop cuts the answer", errRefused, Broken, true, nil, 0},
+		{"cut network, the entry comes back", errSilent, Broken, false, func(tr *Tracker) {
+			time.Sleep(time.Second)
+			tr.ReplicaUnlisted(rep)
+			time.Sleep(time.Second)
+			tr.ReplicaListed(rep)
+		}, 0},
+		{"not run", errRefused, NotRun, false, nil, 0},
+		{"answered", errRefused, Completed, false, nil, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tracker := newTracker(fakeNet{rep.Addr: c.net})
+				begin(t, tracker, "a", rep).End(c.how, !c.unlisted)
+				if c.then != nil {
+					c.then(tracker)
+				}
+				time.Sleep(checkTimeout)
+				synctest.Wait()
+				if diff := cmp.Diff(c.want, crashes(tracker, "a")); diff != "" {
+					t.Errorf("crashes (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+// TestRequestIsRefusedAfterThreeCrashes checks that a request is refused at once, as not run and without an invitation to
+// come back, after the third crash and not before, until the crashes lapse.
+func TestRequestIsRefusedAfterThreeCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := fakeNet{}
+		tracker := newTracker(net)
+		for n := range maxCrashes {
+			if err := tracker.Check("a"); err != nil {
+				t.Fatalf("refused after %d crashes: %v", n, err)
+			}
+			crashUnder(t, tracker, net, replica(n), "a")
+		}
+		_, err := tracker.Begin("a")
+		if f := fault.From(err); !fault.Is(err, fault.RequestBlocked) || !f.NotRun || f.RetryAfter != 0 {
+			t.Errorf("fault %+v, want an immediate and final refusal", f)
+		}
+		if err := tracker.Check("b"); err != nil {
+			t.Errorf("another request is refused: %v", err)
+		}
+		time.Sleep(retention)
+		if err := tracker.Check("a"); err != nil {
+			t.Errorf("refused after %v: %v", retention, err)
+		}
+	})
+}
+
+// TestNextAttemptWaitsForCheck checks that an attempt which follows a broken answer at once is not sent before it is known
+// whether the replica crashed.
+func TestNextAttemptWaitsForCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := fakeNet{}
+		tracker := newTracker(net)
+		crashUnder(t, tracker, net, replica(0), "a")
+		crashUnder(t, tracker, net, replica(1), "a")
+		last := begin(t, tracker, "a", replica(2))
+		net[replica(2).Addr] = errRefused
+		last.End(Broken, true)
+		if err := tracker.Check("a"); !fault.Is(err, fault.RequestBlocked) {
+			t.Errorf("sent during the check: %v", err)
+		}
+	})
+}
+
+// TestAttemptsInProgressCount checks that no more attempts of a request are in progress at a time than replicas may still
+// crash under it. Without a crash, their number is not limited.
+func TestAttemptsInProgressCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := fakeNet{}
+		tracker := newTracker(net)
+		var all []*Attempt
+		for n := range 10 {
+			all = append(all, begin(t, tracker, "a", replica(n)))
+		}
+		net[replica(0).Addr] = errRefused
+		all[0].End(Broken, true)
+		synctest.Wait()
+		_, err := tracker.Begin("a")
+		if f := fault.From(err); !fault.Is(err, fault.Overloaded) || !f.NotRun || f.RetryAfter == 0 {
+			t.Errorf("fault %+v, want a refusal with a delay", f)
+		}
+		for _, a := range all[1:9] {
+			a.End(Unknown, true)
+		}
+		begin(t, tracker, "a", replica(10)).End(NotRun, true)
+		all[9].End(Completed, true)
+		for range 10 {
+			begin(t, tracker, "a", replica(10))
+		}
+	})
+}
+
+// TestBystandersAreServed checks that requests which were in progress on a crashed replica together with the cause are
+// not refused: they go to other replicas than the cause, and an answer clears them.
+func TestBystandersAreServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := fakeNet{}
+		tracker := newTracker(net)
+		crashUnder(t, tracker, net, replica(0), "cause", "bystander", "another")
+		begin(t, tracker, "cause", replica(1))
+		next, err := tracker.Begin("bystander")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]string{"r1"}, next.Avoid()); diff != "" {
+			t.Errorf("replicas to avoid (-want +got):\n%s", diff)
+		}
+		next.Place(replica(2))
+		next.End(Completed, true)
+		if diff := cmp.Diff(map[string]int{"cause": 1, "bystander": 0, "another": 1}, map[string]int{
+			"cause": crashes(tracker, "cause"), "bystander": crashes(tracker, "bystander"), "another": crashes(tracker, "another"),
+		}); diff != "" {
+			t.Errorf("crashes by request (-want +got):\n%s", diff)
+		}
+		tracker.Merge(Report{Replica: replica(0).RunID(), Requests: []work.Fingerprint{"bystander"}})
+		if n := crashes(tracker, "bystander"); n != 0 {
+			t.Errorf("a late report of a crash before the answer counts")
+		}
+		unrelated := begin(t, tracker, "unrelated", replica(1))
+		if ids := unrelated.Avoid(); ids != nil {
+			t.Errorf("a request without crashes avoids %v", ids)
+		}
+	})
+}
+
+// TestTwoCrashesByChance checks that a request which met two crashes is sent a third time, and served from then on.
+func TestTwoCrashesByChance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := fakeNet{}
+		tracker := newTracker(net)
+		crashUnder(t, tracker, net, replica(0), "a")
+		crashUnder(t, tracker, net, replica(1), "a")
+		begin(t, tracker, "a", replica(2)).End(Completed, true)
+		crashUnder(t, tracker, net, replica(3), "a")
+		if err := tracker.Check("a"); err != nil {
+			t.Errorf("refused although it was answered: %v", err)
+		}
+	})
+}
+
+// TestReportsReachOtherBoxes checks that boxes which learn of crashes only from others refuse the request too, that
+// the same crash counts once however often and by whom it is reported, and that a box which starts later learns of it.
+func TestReportsReachOtherBoxes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := fakeNet{}
+		finder, other, late := newTracker(net), newTracker(net), newTracker(net)
+		finder.OnCrash(func(report Report) { other.Merge(report); other.Merge(report) })
+		for n := range maxCrashes {
+			crashUnder(t, finder, net, replica(n), "a", "b")
+			if n < maxCrashes-1 {
+				crashUnder(t, other, net, replica(n), "a")
+			}
+		}
+		time.Sleep(time.Minute)
+		for _, report := range other.Recent() {
+			late.Merge(report)
+		}
+		for name, tracker := range map[string]*Tracker{"finder": finder, "other": other, "late": late} {
+			if diff := cmp.Diff(maxCrashes, crashes(tracker, "a")); diff != "" {
+				t.Errorf("crashes at %s (-want +got):\n%s", name, diff)
+			}
+			if err := tracker.Check("a"); !fault.Is(err, fault.RequestBlocked) {
+				t.Errorf("%s: not refused: %v", name, err)
+			}
+		}
+		time.Sleep(retention)
+		late.Merge(Report{Replica: "r9", AgeMillis: retention.Milliseconds(), Requests: []work.Fingerprint{"a"}})
+		if n := crashes(late, "a"); n != 0 {
+			t.Errorf("%d crashes after %v: reports renewed them", n, retention)
+		}
+	})
+}
+
+// TestReplicaThatAnswersHasNotCrashed checks that a replica which refused a connection, for example since it had too many,
+// does not count as crashed once it has run a later attempt.
+func TestReplicaThatAnswersHasNotCrashed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := fakeNet{}
+		tracker := newTracker(net)
+		crashUnder(t, tracker, net, replica(0), "a")
+		time.Sleep(time.Second)
+		begin(t, tracker, "b", replica(0)).End(Completed, true)
+		if n := crashes(tracker, "a"); n != 0 {
+			t.Errorf("%d crashes of a replica that lives", n)
+		}
+	})
+}
+
+// TestFloodOfCrashes checks that memory is bounded however many requests replicas crash under, and that the requests
+// under which several have crashed are kept.
+func TestFloodOfCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker(fakeNet{})
+		for n := range maxCrashes {
+			tracker.Merge(Report{Replica: replica(n).ID, Requests: []work.Fingerprint{"a"}})
+		}
+		for n := range 2 * maxRecords {
+			tracker.Merge(Report{Replica: "r", Requests: []work.Fingerprint{work.Fingerprint(fmt.Sprint(n))}})
+			tracker.Merge(Report{Replica: fmt.Sprint(n), Requests: []work.Fingerprint{"b"}})
+			a := begin(t, tracker, work.Fingerprint(fmt.Sprint(n)), replica(n%50_000))
+			a.End(Unknown, true)
+		}
+		tracker.mu.Lock()
+		defer tracker.mu.Unlock()
+		if records, ends := len(tracker.history.records), len(tracker.history.records["b"].ends); records > maxRecords || ends > maxReplicas {
+			t.Errorf("%d requests are remembered, and %d replicas for one", records, ends)
+		}
+		if len(tracker.undecided) > maxUndecided || len(tracker.attempts) > 0 || len(tracker.inFlight) > 0 {
+			t.Errorf("%d undecided, %d attempts, %d requests in flight", len(tracker.undecided), len(tracker.attempts), len(tracker.inFlight))
+		}
+		if err := tracker.checkLocked(time.Now(), "a"); !fault.Is(err, fault.RequestBlocked) {
+			t.Errorf("the flood evicted a request that is refused: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/gate/crash/crashes.go
@@ -0,0 +1,97 @@
+package crash
+
+import (
+	"time"
+
+	"mulleingate.dev/gate/work"
+)
+
+const (
+	// crashedTTL is how long a replica is remembered as crashed, and maxCrashed bounds their number.
+	crashedTTL = time.Minute
+	maxCrashed = 4096
+)
+
+// crashedReplica is a replica that has crashed.
+type crashedReplica struct {
+	at time.Time
+	// silent is end.silent.
+	silent bool
+}
+
+// What shows that a replica has crashed.
+const (
+	shownByRefusal = "connection refused"
+	shownBySilence = "no response and no entry"
+	shownByRestart = "restarted"
+	shownByAddress = "address reused"
+	shownBefore    = "known before"
+	shownByPeer    = "another box"
+)
+
+// recordCrash records the crash of a replica under the attempts, and reports it to the other boxes.
+func (t *Tracker) recordCrash(now time.Time, run string, silent bool, shownBy string, attempts []undecided) {
+	t.markCrashed(now, run, silent)
+	added := t.addCrash(now, end{replica: run, at: now, silent: silent}, requests(attempts))
+	if len(added) == 0 {
+		return
+	}
+	t.counts.Count(foundMetric, 1)
+	t.log.Warn("crash: replica crashed under requests", "replica", run, "shown_by", shownBy, "requests", len(added), "first", added[0])
+	t.onCrash(Report{Replica: run, Silent: silent, Requests: added})
+}
+
+// markCrashed remembers that the replica has crashed.
+func (t *Tracker) markCrashed(now time.Time, run string, silent bool) {
+	if _, ok := t.crashed[run]; ok {
+		return
+	}
+	if len(t.crashed) >= maxCrashed {
+		t.forgetCrashed(now)
+	}
+	t.crashed[run] = crashedReplica{at: now, silent: silent}
+}
+
+// forgetCrashed forgets replicas that crashed long ago; all, if there are still too many.
+func (t *Tracker) forgetCrashed(now time.Time) {
+	for run, crash := range t.crashed {
+		if now.Sub(crash.at) > crashedTTL {
+			delete(t.crashed, run)
+		}
+	}
+	if len(t.crashed) >= maxCrashed {
+		clear(t.crashed)
+	}
+}
+
+// addCrash adds the crash to the records of the requests, and returns those for which it was not known.
+func (t *Tracker) addCrash(now time.Time, crashed end, reqs []work.Fingerprint) []work.Fingerprint {
+	var added []work.Fingerprint
+	for _, req := range reqs {
+		if !t.history.add(now, req, crashed) {
+			continue
+		}
+		added = append(added, req)
+		if replicas := t.history.replicas(now, req); len(replicas) == maxCrashes {
+			t.counts.Count(blockedMetric, 1)
+			t.log.Warn("crash: request blocked", "request", req, "replicas", replicas)
+		}
+	}
+	t.counts.Gauge(recordsMetric, int64(len(t.history.records)))
+	return added
+}
+
+// retractIfAlive retracts the crash of a replica that has completed an attempt which began after it.
+func (t *Tracker) retractIfAlive(a *Attempt) {
+	run := a.replica.RunID()
+	if crash, ok := t.crashed[run]; ok && a.begunAt.After(crash.at) {
+		t.retract(run)
+	}
+}
+
+// retract makes the crash of a replica that turned out to be alive not count.
+func (t *Tracker) retract(run string) {
+	delete(t.crashed, run)
+	t.history.retract(run)
+	t.log.Info("crash: replica has not crashed after all", "replica", run)
+}
--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -100,6 +100,12 @@
 	Forward(ctx context.Context, call *work.Call, route *work.Route, out work.Answer) error
 }
 
+// Crashes tells which requests are refused since replicas have crashed under them.
+type Crashes interface {
+	// Check returns a fault with NotRun if the request is refused.
+	Check(req work.Fingerprint) error
+}
+
 // Memory tells whether the box has memory for the answers of further calls.
 type Memory interface {
 	// Admit returns a fault with NotRun and a Retry-After delay if a call of the given priority must be refused.
@@ -126,6 +132,7 @@
 	runner       Runner
 	peers        Peers
 	relay        Relay
+	crashes      Crashes
 	counts       Counts
 	log          *slog.Logger
 	// memory is nil if calls need no such check.
@@ -134,10 +141,10 @@
 
 // New returns an Entry for the box self.
 func New(self work.Box, layout shard.Layout, regions work.Regions, feed ConfigSource, rules access.Rules, quotas Quotas, boxes Boxes, connectivity Connectivity, slots Slots, runner Runner,
-	peers Peers, relay Relay, counts Counts, log *slog.Logger) *Entry {
+	peers Peers, relay Relay, crashes Crashes, counts Counts, log *slog.Logger) *Entry {
 	return &Entry{
 		self: self, layout: layout, regions: regions, feed: feed, rules: rules, quotas: quotas, boxes: boxes, connectivity: connectivity, slots: slots, runner: runner,
-		peers: peers, relay: relay, counts: counts, log: log,
+		peers: peers, relay: relay, crashes: crashes, counts: counts, log: log,
 	}
 }
 
@@ -170,6 +177,9 @@
 	}
 	call.Workspace = space.Name
 	call.Request = work.FingerprintOf(call, route)
+	if err := e.checkCrashes(call, route); err != nil {
+		return err
+	}
 	if call.Regions, err = e.regionsOf(call, route, space); err != nil {
 		return err
 	}
@@ -184,6 +194,15 @@
 	return e.runWithinQuota(ctx, space, call, route, out)
 }
 
+// checkCrashes refuses a call if replicas have crashed under earlier attempts of its request.
+func (e *Entry) checkCrashes(call *work.Call, route *work.Route) error {
+	err := e.crashes.Check(call.Request)
+	if err != nil {
+		e.log.Info("entry: refused, replicas crashed under the request", "id", call.ID, "request", call.Request, "route", route.Name, "workspace", call.Workspace)
+	}
+	return err
+}
+
 // checkMemory refuses a call while too many answers are unread.
 func (e *Entry) checkMemory(call *work.Call, route *work.Route) error {
 	if e.memory == nil {
@@ -412,6 +431,12 @@
 	if !e.slots.Holds(number) && e.followsOnly(number, unreached) {
 		e.boxes.Confirm(ctx, unreached, func() { e.slots.Prepare(number) })
 	}
+	if call.Request == "" {
+		call.Request = work.FingerprintOf(call, route) // forwarded by a box of an earlier version
+	}
+	if err := e.checkCrashes(call, route); err != nil {
+		return err
+	}
 	slot, err := e.slots.Get(ctx, number)
 	if err != nil {
 		return err
--- a/gate/entry/entry_test.go
+++ b/gate/entry/entry_test.go
@@ -132,7 +132,7 @@
 }
 
 func (f *fakeBox) handle(call *work.Call) error {
-	e := New(work.Box{Name: "a", Zone: "a"}, shard.NewLayout(2), work.Regions{"a": "north", "b": "south"}, f, access.New(access.Bounds{Apply: time.Second}), f, f, f, f, f, f, f, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	e := New(work.Box{Name: "a", Zone: "a"}, shard.NewLayout(2), work.Regions{"a": "north", "b": "south"}, f, access.New(access.Bounds{Apply: time.Second}), f, f, f, f, f, f, f, noCrashes{}, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	return e.Handle(context.Background(), call, time.Minute, nil)
 }
 
@@ -329,3 +329,8 @@
 		t.Errorf("a call with an unknown key: %v, then %v", err, f.calls[before:])
 	}
 }
+
+// noCrashes refuses no request.
+type noCrashes struct{}
+
+func (noCrashes) Check(work.Fingerprint) error { return nil }
--- a/gate/entry/memory_test.go
+++ b/gate/entry/memory_test.go
@@ -29,7 +29,7 @@
 // sent anywhere, and that the next turn of a program, which is more urgent than its first, still runs.
 func TestCallsPassMemoryCheck(t *testing.T) {
 	f := newFakeBox()
-	e := New(work.Box{Name: "a", Zone: "a"}, shard.NewLayout(2), work.Regions{"a": "north"}, f, access.New(access.Bounds{Apply: time.Second}), f, f, f, f, f, f, f, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	e := New(work.Box{Name: "a", Zone: "a"}, shard.NewLayout(2), work.Regions{"a": "north"}, f, access.New(access.Bounds{Apply: time.Second}), f, f, f, f, f, f, f, noCrashes{}, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	e.SetMemoryCheck(urgentOnly(routeWeight))
 	err := e.Handle(context.Background(), turnCall(""), time.Minute, nil)
 	if !fault.Is(err, fault.Overloaded) || !fault.From(err).NotRun || fault.From(err).RetryAfter != time.Second {
--- a/gate/load/load.go
+++ b/gate/load/load.go
@@ -12,6 +12,7 @@
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/base/ident"
+	"mulleingate.dev/gate/crash"
 	"mulleingate.dev/gate/kernel"
 	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/gate/work"
@@ -56,6 +57,14 @@
 	UpdatePrefixDemand(from string, demand sched.PrefixDemand)
 }
 
+// Crashes holds the crashes of replicas as this box knows them.
+type Crashes interface {
+	// Merge adds a crash that another box reports.
+	Merge(report crash.Report)
+	// Recent returns the crashes that other boxes may not know.
+	Recent() []crash.Report
+}
+
 // Boxes tells which boxes need reports on a replica.
 type Boxes interface {
 	// Live returns all live boxes.
@@ -79,6 +88,8 @@
 	// From is the name of the sending box in a report on its demand for shared prompt prefixes.
 	From   string              `json:"from,omitempty"`
 	Demand *sched.PrefixDemand `json:"demand,omitempty"`
+	// Crash is the crash of a replica.
+	Crash *crash.Report `json:"crash,omitempty"`
 }
 
 // Watch polls replicas for their load and exchanges reports with other boxes.
@@ -86,6 +97,7 @@
 	self     work.Box
 	reporter Reporter
 	targets  Targets
+	crashes  Crashes
 	boxes    Boxes
 	log      *slog.Logger
 	conn     *net.UDPConn
@@ -108,9 +120,9 @@
 }
 
 // New returns a Watch that is not started.
-func New(self work.Box, reporter Reporter, targets Targets, boxes Boxes, log *slog.Logger) *Watch {
+func New(self work.Box, reporter Reporter, targets Targets, crashes Crashes, boxes Boxes, log *slog.Logger) *Watch {
 	return &Watch{
-		self: self, reporter: reporter, targets: targets, boxes: boxes, log: log,
+		self: self, reporter: reporter, targets: targets, crashes: crashes, boxes: boxes, log: log,
 		polls: map[string]poll{},
 	}
 }
@@ -124,7 +136,12 @@
 	w.conn = conn
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancel = cancel
-	w.done.Go(func() { kernel.Every(ctx, tickInterval, func() { w.pollDue(ctx) }) })
+	w.done.Go(func() {
+		kernel.Every(ctx, tickInterval, func() {
+			w.repeatCrashes()
+			w.pollDue(ctx)
+		})
+	})
 	w.done.Go(w.listen)
 	return nil
 }
@@ -291,6 +308,8 @@
 			continue
 		}
 		switch {
+		case msg.Crash != nil:
+			w.crashes.Merge(*msg.Crash)
 		case msg.Demand != nil:
 			w.targets.UpdatePrefixDemand(msg.From, *msg.Demand)
 		case msg.Load != nil:
--- a/gate/load/load_test.go
+++ b/gate/load/load_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"mulleingate.dev/gate/crash"
 	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/gate/work"
 )
@@ -101,7 +102,7 @@
 		if box.Zone == "z" {
 			targets.models = []work.Replica{{ID: "r", Slots: 8}}
 		}
-		w := New(box, reporter{}, targets, boxes, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		w := New(box, reporter{}, targets, &fakeCrashes{}, boxes, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		if err := w.Start(context.Background()); err != nil {
 			t.Fatal(err)
 		}
@@ -152,7 +153,7 @@
 		if box.Name != "b" {
 			targets.demand = []sched.PrefixDemand{demand}
 		}
-		w := New(box, reporter{}, targets, boxes, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		w := New(box, reporter{}, targets, &fakeCrashes{}, boxes, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		if err := w.Start(context.Background()); err != nil {
 			t.Fatal(err)
 		}
@@ -203,3 +204,22 @@
 		t.Errorf("%d of 16 parts with IDs of 16 characters fit, %v", len(got.Demand.Parts), err)
 	}
 }
+
+// fakeCrashes records the crashes that one box receives.
+type fakeCrashes struct {
+	mu     sync.Mutex
+	merged []crash.Report
+	recent []crash.Report
+}
+
+func (f *fakeCrashes) Merge(report crash.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.merged = append(f.merged, report)
+}
+
+func (f *fakeCrashes) Recent() []crash.Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.recent
+}
--- a/gate/node/failover_test.go
+++ b/gate/node/failover_test.go
@@ -230,6 +230,7 @@
 	return quota.Permit{}, nil
 }
 func (m *fakeMember) Forward(context.Context, *work.Call, *work.Route, work.Answer) error { return nil }
+func (m *fakeMember) Check(work.Fingerprint) error                                        { return nil }
 func (m *fakeMember) CutOff() bool                                                        { return false }
 func (m *fakeMember) RetryDelay() time.Duration                                           { return 100 * time.Millisecond }
 func (m *fakeMember) Count(string, int64)                                                 {}
@@ -270,7 +271,7 @@
 	m.view = view.New(self, m, view.DefaultTiming(), logger)
 	m.failover = view.NewFailover(m.view, nil, m, m, m)
 	m.shards = shard.New(self, layout, m, m.failover, m, m, logger)
-	m.entry = entry.New(self, layout, nil, m, access.New(access.Bounds{Apply: time.Second}), m, m.failover, m, m.shards, m, m, m, m, logger)
+	m.entry = entry.New(self, layout, nil, m, access.New(access.Bounds{Apply: time.Second}), m, m.failover, m, m.shards, m, m, m, m, m, logger)
 	m.view.OnChange(m.shards.Rebalance)
 	m.failover.OnRecovered(m.shards.NotifyRecovered)
 	if err := m.view.Start(context.Background()); err != nil {
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -13,7 +13,9 @@
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/base/serve"
 	"mulleingate.dev/gate/access"
+	"mulleingate.dev/gate/crash"
 	"mulleingate.dev/gate/detour"
+	"mulleingate.dev/gate/dial"
 	"mulleingate.dev/gate/entry"
 	"mulleingate.dev/gate/feed"
 	"mulleingate.dev/gate/kernel"
@@ -105,7 +107,8 @@
 	n := &Node{deps: deps, layout: layout, kern: kernel.New(deps.Logger)}
 	n.peers = remote.NewClient(n.isNear, n.successors)
 	log := deps.Logger
-	n.targets = target.New(deps.Self.Zone, deps.Replicas, log)
+	crashes := crash.New(dial.Connector{}, deps.Meter, log)
+	n.targets = target.New(deps.Self.Zone, deps.Replicas, crashes, log)
 	detourLog := detour.New(deps.Log, logProxies{n}, log)
 	n.mirror = mirror.New(deps.Self, deps.Zones, detourLog, lateView{n}, n.peers, deps.Decoder, log)
 	n.feed = feed.New(n.mirror, deps.Decoder, n.targets, log)
@@ -120,12 +123,13 @@
 		n.senders.SetLevels(levels)
 		n.targets.SetLevels(levels)
 	})
-	n.watch = load.New(deps.Self, deps.Replicas, n.targets, n.senders, log)
+	n.watch = load.New(deps.Self, deps.Replicas, n.targets, crashes, n.senders, log)
+	crashes.OnCrash(n.watch.SendCrash)
 	runner := turns.New(n.targets, deps.Replicas, deps.RecordBytes, deps.Meter, log)
 	forwarder := relay.New(n.targets, deps.Replicas, deps.Meter, log)
 	n.counter = quota.NewCounter(deps.Self, deps.Zones, deps.Quota, n.view)
 	quotas := quota.New(deps.Self, deps.Zones, deps.Quota, n.view, n.counter, n.peers, deps.Meter)
-	n.entry = entry.New(deps.Self, layout, deps.Regions, n.feed, access.New(deps.Access), quotas, n.failover, n.detector, n.shards, runner, n.peers, forwarder, deps.Meter, log)
+	n.entry = entry.New(deps.Self, layout, deps.Regions, n.feed, access.New(deps.Access), quotas, n.failover, n.detector, n.shards, runner, n.peers, forwarder, crashes, deps.Meter, log)
 	n.entry.SetMemoryCheck(deps.Spool)
 	n.server = remote.NewServer(deps.Self, n.entry, n.shards, n.failover, n.counter, n.mirror, deps.Log, deps.Meter, log)
 	deps.Meter.Count(serve.PanicsMetric, 0) // exists from the start, so that alerts see its first increase
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -162,6 +162,9 @@
 	a.log.Info("relay: call failed", "id", a.call.ID, "request", a.call.Request, "route", a.route.Name, "kind", kind, "sent", a.sent, "ran", a.runs,
 		"after", time.Since(a.call.Arrived), "cause", a.last)
 	a.counts.Count("relay.failed", 1)
+	if a.runs == 0 && kind == fault.RequestBlocked {
+		return f
+	}
 	if a.runs == 0 {
 		return fault.Refuse(fault.Overloaded, "no replica accepted the call").WithRetryAfter(retryAfter).WithCause(a.last)
 	}
@@ -170,7 +173,7 @@
 
 // try sends the call to one replica.
 func (a *attempts) try(ctx context.Context) (answer, error) {
-	lease, err := a.targets.Take(target.CallRequest{WorkKind: a.route.Name, Services: a.route.Splits, Regions: a.call.Regions, Exclude: a.avoid})
+	lease, err := a.targets.Take(target.CallRequest{Request: a.call.Request, WorkKind: a.route.Name, Services: a.route.Splits, Regions: a.call.Regions, Exclude: a.avoid})
 	if err != nil {
 		return answer{}, noReplicaError{cause: err}
 	}
@@ -197,6 +200,7 @@
 		return answer{}, fault.Refuse(fault.Overloaded, "the replica did not run the call")
 	}
 	a.runs++
+	lease.EndUnknown = reply.Head.Unframed
 	return a.accept(ctx, lease, reply.CheckEvents(a.route.Kind), stop, start)
 }
 
--- a/gate/target/lease.go
+++ b/gate/target/lease.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/crash"
 	"mulleingate.dev/gate/work"
 )
 
@@ -17,9 +18,12 @@
 	// that it was selected from.
 	ExpectedCost time.Duration
 	Candidates   int
+	// EndUnknown must be set before Done if the end of the answer does not show whether it is complete.
+	EndUnknown bool
 
 	targets   *Targets
 	state     *state
+	attempt   *crash.Attempt
 	ask       CallRequest
 	startedAt time.Time
 	// firstEventAfter is the time from the lease to the answer's first event, zero before it.
@@ -86,6 +90,7 @@
 	t, s := l.targets, l.state
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	l.attempt.End(l.ending(out), !s.removed && (!s.missing || t.entriesLapsed(s.Service)))
 	s.inFlight--
 	if l.ask.Prompt != nil {
 		t.finishTurn(l, out, took)
@@ -105,3 +110,27 @@
 		s.pool.Close()
 	}
 }
+
+// ending returns how the attempt ended, as crashes are concerned.
+func (l *Lease) ending(out Outcome) crash.Ending {
+	switch out {
+	case Refused, Unreached, PoolFull:
+		return crash.NotRun
+	case Answered, Failed:
+		if l.EndUnknown {
+			return crash.Unknown
+		}
+		return crash.Completed
+	case Incomplete, Unresponsive, Abandoned:
+	}
+	switch {
+	case l.state.restarted:
+		return crash.Restarted
+	case l.state.Draining:
+		return crash.NotRun
+	case out == Incomplete:
+		return crash.Broken
+	default:
+		return crash.Unknown
+	}
+}
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -4,11 +4,13 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
 
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/crash"
 	"mulleingate.dev/gate/limit"
 	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/gate/subset"
@@ -47,6 +49,8 @@
 	// its address or service. missing is set if its entry disappeared in a log outage: the replica may
 	// have left, or its entry has expired and will be written again.
 	removed, missing bool
+	// restarted is set if the replica restarted without having announced a stop.
+	restarted bool
 	// suspectUntil is when the replica stops being avoided after a call did not reach it.
 	suspectUntil time.Time
 	// level is the subset level of the replica's group: on average one box in 2^level knows the replica.
@@ -89,9 +93,10 @@
 
 // Targets tracks the replicas of all services and places calls at them.
 type Targets struct {
-	zone   string
-	opener PoolOpener
-	log    *slog.Logger
+	zone    string
+	opener  PoolOpener
+	crashes *crash.Tracker
+	log     *slog.Logger
 
 	mu   sync.Mutex
 	byID map[string]*state
@@ -125,10 +130,10 @@
 	onFailing func(rep work.Replica, share float64)
 }
 
-// New returns Targets without replicas for a box in the zone.
-func New(zone string, opener PoolOpener, log *slog.Logger) *Targets {
+// New returns Targets without replicas for a box in the zone. crashes learns of all attempts and replicas.
+func New(zone string, opener PoolOpener, crashes *crash.Tracker, log *slog.Logger) *Targets {
 	return &Targets{
-		zone: zone, opener: opener, log: log, boxes: 1, placers: 1,
+		zone: zone, opener: opener, crashes: crashes, log: log, boxes: 1, placers: 1,
 		byID: map[string]*state{}, services: map[string][]*state{}, ejectors: map[string]*limit.Ejector{},
 		meanUnitTime: map[string]time.Duration{},
 		admissions:   map[string]*sched.Admission{}, prefixes: map[string]*sched.Prefixes{},
@@ -215,7 +220,7 @@
 		return
 	}
 	if ok && rep.RestartedSince(known.Replica) {
-		t.discardRestarted(known)
+		t.discardRestarted(known, rep.StartedAt)
 	} else if ok {
 		t.remove(known)
 	}
@@ -223,7 +228,11 @@
 }
 
 // discardRestarted removes the state of a replica's earlier start and cancels the calls in flight there.
-func (t *Targets) discardRestarted(s *state) {
+func (t *Targets) discardRestarted(s *state, startedAt time.Time) {
+	s.restarted = !s.Draining
+	if s.restarted {
+		t.crashes.ReplicaRestarted(s.Replica, startedAt)
+	}
 	t.remove(s)
 	t.ejectorFor(s.Service).Success(s.ID)
 	s.cancel()
@@ -236,6 +245,7 @@
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.level = t.levels[subset.Group(rep.Service, rep.Zone)]
 	t.byID[rep.ID] = s
+	t.crashes.ReplicaListed(rep)
 	t.services[rep.Service] = append(t.services[rep.Service], s)
 	t.log.Info("target: replica listed", "replica", rep.ID, "service", rep.Service, "zone", rep.Zone, "born", rep.StartedAt)
 }
@@ -246,7 +256,7 @@
 func (t *Targets) replaceRestarted(s *state, startedAt time.Time) {
 	rep := s.Replica
 	rep.StartedAt, rep.Draining, rep.WarmupLeft = startedAt, false, 0
-	t.discardRestarted(s)
+	t.discardRestarted(s, startedAt)
 	t.log.Warn("target: replica restarted", "replica", rep.ID, "service", rep.Service, "born", startedAt)
 	t.add(rep)
 }
@@ -265,6 +275,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s, ok := t.byID[id]; ok {
+		if !s.Draining {
+			t.crashes.ReplicaUnlisted(s.Replica)
+		}
 		t.remove(s)
 		t.log.Info("target: replica removed from the list", "replica", id, "service", s.Service)
 	}
@@ -342,6 +355,8 @@
 
 // CallRequest describes a call to place.
 type CallRequest struct {
+	// Request is the fingerprint of the call; empty if crashes under it are not tracked.
+	Request work.Fingerprint
 	// WorkKind names the kind of work, by which unit times are averaged.
 	WorkKind string
 	Services []work.Split
@@ -358,8 +373,25 @@
 	Turn sched.Turn
 }
 
-// Take selects a replica and takes a place there. It fails with NoTarget if no replica can take the call.
+// Take selects a replica and takes a place there. It fails with NoTarget if no replica can take the call, and with
+// RequestBlocked if replicas have crashed under earlier attempts of the request.
 func (t *Targets) Take(ask CallRequest) (*Lease, error) {
+	attempt, err := t.crashes.Begin(ask.Request)
+	if err != nil {
+		return nil, err
+	}
+	lease, err := t.place(ask, attempt.Avoid())
+	if err != nil {
+		attempt.End(crash.NotRun, true)
+		return nil, err
+	}
+	attempt.Place(lease.Replica)
+	lease.attempt = attempt
+	return lease, nil
+}
+
+// place selects a replica, if possible none of those to avoid, and takes a place there.
+func (t *Targets) place(ask CallRequest, avoid []string) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -367,7 +399,16 @@
 	if ask.Prompt != nil {
 		t.updatePrefixes(now, service)
 	}
-	best, candidates := t.choose(now, ask, service)
+	var best choice
+	var candidates int
+	if len(avoid) > 0 {
+		apart := ask
+		apart.Exclude = slices.Concat(ask.Exclude, avoid)
+		best, candidates = t.choose(now, apart, service)
+	}
+	if best.state == nil {
+		best, candidates = t.choose(now, ask, service)
+	}
 	if best.state == nil {
 		return nil, fault.Refuse(fault.NoTarget, "no replica can take the call")
 	}
--- a/gate/turns/answer.go
+++ b/gate/turns/answer.go
@@ -30,6 +30,7 @@
 func (t *turn) copyReply(ctx context.Context, reply work.Reply) (complete bool, err error) {
 	defer reply.Body.Close()
 	t.unframed = reply.Head.Unframed
+	t.lease.EndUnknown = t.unframed
 	if err := t.awaitStart(ctx); err != nil {
 		t.lease.Done(target.Abandoned, 0)
 		return false, err
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -200,6 +200,9 @@
 	var last error
 	for range maxSends {
 		lease, err := t.targets.Take(t.ask(avoid))
+		if fault.Is(err, fault.RequestBlocked) && !t.mayHaveRun {
+			return err
+		}
 		if err != nil {
 			last = err
 			break
@@ -240,7 +243,7 @@
 // ask returns the placement request for the turn; avoid lists the replicas already tried.
 func (t *turn) ask(avoid []string) target.CallRequest {
 	return target.CallRequest{
-		WorkKind: t.route.Name, Services: t.route.Splits, Regions: t.call.Regions, Exclude: avoid, Prompt: t.call.Prompt, CachedTokens: t.cachedTokens,
+		Request: t.call.Request, WorkKind: t.route.Name, Services: t.route.Splits, Regions: t.call.Regions, Exclude: avoid, Prompt: t.call.Prompt, CachedTokens: t.cachedTokens,
 		Turn: sched.Turn{
 			Program: t.open.Program, Kind: t.route.Name, NewProgram: t.firstTurn, Priority: t.route.Priority, TimeLeft: t.call.Turn.Left,
 			Arrived: t.call.Arrived, RetryWithin: time.Until(t.call.Deadline) / retryDelayDivisor,
