crash, entry, load: tell other boxes of a crash before its caller can reach them

Callers that came again without a pause were sent to one more replica: they learned of the broken answer before the other boxes did, and a replica that falls silent shows its crash only seconds later, when its entry goes.

A replica that does not respond is suspected, which the boxes tell each other as well: while crashes, suspected replicas and attempts in progress add up to three, further attempts are asked to come again (503, Retry-After).

TestSilentReplicasDeferRequest has the silent replicas.

--- a/gate/crash/check.go
+++ b/gate/crash/check.go
@@ -43,10 +43,11 @@
 	when occasion
 	// waiting holds the attempts that the check decides.
 	waiting []undecided
-	// done is closed once the check has ended; ended and result are zero before.
-	done   chan struct{}
+	// ended and result are zero before the check has ended.
 	ended  time.Time
 	result contact
+	// done is closed once the check has ended and the other boxes have been told of its result.
+	done chan struct{}
 }
 
 // check decides whether the replica of the attempt has crashed.
@@ -77,6 +78,11 @@
 			delete(t.checks, run)
 		}
 	}
+	for req, last := range t.checking {
+		if !last.ended.IsZero() && now.Sub(last.ended) > checkTTL {
+			delete(t.checking, req)
+		}
+	}
 	c := &check{when: when, waiting: waiting, done: make(chan struct{})}
 	t.checks[rep.RunID()] = c
 	for _, ended := range waiting {
@@ -85,20 +91,23 @@
 	t.counts.Count(checkMetric, 1)
 	go func() {
 		result := t.connect(rep)
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		c.ended, c.result = time.Now(), result
-		t.decide(c.ended, rep, c, c.waiting)
-		for _, ended := range c.waiting {
-			if t.checking[ended.req] == c {
-				delete(t.checking, ended.req)
-			}
-		}
-		c.waiting = nil
+		t.send(t.endCheck(rep, c, result)) // before a caller that waits for the check can turn to another box
 		close(c.done)
 	}()
 }
 
+// endCheck records the result of a check, and returns the reports of what it showed.
+func (t *Tracker) endCheck(rep work.Replica, c *check, result contact) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.ended, c.result = time.Now(), result
+	t.decide(c.ended, rep, c, c.waiting)
+	c.waiting = nil
+	reports := t.unsent
+	t.unsent = nil
+	return reports
+}
+
 // connect tries to connect to the replica.
 func (t *Tracker) connect(rep work.Replica) contact {
 	ctx, stop := context.WithTimeout(context.Background(), checkTimeout)
@@ -127,15 +136,25 @@
 			ended.accepted = c.result == accepted
 			t.await(now, rep, ended)
 		}
+		if c.result == silent {
+			t.recordSuspect(now, rep.RunID(), attempts)
+		}
 	}
 }
 
-// awaitCheck waits for a check that concerns the request.
-func (t *Tracker) awaitCheck(req work.Fingerprint) {
+// Await waits for a check that concerns the request. An attempt that broke off must wait before its caller learns of that, so
+// that other boxes know of the crash before the caller turns to them.
+func (t *Tracker) Await(req work.Fingerprint) {
 	t.mu.Lock()
 	c := t.checking[req]
 	t.mu.Unlock()
-	if c != nil {
-		<-c.done
+	if c == nil {
+		return
+	}
+	<-c.done
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.checking[req] == c {
+		delete(t.checking, req)
 	}
 }
--- a/gate/crash/crash_test.go
+++ b/gate/crash/crash_test.go
@@ -335,3 +335,46 @@
 		}
 	})
 }
+
+// TestSilentReplicasDeferRequest checks that a request under which replicas fell silent is not sent to further ones before
+// it is known whether they crashed, at each box, and that it is served again if they had not. Entries disappear only
+// seconds after their replicas, and callers come again before that.
+func TestSilentReplicasDeferRequest(t *testing.T) {
+	for name, crashed := range map[string]bool{"crashed": true, "cut off": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				net := fakeNet{}
+				finder, other := newTracker(net), newTracker(net)
+				finder.OnCrash(other.Merge)
+				for n := range maxCrashes {
+					a := begin(t, finder, "a", replica(n))
+					net[replica(n).Addr] = errSilent
+					a.End(Broken, true)
+					finder.Await("a")
+				}
+				for name, tracker := range map[string]*Tracker{"finder": finder, "other": other} {
+					_, err := tracker.Begin("a")
+					if f := fault.From(err); !fault.Is(err, fault.Overloaded) || !f.NotRun || f.RetryAfter == 0 {
+						t.Errorf("%s: fault %+v, want a refusal with a delay", name, f)
+					}
+				}
+				if crashed {
+					for n := range maxCrashes {
+						finder.ReplicaUnlisted(replica(n))
+					}
+				}
+				time.Sleep(suspectTTL)
+				for name, tracker := range map[string]*Tracker{"finder": finder, "other": other} {
+					if blocked := fault.Is(tracker.Check("a"), fault.RequestBlocked); blocked != crashed {
+						t.Errorf("%s: refused for good: %t", name, blocked)
+					}
+					if a, err := tracker.Begin("a"); err == nil {
+						a.End(NotRun, true)
+					} else if !crashed {
+						t.Errorf("%s: still refused: %v", name, err)
+					}
+				}
+			})
+		})
+	}
+}
--- a/gate/crash/crashes.go
+++ b/gate/crash/crashes.go
@@ -38,7 +38,7 @@
 	}
 	t.counts.Count(foundMetric, 1)
 	t.log.Warn("crash: replica crashed under requests", "replica", run, "shown_by", shownBy, "requests", len(added), "first", added[0])
-	t.onCrash(Report{Replica: run, Silent: silent, Requests: added})
+	t.unsent = append(t.unsent, Report{Replica: run, Silent: silent, Requests: added})
 }
 
 // markCrashed remembers that the replica has crashed.
@@ -72,6 +72,7 @@
 			continue
 		}
 		added = append(added, req)
+		t.dropSuspect(req, crashed.replica)
 		if replicas := t.history.replicas(now, req); len(replicas) == maxCrashes {
 			t.counts.Count(blockedMetric, 1)
 			t.log.Warn("crash: request blocked", "request", req, "replicas", replicas)
--- a/gate/crash/report.go
+++ b/gate/crash/report.go
@@ -21,16 +21,22 @@
 	Replica string `json:"replica"`
 	// Silent is set if the replica and its list entry disappeared without another sign of a crash.
 	Silent bool `json:"silent,omitempty"`
+	// Suspected is set if the replica does not respond, so that it may have crashed.
+	Suspected bool `json:"suspected,omitempty"`
 	// AgeMillis is the time since the crash was found.
 	AgeMillis int64              `json:"age_ms,omitempty"`
 	Requests  []work.Fingerprint `json:"requests"`
 }
 
-// Merge records a crash that another box found.
+// Merge records a crash that another box found or suspects.
 func (t *Tracker) Merge(report Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	if report.Suspected {
+		t.addSuspect(now, report.Replica, report.Requests)
+		return
+	}
 	at := now.Add(-time.Duration(max(report.AgeMillis, 0)) * time.Millisecond)
 	added := t.addCrash(now, end{replica: report.Replica, at: at, silent: report.Silent}, report.Requests)
 	if len(added) > 0 {
--- a/gate/crash/tracker.go
+++ b/gate/crash/tracker.go
@@ -11,9 +11,14 @@
 	"mulleingate.dev/gate/work"
 )
 
-// busyRetryDelay is the Retry-After delay while other attempts of a request are in progress that may show whether the
-// request makes replicas crash.
-const busyRetryDelay = 150 * time.Millisecond
+const (
+	// busyRetryDelay is the Retry-After delay while other attempts of a request are in progress that may show whether
+	// the request makes replicas crash.
+	busyRetryDelay = 150 * time.Millisecond
+	// suspectRetryDelay is that delay while replicas do not respond. Whether they have crashed is known once their entries
+	// have gone, a few seconds after they fell silent.
+	suspectRetryDelay = time.Second
+)
 
 // The metrics of crashes.
 const (
@@ -46,11 +51,13 @@
 	connector Connector
 	counts    Counts
 	log       *slog.Logger
-	// onCrash is called with crashes that this box found; it must not block.
+	// onCrash is called with what this box found, without locks.
 	onCrash func(Report)
 
 	mu      sync.Mutex
 	history history
+	// unsent holds the reports to pass to onCrash once mu is unlocked.
+	unsent []Report
 	// attempts holds the attempts in progress, and inFlight their number by request.
 	attempts map[*Attempt]bool
 	inFlight map[work.Fingerprint]int
@@ -62,6 +69,8 @@
 	undecided map[string]undecidedAt
 	// crashed holds the replicas that crashed recently, by RunID.
 	crashed map[string]crashedReplica
+	// suspected holds, by request, the replicas that do not respond since an attempt there broke off.
+	suspected map[work.Fingerprint][]suspect
 }
 
 // New returns a tracker that knows of no crashes.
@@ -73,22 +82,39 @@
 		connector: connector, counts: counts, log: log, onCrash: func(Report) {},
 		history: history{records: map[work.Fingerprint]*record{}}, attempts: map[*Attempt]bool{}, inFlight: map[work.Fingerprint]int{},
 		checks: map[string]*check{}, checking: map[work.Fingerprint]*check{}, undecided: map[string]undecidedAt{}, crashed: map[string]crashedReplica{},
+		suspected: map[work.Fingerprint][]suspect{},
 	}
 }
 
-// OnCrash registers do, which is called with crashes that this box found, to tell the other boxes. It must be called
-// before the first attempt.
+// OnCrash registers do, which is called with crashes that this box found or suspects, to tell the other boxes. It must be
+// called before the first attempt.
 func (t *Tracker) OnCrash(do func(Report)) {
 	t.onCrash = do
 }
 
+// unlock unlocks mu and passes the reports of what was found to onCrash.
+func (t *Tracker) unlock() {
+	reports := t.unsent
+	t.unsent = nil
+	t.mu.Unlock()
+	if len(reports) > 0 {
+		go t.send(reports)
+	}
+}
+
+func (t *Tracker) send(reports []Report) {
+	for _, report := range reports {
+		t.onCrash(report)
+	}
+}
+
 // Check returns a fault if the request is refused since too many replicas have crashed under it. It waits for checks of
 // replicas at which the request was in progress.
 func (t *Tracker) Check(req work.Fingerprint) error {
 	if req == "" {
 		return nil
 	}
-	t.awaitCheck(req)
+	t.Await(req)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.checkLocked(time.Now(), req)
@@ -109,23 +135,37 @@
 	if req == "" {
 		return a, nil
 	}
-	t.awaitCheck(req)
+	t.Await(req)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a.begunAt = time.Now()
 	if err := t.checkLocked(a.begunAt, req); err != nil {
 		return nil, err
 	}
-	// Attempts in progress may crash their replicas too.
-	if crashes := t.history.count(a.begunAt, req); crashes > 0 && crashes+t.inFlight[req] >= maxCrashes {
-		t.counts.Count(deferredMetric, 1)
-		return nil, fault.Refuse(fault.Overloaded, "other attempts of a request under which a replica crashed are in progress").WithRetryAfter(busyRetryDelay)
+	if err := t.deferLocked(a.begunAt, req); err != nil {
+		return nil, err
 	}
 	t.attempts[a] = true
 	t.inFlight[req]++
 	return a, nil
 }
 
+// deferLocked returns a fault if the attempts in progress and the suspected replicas may turn out to be the crashes after
+// which the request is refused.
+func (t *Tracker) deferLocked(now time.Time, req work.Fingerprint) error {
+	suspects := t.suspects(now, req)
+	found := t.history.count(now, req) + suspects
+	if found == 0 || found+t.inFlight[req] < maxCrashes {
+		return nil
+	}
+	t.counts.Count(deferredMetric, 1)
+	delay := busyRetryDelay
+	if suspects > 0 {
+		delay = suspectRetryDelay
+	}
+	return fault.Refuse(fault.Overloaded, "it is not known yet whether replicas crashed under the request").WithRetryAfter(delay)
+}
+
 // Attempt is one attempt to send a request to a replica. End must be called exactly once.
 type Attempt struct {
 	tracker *Tracker
@@ -176,7 +216,7 @@
 	NotRun Ending = iota
 	// Completed means that a whole answer arrived.
 	Completed
-	// Broken means that the answer did not arrive or broke off.
+	// Broken means that the answer did not arrive or broke off, or that nothing arrived for long.
 	Broken
 	// Unknown means that nobody waited for the end of the answer, or that its end does not show whether it is complete.
 	Unknown
@@ -192,7 +232,7 @@
 	}
 	t := a.tracker
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	delete(t.attempts, a)
 	if t.inFlight[a.req]--; t.inFlight[a.req] == 0 {
 		delete(t.inFlight, a.req)
--- a/gate/crash/undecided.go
+++ b/gate/crash/undecided.go
@@ -90,7 +90,7 @@
 // ReplicaListed records that the replica is listed.
 func (t *Tracker) ReplicaListed(rep work.Replica) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := time.Now()
 	if t.crashed[rep.RunID()].silent {
 		t.retract(rep.RunID())
@@ -105,7 +105,7 @@
 // ReplicaRestarted records that the replica has started again at the given time without having announced a stop.
 func (t *Tracker) ReplicaRestarted(rep work.Replica, startedAt time.Time) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := time.Now()
 	var under []undecided
 	for _, ended := range t.takeUndecided(now, rep.RunID()) {
@@ -120,7 +120,7 @@
 // stops as planned and still accepts connections.
 func (t *Tracker) ReplicaUnlisted(rep work.Replica) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	now := time.Now()
 	if last := t.checks[rep.RunID()]; last != nil && last.ended.IsZero() {
 		last.when = onRemoval
--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -104,6 +104,9 @@
 type Crashes interface {
 	// Check returns a fault with NotRun if the request is refused.
 	Check(req work.Fingerprint) error
+	// Await waits until it is known whether a replica crashed under an attempt of the request that has just ended. It
+	// returns within a fraction of a second.
+	Await(req work.Fingerprint)
 }
 
 // Memory tells whether the box has memory for the answers of further calls.
@@ -265,7 +268,16 @@
 	if needsOwner(call, route) {
 		return e.turn(ctx, call, route, out)
 	}
-	return e.relay.Forward(ctx, call, route, out)
+	return e.settle(call, e.relay.Forward(ctx, call, route, out))
+}
+
+// settle returns err, the result of a call that ran here. If the call may have run without an answer, it first waits until
+// it is known whether its replica crashed, so that all boxes know before the caller can send the request again.
+func (e *Entry) settle(call *work.Call, err error) error {
+	if err != nil && !fault.From(err).NotRun {
+		e.crashes.Await(call.Request)
+	}
+	return err
 }
 
 // needsOwner reports whether the call must run on the box that owns its program, since that box keeps the
@@ -441,5 +453,5 @@
 	if err != nil {
 		return err
 	}
-	return e.runner.Run(ctx, slot, call, route, out)
+	return e.settle(call, e.runner.Run(ctx, slot, call, route, out))
 }
--- a/gate/entry/entry_test.go
+++ b/gate/entry/entry_test.go
@@ -334,3 +334,4 @@
 type noCrashes struct{}
 
 func (noCrashes) Check(work.Fingerprint) error { return nil }
+func (noCrashes) Await(work.Fingerprint)       {}
--- a/gate/load/load.go
+++ b/gate/load/load.go
@@ -88,8 +88,11 @@
 	// From is the name of the sending box in a report on its demand for shared prompt prefixes.
 	From   string              `json:"from,omitempty"`
 	Demand *sched.PrefixDemand `json:"demand,omitempty"`
-	// Crash is the crash of a replica.
+	// Crash is the crash of a replica. If ID is not zero, the sending box waits for an acknowledgement.
 	Crash *crash.Report `json:"crash,omitempty"`
+	ID    uint64        `json:"id,omitempty"`
+	// Acknowledged is the ID of the message that the box From acknowledges.
+	Acknowledged uint64 `json:"acknowledged,omitempty"`
 }
 
 // Watch polls replicas for their load and exchanges reports with other boxes.
@@ -107,6 +110,9 @@
 	mu sync.Mutex
 	// polls holds the last poll of each replica in the availability zone, by replica ID.
 	polls map[string]poll
+	// unacknowledged holds the messages that boxes have yet to acknowledge, by ID; lastID is the latest ID.
+	unacknowledged map[uint64]*delivery
+	lastID         uint64
 
 	// demandSentAt is when the demand was last sent; only pollDue uses it.
 	demandSentAt time.Time
@@ -123,7 +129,7 @@
 func New(self work.Box, reporter Reporter, targets Targets, crashes Crashes, boxes Boxes, log *slog.Logger) *Watch {
 	return &Watch{
 		self: self, reporter: reporter, targets: targets, crashes: crashes, boxes: boxes, log: log,
-		polls: map[string]poll{},
+		polls: map[string]poll{}, unacknowledged: map[uint64]*delivery{},
 	}
 }
 
@@ -308,8 +314,10 @@
 			continue
 		}
 		switch {
+		case msg.Acknowledged != 0:
+			w.acknowledged(msg)
 		case msg.Crash != nil:
-			w.crashes.Merge(*msg.Crash)
+			w.mergeCrash(from, msg)
 		case msg.Demand != nil:
 			w.targets.UpdatePrefixDemand(msg.From, *msg.Demand)
 		case msg.Load != nil:
--- a/gate/load/load_test.go
+++ b/gate/load/load_test.go
@@ -223,3 +223,88 @@
 	defer f.mu.Unlock()
 	return f.recent
 }
+
+// TestCrashesAreRepeated checks that a crash reaches all boxes, whatever their zone, in as many messages as it needs, and
+// that boxes that missed these messages hear of it within seconds.
+func TestCrashesAreRepeated(t *testing.T) {
+	boxes := fleet{{Name: "a", Zone: "z", Peer: freePort(t)}, {Name: "b", Zone: "z", Peer: freePort(t)}, {Name: "c", Zone: "y", Peer: freePort(t)}}
+	all, watches := map[string]*fakeCrashes{}, map[string]*Watch{}
+	for _, box := range boxes {
+		all[box.Name] = &fakeCrashes{}
+		targets := &fakeTargets{loads: map[string]work.Load{}, failing: map[string]float64{}}
+		watches[box.Name] = New(box, reporter{}, targets, all[box.Name], boxes, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if err := watches[box.Name].Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = watches[box.Name].Stop(context.Background()) }() // it only closes a socket
+	}
+	long := crash.Report{Replica: "r"}
+	for n := range 2 * maxRequestsPerMessage {
+		long.Requests = append(long.Requests, work.Fingerprint(fmt.Sprintf("%032d", n)))
+	}
+	watches["a"].SendCrash(long)
+	requests := func(box string) int {
+		all[box].mu.Lock()
+		defer all[box].mu.Unlock()
+		seen := map[work.Fingerprint]bool{}
+		for _, report := range all[box].merged {
+			for _, req := range report.Requests {
+				seen[req] = true
+			}
+		}
+		return len(seen)
+	}
+	await := func(what string, want map[string]int) {
+		t.Helper()
+		var got map[string]int
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			got = map[string]int{"a": requests("a"), "b": requests("b"), "c": requests("c")}
+			if cmp.Equal(want, got) {
+				return
+			}
+		}
+		t.Errorf("%s, requests by box (-want +got):\n%s", what, cmp.Diff(want, got))
+	}
+	await("sent", map[string]int{"a": 0, "b": len(long.Requests), "c": len(long.Requests)})
+	all["b"].mu.Lock()
+	all["b"].recent = []crash.Report{{Replica: "r2", Requests: []work.Fingerprint{"x"}}}
+	all["b"].mu.Unlock()
+	await("repeated", map[string]int{"a": 1, "b": len(long.Requests), "c": len(long.Requests) + 1})
+}
+
+// TestSendCrashWaitsForOtherBoxes checks that SendCrash returns only once the other boxes know of the crash, and soon
+// although one of them does not respond.
+func TestSendCrashWaitsForOtherBoxes(t *testing.T) {
+	boxes := fleet{{Name: "a", Zone: "z", Peer: freePort(t)}, {Name: "b", Zone: "z", Peer: freePort(t)}}
+	for _, gone := range []bool{false, true} {
+		if gone {
+			boxes = append(boxes, work.Box{Name: "gone", Zone: "y", Peer: freePort(t)})
+		}
+		all, watches := map[string]*fakeCrashes{}, map[string]*Watch{}
+		for _, box := range boxes[:2] {
+			all[box.Name] = &fakeCrashes{}
+			targets := &fakeTargets{loads: map[string]work.Load{}, failing: map[string]float64{}}
+			watches[box.Name] = New(box, reporter{}, targets, all[box.Name], boxes, slog.New(slog.NewTextHandler(io.Discard, nil)))
+			if err := watches[box.Name].Start(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		start := time.Now()
+		watches["a"].SendCrash(crash.Report{Replica: "r", Requests: []work.Fingerprint{"x"}})
+		took := time.Since(start)
+		all["b"].mu.Lock()
+		if len(all["b"].merged) == 0 {
+			t.Error("returned before the other box knows of the crash")
+		}
+		all["b"].mu.Unlock()
+		if limit := 10 * ackAttempts * ackTimeout; took > limit {
+			t.Errorf("took %v, want less than %v", took, limit)
+		}
+		if n := len(watches["a"].unacknowledged); n > 0 {
+			t.Errorf("%d messages are still awaited", n)
+		}
+		for _, w := range watches {
+			_ = w.Stop(context.Background()) // it only closes a socket
+		}
+	}
+}
--- a/gate/node/failover_test.go
+++ b/gate/node/failover_test.go
@@ -230,6 +230,7 @@
 	return quota.Permit{}, nil
 }
 func (m *fakeMember) Forward(context.Context, *work.Call, *work.Route, work.Answer) error { return nil }
+func (m *fakeMember) Await(work.Fingerprint)                                              {}
 func (m *fakeMember) Check(work.Fingerprint) error                                        { return nil }
 func (m *fakeMember) CutOff() bool                                                        { return false }
 func (m *fakeMember) RetryDelay() time.Duration                                           { return 100 * time.Millisecond }
--- a/gate/target/lease.go
+++ b/gate/target/lease.go
@@ -128,7 +128,7 @@
 		return crash.Restarted
 	case l.state.Draining:
 		return crash.NotRun
-	case out == Incomplete:
+	case out == Incomplete, out == Unresponsive:
 		return crash.Broken
 	default:
 		return crash.Unknown
