crash, target: keep retry delays of deferred requests, remember live replicas

A request that is asked to come again while it is not known whether replicas crashed got the delay of a full service (150 or 200 ms) and came back in vain: relay and turns replaced the refusal by their own. They now pass it on.

A replica that turned out to be alive was forgotten, so that reports of other boxes counted its crash again; it is remembered, and reports of crashes found before that are ignored. A crash that another box reports spares the check of further answers of that replica, unless it was only silent.

The tests of gate/crash and crash_test.go pass.

--- a/gate/crash/check.go
+++ b/gate/crash/check.go
@@ -53,7 +53,7 @@
 // check decides whether the replica of the attempt has crashed.
 func (t *Tracker) check(now time.Time, rep work.Replica, ended undecided, listed bool) {
 	run := rep.RunID()
-	if _, ok := t.crashed[run]; ok {
+	if t.knownCrash(run) {
 		t.await(now, rep, ended)
 		return
 	}
--- a/gate/crash/crashes.go
+++ b/gate/crash/crashes.go
@@ -12,11 +12,14 @@
 	maxCrashed = 4096
 )
 
-// crashedReplica is a replica that has crashed.
+// crashedReplica is a replica that has crashed, or that turned out not to have.
 type crashedReplica struct {
+	// at is when that was found.
 	at time.Time
 	// silent is end.silent.
 	silent bool
+	// alive is set if the replica has not crashed after all. Reports of crashes before at are wrong.
+	alive bool
 }
 
 // What shows that a replica has crashed.
@@ -43,15 +46,22 @@
 
 // markCrashed remembers that the replica has crashed.
 func (t *Tracker) markCrashed(now time.Time, run string, silent bool) {
-	if _, ok := t.crashed[run]; ok {
+	known, ok := t.crashed[run]
+	if ok && !known.alive && (!known.silent || silent) {
 		return
 	}
-	if len(t.crashed) >= maxCrashed {
+	if !ok && len(t.crashed) >= maxCrashed {
 		t.forgetCrashed(now)
 	}
 	t.crashed[run] = crashedReplica{at: now, silent: silent}
 }
 
+// knownCrash reports whether the replica is known to have crashed, so that its broken answers need no check.
+func (t *Tracker) knownCrash(run string) bool {
+	known, ok := t.crashed[run]
+	return ok && !known.alive && !known.silent
+}
+
 // forgetCrashed forgets replicas that crashed long ago; all, if there are still too many.
 func (t *Tracker) forgetCrashed(now time.Time) {
 	for run, crash := range t.crashed {
@@ -85,14 +95,14 @@
 // retractIfAlive retracts the crash of a replica that has completed an attempt which began after it.
 func (t *Tracker) retractIfAlive(a *Attempt) {
 	run := a.replica.RunID()
-	if crash, ok := t.crashed[run]; ok && a.begunAt.After(crash.at) {
+	if known, ok := t.crashed[run]; ok && !known.alive && a.begunAt.After(known.at) {
 		t.retract(run)
 	}
 }
 
 // retract makes the crash of a replica that turned out to be alive not count.
 func (t *Tracker) retract(run string) {
-	delete(t.crashed, run)
+	t.crashed[run] = crashedReplica{at: time.Now(), alive: true}
 	t.history.retract(run)
 	t.log.Info("crash: replica has not crashed after all", "replica", run)
 }
--- a/gate/crash/report.go
+++ b/gate/crash/report.go
@@ -38,6 +38,10 @@
 		return
 	}
 	at := now.Add(-time.Duration(max(report.AgeMillis, 0)) * time.Millisecond)
+	if known := t.crashed[report.Replica]; known.alive && at.Before(known.at) {
+		return
+	}
+	t.markCrashed(now, report.Replica, report.Silent)
 	added := t.addCrash(now, end{replica: report.Replica, at: at, silent: report.Silent}, report.Requests)
 	if len(added) > 0 {
 		t.log.Info("crash: another box reported a crash", "replica", report.Replica, "requests", len(added), "first", added[0], "age", now.Sub(at))
--- a/gate/crash/undecided.go
+++ b/gate/crash/undecided.go
@@ -46,8 +46,8 @@
 // await keeps an attempt until the list of replicas tells whether its replica crashed, or for undecidedTTL.
 func (t *Tracker) await(now time.Time, rep work.Replica, ended undecided) {
 	run := rep.RunID()
-	if crash, ok := t.crashed[run]; ok {
-		t.recordCrash(now, run, crash.silent, shownBefore, []undecided{ended})
+	if t.knownCrash(run) {
+		t.recordCrash(now, run, false, shownBefore, []undecided{ended})
 		return
 	}
 	if len(t.undecided) >= maxUndecided {
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -162,7 +162,7 @@
 	a.log.Info("relay: call failed", "id", a.call.ID, "request", a.call.Request, "route", a.route.Name, "kind", kind, "sent", a.sent, "ran", a.runs,
 		"after", time.Since(a.call.Arrived), "cause", a.last)
 	a.counts.Count("relay.failed", 1)
-	if a.runs == 0 && kind == fault.RequestBlocked {
+	if a.runs == 0 && target.RefusesRequest(a.last) {
 		return f
 	}
 	if a.runs == 0 {
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -390,6 +390,12 @@
 	return lease, nil
 }
 
+// RefusesRequest reports whether err, of Take, refuses the request whatever replicas there are. Its Retry-After delay
+// must be passed on.
+func RefusesRequest(err error) bool {
+	return fault.Is(err, fault.RequestBlocked) || (err != nil && fault.From(err).RetryAfter > 0)
+}
+
 // place selects a replica, if possible none of those to avoid, and takes a place there.
 func (t *Targets) place(ask CallRequest, avoid []string) (*Lease, error) {
 	t.mu.Lock()
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -200,7 +200,7 @@
 	var last error
 	for range maxSends {
 		lease, err := t.targets.Take(t.ask(avoid))
-		if fault.Is(err, fault.RequestBlocked) && !t.mayHaveRun {
+		if !t.mayHaveRun && target.RefusesRequest(err) {
 			return err
 		}
 		if err != nil {
