crash, load: count only crashes near the broken answer, inform boxes that join

Requests counted crashes that did not happen under them: an answer without length or chunks, or one that broke off while its replica lived on, waited 8 s for the list of replicas to tell, and a crash within that time counted. An answer whose end shows nothing is now checked only if its request comes again; one after which the replica accepted connections counts only if that restarted at once; whatever ended before the replica answered another attempt does not count.

A box that joined learned of earlier crashes only by chance, within seconds: TestCrashesAreKnownAfterBoxIsKilled failed three times in three runs beside busy processes (6 replicas crashed). The others tell it now as soon as they see it. Beside busy processes it passes four times.

--- a/gate/crash/crashes.go
+++ b/gate/crash/crashes.go
@@ -34,6 +34,9 @@
 
 // recordCrash records the crash of a replica under the attempts, and reports it to the other boxes.
 func (t *Tracker) recordCrash(now time.Time, run string, silent bool, shownBy string, attempts []undecided) {
+	if len(attempts) == 0 {
+		return
+	}
 	t.markCrashed(now, run, silent)
 	added := t.addCrash(now, end{replica: run, at: now, silent: silent}, requests(attempts))
 	if len(added) == 0 {
@@ -92,9 +95,10 @@
 	return added
 }
 
-// retractIfAlive retracts the crash of a replica that has completed an attempt which began after it.
-func (t *Tracker) retractIfAlive(a *Attempt) {
+// noteAlive records that the replica has answered an attempt: it has not crashed before that began.
+func (t *Tracker) noteAlive(a *Attempt) {
 	run := a.replica.RunID()
+	t.dropUndecidedBefore(run, a.begunAt)
 	if known, ok := t.crashed[run]; ok && !known.alive && a.begunAt.After(known.at) {
 		t.retract(run)
 	}
--- a/gate/crash/tracker.go
+++ b/gate/crash/tracker.go
@@ -69,6 +69,8 @@
 	undecided map[string]undecidedAt
 	// crashed holds the replicas that crashed recently, by RunID.
 	crashed map[string]crashedReplica
+	// unframed holds the replicas of the latest unframed answers, by request.
+	unframed map[work.Fingerprint]unframedAnswer
 	// suspected holds, by request, the replicas that do not respond since an attempt there broke off.
 	suspected map[work.Fingerprint][]suspect
 }
@@ -82,7 +84,7 @@
 		connector: connector, counts: counts, log: log, onCrash: func(Report) {},
 		history: history{records: map[work.Fingerprint]*record{}}, attempts: map[*Attempt]bool{}, inFlight: map[work.Fingerprint]int{},
 		checks: map[string]*check{}, checking: map[work.Fingerprint]*check{}, undecided: map[string]undecidedAt{}, crashed: map[string]crashedReplica{},
-		suspected: map[work.Fingerprint][]suspect{},
+		unframed: map[work.Fingerprint]unframedAnswer{}, suspected: map[work.Fingerprint][]suspect{},
 	}
 }
 
@@ -114,6 +116,7 @@
 	if req == "" {
 		return nil
 	}
+	t.checkUnframed(req)
 	t.Await(req)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -135,6 +138,7 @@
 	if req == "" {
 		return a, nil
 	}
+	t.checkUnframed(req)
 	t.Await(req)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -218,7 +222,9 @@
 	Completed
 	// Broken means that the answer did not arrive or broke off, or that nothing arrived for long.
 	Broken
-	// Unknown means that nobody waited for the end of the answer, or that its end does not show whether it is complete.
+	// Unframed means that an answer arrived whose end does not show whether it is complete.
+	Unframed
+	// Unknown means that nobody waited for the end of the answer.
 	Unknown
 	// Restarted means that the replica has restarted meanwhile, without having announced a stop.
 	Restarted
@@ -243,7 +249,10 @@
 	case NotRun:
 	case Completed:
 		t.history.clear(a.req)
-		t.retractIfAlive(a)
+		t.noteAlive(a)
+	case Unframed:
+		t.noteAlive(a)
+		t.rememberUnframed(now, a)
 	case Restarted:
 		t.recordCrash(now, a.replica.RunID(), false, shownByRestart, []undecided{ended})
 	case Broken:
--- a/gate/crash/undecided.go
+++ b/gate/crash/undecided.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"mulleingate.dev/gate/work"
@@ -71,6 +72,22 @@
 	return waiting
 }
 
+// dropUndecidedBefore drops the attempts at the replica that ended before the given time.
+func (t *Tracker) dropUndecidedBefore(run string, at time.Time) {
+	known, ok := t.undecided[run]
+	if !ok {
+		return
+	}
+	for len(known.waiting) > 0 && known.waiting[0].at.Before(at) {
+		known.waiting = known.waiting[1:]
+	}
+	if len(known.waiting) == 0 {
+		delete(t.undecided, run)
+		return
+	}
+	t.undecided[run] = known
+}
+
 // pruneUndecided drops the attempts that have waited for undecidedTTL.
 func (t *Tracker) pruneUndecided(now time.Time) {
 	for run, at := range t.undecided {
@@ -87,6 +104,12 @@
 	return unexpired(now, waiting)
 }
 
+// notAccepted returns the attempts after which the replica's address has not accepted a connection. Where it has, the
+// replica has not crashed under the attempt, unless it restarted at once.
+func notAccepted(waiting []undecided) []undecided {
+	return slices.DeleteFunc(waiting, func(ended undecided) bool { return ended.accepted })
+}
+
 // ReplicaListed records that the replica is listed.
 func (t *Tracker) ReplicaListed(rep work.Replica) {
 	t.mu.Lock()
@@ -97,7 +120,7 @@
 	}
 	for run, at := range t.undecided {
 		if at.addr == rep.Addr && run != rep.RunID() {
-			t.recordCrash(now, run, false, shownByAddress, t.takeUndecided(now, run))
+			t.recordCrash(now, run, false, shownByAddress, notAccepted(t.takeUndecided(now, run)))
 		}
 	}
 }
@@ -113,6 +136,7 @@
 			under = append(under, ended)
 		}
 	}
+	t.markCrashed(now, rep.RunID(), false) // for answers whose replica is being checked
 	t.recordCrash(now, rep.RunID(), false, shownByRestart, under)
 }
 
@@ -125,7 +149,7 @@
 	if last := t.checks[rep.RunID()]; last != nil && last.ended.IsZero() {
 		last.when = onRemoval
 	}
-	if waiting := t.takeUndecided(now, rep.RunID()); len(waiting) > 0 {
+	if waiting := notAccepted(t.takeUndecided(now, rep.RunID())); len(waiting) > 0 {
 		t.startCheck(now, rep, onRemoval, waiting)
 	}
 }
--- /dev/null
+++ b/gate/crash/unframed.go
@@ -0,0 +1,51 @@
+package crash
+
+import (
+	"time"
+
+	"mulleingate.dev/gate/work"
+)
+
+const (
+	// unframedTTL is how long after an unframed answer another attempt of the request is taken for a sign that the answer
+	// was not complete, and maxUnframed bounds the answers that are remembered.
+	unframedTTL = 8 * time.Second
+	maxUnframed = 4096
+)
+
+// unframedAnswer is an answer whose end does not show whether it is complete.
+type unframedAnswer struct {
+	at      time.Time
+	replica work.Replica
+}
+
+// rememberUnframed remembers the replica of an unframed answer, until the request comes again.
+func (t *Tracker) rememberUnframed(now time.Time, a *Attempt) {
+	if len(t.unframed) >= maxUnframed {
+		for req, answer := range t.unframed {
+			if now.Sub(answer.at) > unframedTTL {
+				delete(t.unframed, req)
+			}
+		}
+	}
+	if len(t.unframed) >= maxUnframed {
+		clear(t.unframed)
+	}
+	t.unframed[a.req] = unframedAnswer{at: now, replica: a.replica}
+}
+
+// checkUnframed checks the replica of an earlier answer to the request. Checking each replica after each unframed answer
+// would open too many connections; a caller that got a whole answer does not send its request again.
+func (t *Tracker) checkUnframed(req work.Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	answer, ok := t.unframed[req]
+	if !ok {
+		return
+	}
+	delete(t.unframed, req)
+	now := time.Now()
+	if now.Sub(answer.at) <= unframedTTL {
+		t.check(now, answer.replica, undecided{req: req, at: answer.at}, true)
+	}
+}
--- a/gate/load/crash.go
+++ b/gate/load/crash.go
@@ -32,16 +32,24 @@
 // SendCrash tells all live boxes of the crash of a replica. It returns once they know, or soon after if some of them do
 // not respond; repeatCrashes makes up for that.
 func (w *Watch) SendCrash(report crash.Report) {
+	w.deliver(w.otherBoxes(), []crash.Report{report})
+}
+
+// deliver sends the reports to the boxes until these have acknowledged them, and reports whether all have.
+func (w *Watch) deliver(boxes []work.Box, reports []crash.Report) bool {
 	var all []*delivery
-	for _, part := range split(report) {
-		all = append(all, w.newDelivery(message{From: w.self.Name, Crash: &part}))
+	for _, report := range reports {
+		for _, part := range split(report) {
+			all = append(all, w.newDelivery(boxes, message{From: w.self.Name, Crash: &part}))
+		}
 	}
+	delivered := false
 	for range ackAttempts {
 		deadline := time.After(ackTimeout)
 		for _, d := range all {
 			w.sendAll(w.missing(d), d.msg)
 		}
-		if awaitAll(all, deadline) {
+		if delivered = awaitAll(all, deadline); delivered {
 			break
 		}
 	}
@@ -50,6 +58,7 @@
 	for _, d := range all {
 		delete(w.unacknowledged, d.msg.ID)
 	}
+	return delivered
 }
 
 // split divides a report into such that fit into one message each.
@@ -63,10 +72,10 @@
 	return parts
 }
 
-// newDelivery registers a message that all other live boxes are to acknowledge.
-func (w *Watch) newDelivery(msg message) *delivery {
+// newDelivery registers a message that the boxes are to acknowledge.
+func (w *Watch) newDelivery(boxes []work.Box, msg message) *delivery {
 	d := &delivery{msg: msg, boxes: map[string]work.Box{}, done: make(chan struct{})}
-	for _, box := range w.otherBoxes() {
+	for _, box := range boxes {
 		d.boxes[box.Name] = box
 	}
 	w.mu.Lock()
@@ -129,15 +138,21 @@
 	w.send(from, raw)
 }
 
-// repeatCrashes tells a random box of the crashes that it may not know, since it started or was reached only after them.
-// Within a few ticks all boxes know them.
+// repeatCrashes tells new boxes and a random other one of the crashes that they may not know, since they started or were
+// reached only after them. Within a few ticks all boxes know them.
 func (w *Watch) repeatCrashes() {
-	reports := w.crashes.Recent()
-	if len(reports) == 0 {
+	reports, others := w.crashes.Recent(), w.otherBoxes()
+	fresh := w.newBoxes(others)
+	if len(reports) == 0 || len(others) == 0 {
+		w.markInformed(fresh)
 		return
 	}
-	others := w.otherBoxes()
-	if len(others) == 0 {
+	if len(fresh) > 0 {
+		go func() {
+			if w.deliver(fresh, reports) {
+				w.markInformed(fresh)
+			}
+		}()
 		return
 	}
 	to := others[rand.IntN(len(others))]
@@ -148,6 +163,38 @@
 	}
 }
 
+// BoxesChanged tells boxes that have joined of the crashes that the others know.
+func (w *Watch) BoxesChanged() {
+	if len(w.newBoxes(w.otherBoxes())) > 0 {
+		w.repeatCrashes()
+	}
+}
+
+// newBoxes returns the boxes that have not been told of earlier crashes, and forgets those that are gone.
+func (w *Watch) newBoxes(others []work.Box) []work.Box {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	live := map[work.Box]bool{}
+	var fresh []work.Box
+	for _, box := range others {
+		live[box] = true
+		if !w.informed[box] {
+			fresh = append(fresh, box)
+		}
+	}
+	maps.DeleteFunc(w.informed, func(box work.Box, _ bool) bool { return !live[box] })
+	return fresh
+}
+
+// markInformed records that the boxes know of earlier crashes.
+func (w *Watch) markInformed(boxes []work.Box) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, box := range boxes {
+		w.informed[box] = true
+	}
+}
+
 // otherBoxes returns the other live boxes.
 func (w *Watch) otherBoxes() []work.Box {
 	return slices.DeleteFunc(slices.Clone(w.boxes.Live()), func(box work.Box) bool { return box.Name == w.self.Name })
--- a/gate/load/load.go
+++ b/gate/load/load.go
@@ -113,6 +113,8 @@
 	// unacknowledged holds the messages that boxes have yet to acknowledge, by ID; lastID is the latest ID.
 	unacknowledged map[uint64]*delivery
 	lastID         uint64
+	// informed holds the boxes that know of crashes from before they joined.
+	informed map[work.Box]bool
 
 	// demandSentAt is when the demand was last sent; only pollDue uses it.
 	demandSentAt time.Time
@@ -129,7 +131,7 @@
 func New(self work.Box, reporter Reporter, targets Targets, crashes Crashes, boxes Boxes, log *slog.Logger) *Watch {
 	return &Watch{
 		self: self, reporter: reporter, targets: targets, crashes: crashes, boxes: boxes, log: log,
-		polls: map[string]poll{}, unacknowledged: map[uint64]*delivery{},
+		polls: map[string]poll{}, unacknowledged: map[uint64]*delivery{}, informed: map[work.Box]bool{},
 	}
 }
 
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -193,6 +193,7 @@
 	n.targets.SetPlacerCount(n.senders.EffectivePlacers())
 	n.peers.CloseAllExcept(live)
 	n.counter.Update(time.Now(), n.feed.Config())
+	n.watch.BoxesChanged()
 	n.shards.Rebalance()
 }
 
--- a/gate/target/lease.go
+++ b/gate/target/lease.go
@@ -118,7 +118,7 @@
 		return crash.NotRun
 	case Answered, Failed:
 		if l.EndUnknown {
-			return crash.Unknown
+			return crash.Unframed
 		}
 		return crash.Completed
 	case Incomplete, Unresponsive, Abandoned:
