--- a/bench/mutant/list.go
+++ b/bench/mutant/list.go
@@ -18,7 +18,7 @@
 
 // All returns all mutants.
 func All() []Mutant {
-	return slices.Concat(ownership(), budgets(), configuration(), slotsAndGrants(), accessAndTargets(), highLoad(), truncation())
+	return slices.Concat(ownership(), budgets(), configuration(), slotsAndGrants(), accessAndTargets(), highLoad(), truncation(), crashes())
 }
 
 // highLoad returns the mutants of failover, prefix-aware placement, retries and slow readers.
@@ -43,6 +43,45 @@
 	}
 }
 
+// crashes returns the mutants of requests under which replicas crash.
+func crashes() []Mutant {
+	const bounded, fair = "a request crashes three replicas at most", "a request that crashes no replica is served"
+	return []Mutant{
+		{
+			Name: "crashes_not_counted", Property: bounded, File: "gate/crash/tracker.go", TestPackage: "./crash",
+			Old: "if t.history.count(now, req) < maxCrashes {", New: "if true {",
+		},
+		{
+			Name: "caller_before_boxes", Property: bounded, File: "gate/entry/entry.go", TestPackage: "../platform/whole",
+			Old: "		e.crashes.Await(call.Request)\n", New: "",
+		},
+		{
+			Name: "leaving_boxes_not_told", Property: bounded, File: "gate/view/view.go", TestPackage: "./view",
+			Old: "if time.Since(peer.lastSeen) < leaveTimeout {", New: "if false {",
+		},
+		{
+			Name: "joining_boxes_not_told", Property: bounded, File: "gate/load/crash.go", TestPackage: "../platform/whole",
+			Old: "	if len(fresh) > 0 {\n", New: "	if false {\n",
+		},
+		{
+			Name: "planned_stop_is_crash", Property: fair, File: "gate/crash/check.go", TestPackage: "./crash",
+			Old: "case c.result == refused && c.when != afterRemoval:", New: "case c.result == refused:",
+		},
+		{
+			Name: "broken_connection_is_crash", Property: fair, File: "gate/crash/check.go", TestPackage: "./crash",
+			Old: "	case err == nil:\n		return accepted\n", New: "	case err == nil:\n		return refused\n",
+		},
+		{
+			Name: "answered_request_not_cleared", Property: fair, File: "gate/crash/tracker.go", TestPackage: "./crash",
+			Old: "		t.history.clear(a.req)\n", New: "",
+		},
+		{
+			Name: "workspaces_share_requests", Property: fair, File: "gate/work/fingerprint.go", TestPackage: "./work",
+			Old: "[][]byte{[]byte(call.Workspace), ", New: "[][]byte{",
+		},
+	}
+}
+
 // truncation returns the mutants of answers that are cut off.
 func truncation() []Mutant {
 	const whole = "an answer that broke off does not look complete"
--- a/gate/view/view_test.go
+++ b/gate/view/view_test.go
@@ -443,6 +443,27 @@
 	})
 }
 
+// TestLeavingBoxMayServe checks that a box that leaves is among those that may serve callers until it has stopped: it was
+// not told of crashes, and sent requests to replicas that these crash.
+func TestLeavingBoxMayServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		views := startViews(t, log, "a", "b")
+		defer stopViews(views)
+		time.Sleep(2 * time.Second)
+		views["b"].Leave(context.Background())
+		views["a"].MarkLeaving(views["b"].self)
+		serving := map[time.Duration]int{}
+		for _, after := range []time.Duration{0, leaveTimeout / 2, leaveTimeout} {
+			serving[after] = len(views["a"].Serving())
+			time.Sleep(leaveTimeout / 2)
+		}
+		if diff := cmp.Diff(map[time.Duration]int{0: 2, leaveTimeout / 2: 2, leaveTimeout: 1}, serving); diff != "" {
+			t.Errorf("boxes that may serve callers, by the time since one announced that it leaves (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestLeaveDuringHeartbeat guards against a heartbeat in flight that adds a box again after it has left: other
 // boxes would take it for the owner of slots that it never claims.
 func TestLeaveDuringHeartbeat(t *testing.T) {
