crash: tests without a connector, terms of comments

Four test packages had the same stand-ins for a tracker that is never used. The tracker now needs its dependencies only for calls with fingerprints, so that tests pass none; the node makes the metrics exist from the start. A constant that nothing used is gone, and comments name what they speak of. Nothing that a box decides changes; the tests of crash, target, relay, turns and node pass.

--- a/gate/crash/crashes.go
+++ b/gate/crash/crashes.go
@@ -29,7 +29,6 @@
 	shownByRestart = "restarted"
 	shownByAddress = "address reused"
 	shownBefore    = "known before"
-	shownByPeer    = "another box"
 )
 
 // recordCrash records the crash of a replica under the attempts, and reports it to the other boxes.
@@ -42,7 +41,7 @@
 	if len(added) == 0 {
 		return
 	}
-	t.counts.Count(foundMetric, 1)
+	t.counts.Count(FoundMetric, 1)
 	t.log.Warn("crash: replica crashed under requests", "replica", run, "shown_by", shownBy, "requests", len(added), "first", added[0])
 	t.unsent = append(t.unsent, Report{Replica: run, Silent: silent, Requests: added})
 }
@@ -87,7 +86,7 @@
 		added = append(added, req)
 		t.dropSuspect(req, crashed.replica)
 		if replicas := t.history.replicas(now, req); len(replicas) == maxCrashes {
-			t.counts.Count(blockedMetric, 1)
+			t.counts.Count(BlockedMetric, 1)
 			t.log.Warn("crash: request blocked", "request", req, "replicas", replicas)
 		}
 	}
--- a/gate/crash/tracker.go
+++ b/gate/crash/tracker.go
@@ -22,12 +22,12 @@
 
 // The metrics of crashes.
 const (
-	// foundMetric counts crashes that this box found, checkMetric the connections opened to find them.
-	foundMetric = "crash.found"
+	// FoundMetric counts crashes that this box found, checkMetric the connections opened to find them.
+	FoundMetric = "crash.found"
 	checkMetric = "crash.checks"
-	// blockedMetric counts requests that are refused from now on, refusedMetric their refused attempts, and deferredMetric
-	// attempts refused while others were in progress.
-	blockedMetric  = "crash.blocked"
+	// BlockedMetric counts requests that are refused from then on, refusedMetric their refused attempts, and deferredMetric
+	// attempts that were asked to come again since it was not known yet whether replicas crashed.
+	BlockedMetric  = "crash.blocked"
 	refusedMetric  = "crash.refused"
 	deferredMetric = "crash.deferred"
 	// recordsMetric is the number of requests under which replicas crashed that are remembered.
@@ -46,7 +46,8 @@
 	Gauge(name string, v int64)
 }
 
-// Tracker tracks the attempts of requests and the replicas that crash. Its methods may be called concurrently.
+// Tracker tracks attempts, the replicas that crash under them, and the requests that are refused for it. Its methods may
+// be called concurrently; those whose names end in Locked need mu.
 type Tracker struct {
 	connector Connector
 	counts    Counts
@@ -75,11 +76,9 @@
 	suspected map[work.Fingerprint][]suspect
 }
 
-// New returns a tracker that knows of no crashes.
+// New returns a tracker that knows of no crashes. Without attempts of requests with fingerprints, it uses none of its
+// dependencies.
 func New(connector Connector, counts Counts, log *slog.Logger) *Tracker {
-	for _, name := range []string{foundMetric, blockedMetric, refusedMetric} {
-		counts.Count(name, 0) // exists from the start, so that alerts see its first increase
-	}
 	return &Tracker{
 		connector: connector, counts: counts, log: log, onCrash: func(Report) {},
 		history: history{records: map[work.Fingerprint]*record{}}, attempts: map[*Attempt]bool{}, inFlight: map[work.Fingerprint]int{},
@@ -189,8 +188,8 @@
 	a.replica = rep
 }
 
-// Avoid returns the IDs of replicas that had better not get the request. Of two requests that were in progress on the
-// same crashed replica only one may be the cause, so that the next attempts go to different replicas.
+// Avoid returns the IDs of replicas to which the request should not be sent if there are others. Of the requests that were
+// in progress on a crashed replica only one may be the cause, so their next attempts go to different replicas.
 func (a *Attempt) Avoid() []string {
 	if a.req == "" {
 		return nil
--- a/gate/crash/undecided.go
+++ b/gate/crash/undecided.go
@@ -29,7 +29,7 @@
 	accepted bool
 }
 
-// undecidedAt holds such attempts at one replica, the oldest first; at least one.
+// undecidedAt holds the undecided attempts at one replica, the oldest first; at least one.
 type undecidedAt struct {
 	addr    netip.AddrPort
 	waiting []undecided
@@ -74,24 +74,24 @@
 
 // dropUndecidedBefore drops the attempts at the replica that ended before the given time.
 func (t *Tracker) dropUndecidedBefore(run string, at time.Time) {
-	known, ok := t.undecided[run]
+	group, ok := t.undecided[run]
 	if !ok {
 		return
 	}
-	for len(known.waiting) > 0 && known.waiting[0].at.Before(at) {
-		known.waiting = known.waiting[1:]
+	for len(group.waiting) > 0 && group.waiting[0].at.Before(at) {
+		group.waiting = group.waiting[1:]
 	}
-	if len(known.waiting) == 0 {
+	if len(group.waiting) == 0 {
 		delete(t.undecided, run)
 		return
 	}
-	t.undecided[run] = known
+	t.undecided[run] = group
 }
 
 // pruneUndecided drops the attempts that have waited for undecidedTTL.
 func (t *Tracker) pruneUndecided(now time.Time) {
-	for run, at := range t.undecided {
-		if len(unexpired(now, at.waiting)) == 0 {
+	for run, group := range t.undecided {
+		if len(unexpired(now, group.waiting)) == 0 {
 			delete(t.undecided, run)
 		}
 	}
@@ -118,8 +118,8 @@
 	if t.crashed[rep.RunID()].silent {
 		t.retract(rep.RunID())
 	}
-	for run, at := range t.undecided {
-		if at.addr == rep.Addr && run != rep.RunID() {
+	for run, group := range t.undecided {
+		if group.addr == rep.Addr && run != rep.RunID() {
 			t.recordCrash(now, run, false, shownByAddress, notAccepted(t.takeUndecided(now, run)))
 		}
 	}
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -132,7 +132,9 @@
 	n.entry = entry.New(deps.Self, layout, deps.Regions, n.feed, access.New(deps.Access), quotas, n.failover, n.detector, n.shards, runner, n.peers, forwarder, crashes, deps.Meter, log)
 	n.entry.SetMemoryCheck(deps.Spool)
 	n.server = remote.NewServer(deps.Self, n.entry, n.shards, n.failover, n.counter, n.mirror, deps.Log, deps.Meter, log)
-	deps.Meter.Count(serve.PanicsMetric, 0) // exists from the start, so that alerts see its first increase
+	for _, name := range []string{serve.PanicsMetric, crash.FoundMetric, crash.BlockedMetric} {
+		deps.Meter.Count(name, 0) // exists from the start, so that alerts see its first increase
+	}
 	n.feed.OnConfig(func(conf *work.Config) {
 		n.counter.Update(time.Now(), conf)
 		quotas.Update(time.Now(), conf)
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -80,7 +80,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			replicas := &fakeReplicas{failOnce: "a", fault: c.fault, sent: map[string]int{}}
-			targets := target.New("z", replicas, newCrashes(), quiet)
+			targets := target.New("z", replicas, crash.New(nil, nil, nil), quiet)
 			targets.Configure(work.NewConfig(1, nil, []work.Service{{Name: "tool", Connections: 100}}, work.Limits{}))
 			for i, id := range []string{"a", "b"} {
 				targets.Put(work.Replica{ID: id, Service: "tool", Zone: "z", Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+i))})
@@ -125,7 +125,7 @@
 	for kind, body := range map[work.Kind]string{work.Stream: "data: x\n\n", work.AtMostOnce: "short", work.Repeatable: strings.Repeat("x", 2*maxBuffered)} {
 		t.Run(string(kind), func(t *testing.T) {
 			replicas := &fakeReplicas{body: body, unsigned: true, sent: map[string]int{}}
-			targets := target.New("z", replicas, newCrashes(), quiet)
+			targets := target.New("z", replicas, crash.New(nil, nil, nil), quiet)
 			targets.Configure(work.NewConfig(1, nil, []work.Service{{Name: "s", Connections: 100}}, work.Limits{}))
 			targets.Put(work.Replica{ID: "a", Service: "s", Zone: "z", Addr: netip.MustParseAddrPort("10.0.0.1:1000")})
 			out := &countingAnswer{}
@@ -159,7 +159,7 @@
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
 	route := &work.Route{Name: "ask", Kind: work.Stream, Splits: []work.Split{{Service: "model", Weight: 1}}, Attempts: 1}
 	replicas := unconnected{&fakeReplicas{body: "data: x\n\n", sent: map[string]int{}}}
-	targets := target.New("z", replicas, newCrashes(), quiet)
+	targets := target.New("z", replicas, crash.New(nil, nil, nil), quiet)
 	targets.Configure(work.NewConfig(1, nil, []work.Service{{Name: "model", Connections: 100}}, work.Limits{}))
 	for i, id := range []string{"a", "b"} {
 		targets.Put(work.Replica{ID: id, Service: "model", Zone: "z", Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+i))})
@@ -224,19 +224,3 @@
 	time.Sleep(s.delay)
 	return nil
 }
-
-// alive accepts all connections.
-type alive struct{}
-
-func (alive) Connect(context.Context, netip.AddrPort) error { return nil }
-
-// noGauges records no metrics.
-type noGauges struct{}
-
-func (noGauges) Count(string, int64) {}
-func (noGauges) Gauge(string, int64) {}
-
-// newCrashes returns a tracker of crashes for replicas that never crash.
-func newCrashes() *crash.Tracker {
-	return crash.New(alive{}, noGauges{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
-}
--- a/gate/replay/fleet_test.go
+++ b/gate/replay/fleet_test.go
@@ -99,7 +99,7 @@
 	}
 	conf := work.NewConfig(1, nil, []work.Service{{Name: service, Connections: 10_000, Engine: &work.Engine{Slots: spec.slots, Stride: spec.stride}}}, work.Limits{})
 	for i := range size.owners {
-		t := target.New(size.zone(i), noPool{}, newCrashes(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+		t := target.New(size.zone(i), noPool{}, crash.New(nil, nil, nil), slog.New(slog.NewTextHandler(io.Discard, nil)))
 		t.Configure(conf)
 		t.SetBoxCount(size.boxes)
 		t.SetPlacerCount(size.placerCount())
@@ -161,19 +161,3 @@
 	}
 	f.cached[name][engineID] = tokens
 }
-
-// alive accepts all connections.
-type alive struct{}
-
-func (alive) Connect(context.Context, netip.AddrPort) error { return nil }
-
-// noGauges records no metrics.
-type noGauges struct{}
-
-func (noGauges) Count(string, int64) {}
-func (noGauges) Gauge(string, int64) {}
-
-// newCrashes returns a tracker of crashes for replicas that never crash.
-func newCrashes() *crash.Tracker {
-	return crash.New(alive{}, noGauges{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
-}
--- a/gate/target/target_test.go
+++ b/gate/target/target_test.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -45,7 +44,7 @@
 // newTargets returns targets with n replicas of one service, which serves a model if engine is set.
 func newTargets(n int, engine bool) (*Targets, *fakePools) {
 	p := &fakePools{}
-	t := New("a", p, newCrashes(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	t := New("a", p, crash.New(nil, nil, nil), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	svc := work.Service{Name: "s", Connections: 100}
 	if engine {
 		svc.Engine = &work.Engine{Slots: 8, Stride: 3}
@@ -400,19 +399,3 @@
 		}
 	})
 }
-
-// alive accepts all connections.
-type alive struct{}
-
-func (alive) Connect(context.Context, netip.AddrPort) error { return nil }
-
-// noGauges records no metrics.
-type noGauges struct{}
-
-func (noGauges) Count(string, int64) {}
-func (noGauges) Gauge(string, int64) {}
-
-// newCrashes returns a tracker of crashes for replicas that never crash.
-func newCrashes() *crash.Tracker {
-	return crash.New(alive{}, noGauges{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
-}
--- a/gate/turns/turns_test.go
+++ b/gate/turns/turns_test.go
@@ -135,7 +135,7 @@
 func newAnsweredTurn(t *testing.T, out work.Answer, ledger ledger) *turn {
 	t.Helper()
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
-	targets := target.New("z", fakePool{}, newCrashes(), quiet)
+	targets := target.New("z", fakePool{}, crash.New(nil, nil, nil), quiet)
 	targets.Configure(work.NewConfig(1, nil, []work.Service{{Name: "model", Connections: 100}}, work.Limits{}))
 	targets.Put(work.Replica{ID: "a", Service: "model", Zone: "z", Addr: netip.MustParseAddrPort("10.0.0.1:1000")})
 	lease, err := targets.Take(target.CallRequest{WorkKind: "pick", Services: []work.Split{{Service: "model", Weight: 1}}})
@@ -250,19 +250,3 @@
 		t.Errorf("refused by admission control, by the turn that is continued (-want +got):\n%s", diff)
 	}
 }
-
-// alive accepts all connections.
-type alive struct{}
-
-func (alive) Connect(context.Context, netip.AddrPort) error { return nil }
-
-// noGauges records no metrics.
-type noGauges struct{}
-
-func (noGauges) Count(string, int64) {}
-func (noGauges) Gauge(string, int64) {}
-
-// newCrashes returns a tracker of crashes for replicas that never crash.
-func newCrashes() *crash.Tracker {
-	return crash.New(alive{}, noGauges{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
-}
