view, load: leave out boxes that have restarted, shorter reports of crashes

A box that left and came back under its name was among the boxes to tell twice, and a delivery, which keeps boxes by name, told only its earlier incarnation; at another address the new one would have heard of a crash only by the repeats. Found by reading. TestLeavingBoxMayServe checks it now.

Reports hold at most 24 requests, so that one with long names of replicas still fits into a datagram.

--- a/gate/load/crash.go
+++ b/gate/load/crash.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxRequestsPerMessage is the number of requests in one message about a crash, so that it fits into maxDatagram.
-	maxRequestsPerMessage = 30
+	maxRequestsPerMessage = 24
 	// ackTimeout is how long SendCrash waits for the acknowledgements of one attempt, and ackAttempts how often it sends a
 	// message to boxes that do not acknowledge it.
 	ackTimeout  = 25 * time.Millisecond
@@ -29,8 +29,8 @@
 	done chan struct{}
 }
 
-// SendCrash tells all boxes that may serve callers of the crash of a replica. It returns once they know, or soon after if some of them do
-// not respond; repeatCrashes makes up for that.
+// SendCrash tells all boxes that may serve callers of the crash of a replica. It returns once they know, or soon after if
+// some of them do not respond; repeatCrashes makes up for that.
 func (w *Watch) SendCrash(report crash.Report) {
 	w.deliver(w.otherBoxes(), []crash.Report{report})
 }
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -164,7 +164,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	boxes := slices.Clone(v.live)
-	for _, peer := range v.departed {
+	for name, peer := range v.departed {
+		if _, restarted := v.peers[name]; restarted {
+			continue
+		}
 		if time.Since(peer.lastSeen) < leaveTimeout {
 			boxes = append(boxes, peer.Box)
 		}
--- a/gate/view/view_test.go
+++ b/gate/view/view_test.go
@@ -458,6 +458,17 @@
 			serving[after] = len(views["a"].Serving())
 			time.Sleep(leaveTimeout / 2)
 		}
+		views["a"].MarkLeaving(views["b"].self)
+		again := views["b"].self
+		again.Incarnation = "b-2"
+		views["a"].mu.Lock()
+		views["a"].peers["b"] = peerState{Box: again, member: true, lastSeen: time.Now()}
+		views["a"].mu.Unlock()
+		for _, box := range views["a"].Serving() {
+			if box.Incarnation == views["b"].self.Incarnation {
+				t.Error("a box that has restarted is listed with its earlier incarnation")
+			}
+		}
 		if diff := cmp.Diff(map[time.Duration]int{0: 2, leaveTimeout / 2: 2, leaveTimeout: 1}, serving); diff != "" {
 			t.Errorf("boxes that may serve callers, by the time since one announced that it leaves (-want +got):\n%s", diff)
 		}
