crash, load: an answer clears a request at all boxes, wait longer for boxes

If several replicas on which copies of one request run crash at once, as in a rack that fails, a request that many callers send, such as a GET of one path, was refused at boxes that had no copy in progress: only the box with the answer that followed knew that it is not the cause. It now tells the others, if they may refuse the request soon, and replicas that are suspected count no more either. Found by reading; TestAnswerClearsRequestAtOtherBoxes fails without it.

--- a/gate/crash/crash_test.go
+++ b/gate/crash/crash_test.go
@@ -108,7 +108,9 @@
 		{"broken connection, the address is reused later", nil, Broken, false, func(tr *Tracker) { time.Sleep(2 * time.Second); tr.ReplicaListed(reused) }, 0},
 		{"broken connection, later a crash", nil, Broken, false, func(tr *Tracker) {
 			time.Sleep(time.Second)
+			tr.mu.Lock()
 			tr.connector = fakeNet{rep.Addr: errRefused}
+			tr.mu.Unlock()
 			tr.ReplicaUnlisted(rep)
 		}, 0},
 		{"silence", errSilent, Broken, false, nil, 0},
@@ -306,6 +308,37 @@
 	}
 }
 
+// TestAnswerClearsRequestAtOtherBoxes guards against the refusal of a request that many callers send, such as a GET of one
+// path, after several replicas on which it ran have crashed at once, for example those of a rack: one answer shows that it
+// is not the cause, also at boxes that had no attempt of it in progress.
+func TestAnswerClearsRequestAtOtherBoxes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := fakeNet{}
+		busy, idle := newTracker(net), newTracker(net)
+		busy.OnCrash(idle.Merge)
+		var lost []*Attempt
+		for n := range 2 * maxCrashes {
+			lost = append(lost, begin(t, busy, "a", replica(n)))
+			net[replica(n).Addr] = errRefused
+		}
+		answered := begin(t, busy, "a", replica(2*maxCrashes))
+		for _, a := range lost {
+			a.End(Broken, true)
+		}
+		synctest.Wait()
+		if err := idle.Check("a"); !fault.Is(err, fault.RequestBlocked) {
+			t.Errorf("not refused after the crashes: %v", err)
+		}
+		answered.End(Completed, true)
+		synctest.Wait()
+		for name, tracker := range map[string]*Tracker{"busy": busy, "idle": idle} {
+			if err := tracker.Check("a"); err != nil {
+				t.Errorf("%s: refused although it was answered: %v", name, err)
+			}
+		}
+	})
+}
+
 // TestTwoCrashesByChance checks that a request which met two crashes is sent a third time, and served from then on.
 func TestTwoCrashesByChance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gate/crash/crashes.go
+++ b/gate/crash/crashes.go
@@ -94,6 +94,16 @@
 	return added
 }
 
+// clear makes the crashes so far not count under the request, since it was answered. The other boxes are told if they may
+// refuse it soon.
+func (t *Tracker) clear(now time.Time, req work.Fingerprint) {
+	if t.history.count(now, req)+t.suspects(now, req) >= maxCrashes-1 {
+		t.unsent = append(t.unsent, Report{Answered: true, Requests: []work.Fingerprint{req}})
+	}
+	t.history.clear(req)
+	delete(t.suspected, req)
+}
+
 // noteAlive records that the replica has answered an attempt: it has not crashed before that began.
 func (t *Tracker) noteAlive(a *Attempt) {
 	run := a.replica.RunID()
--- a/gate/crash/report.go
+++ b/gate/crash/report.go
@@ -14,11 +14,13 @@
 	maxRecent = 32
 )
 
-// Report tells another box that a replica crashed while requests were in progress there. Lost, late and repeated reports
-// do no harm.
+// Report tells another box that a replica crashed while requests were in progress there, or that a request was answered
+// after crashes. Lost, late and repeated reports do no harm.
 type Report struct {
-	// Replica is work.Replica.RunID.
-	Replica string `json:"replica"`
+	// Replica is work.Replica.RunID; empty if Answered is set.
+	Replica string `json:"replica,omitempty"`
+	// Answered is set if earlier crashes under the requests do not count.
+	Answered bool `json:"answered,omitempty"`
 	// Silent is set if the replica and its list entry disappeared without another sign of a crash.
 	Silent bool `json:"silent,omitempty"`
 	// Suspected is set if the replica does not respond, so that it may have crashed.
@@ -28,11 +30,18 @@
 	Requests  []work.Fingerprint `json:"requests"`
 }
 
-// Merge records a crash that another box found or suspects.
+// Merge records what another box reports.
 func (t *Tracker) Merge(report Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	if report.Answered {
+		for _, req := range report.Requests {
+			t.history.clear(req)
+			delete(t.suspected, req)
+		}
+		return
+	}
 	if report.Suspected {
 		t.addSuspect(now, report.Replica, report.Requests)
 		return
--- a/gate/crash/tracker.go
+++ b/gate/crash/tracker.go
@@ -247,7 +247,7 @@
 	switch how {
 	case NotRun:
 	case Completed:
-		t.history.clear(a.req)
+		t.clear(now, a.req)
 		t.noteAlive(a)
 	case Unframed:
 		t.noteAlive(a)
--- a/gate/load/crash.go
+++ b/gate/load/crash.go
@@ -15,9 +15,9 @@
 	// maxRequestsPerMessage is the number of requests in one message about a crash, so that it fits into maxDatagram.
 	maxRequestsPerMessage = 24
 	// ackTimeout is how long SendCrash waits for the acknowledgements of one attempt, and ackAttempts how often it sends a
-	// message to boxes that do not acknowledge it.
+	// message to boxes that do not acknowledge it. A caller waits for both together if a box does not respond.
 	ackTimeout  = 25 * time.Millisecond
-	ackAttempts = 3
+	ackAttempts = 10
 )
 
 // delivery is a message that boxes have yet to acknowledge.
@@ -57,6 +57,10 @@
 	defer w.mu.Unlock()
 	for _, d := range all {
 		delete(w.unacknowledged, d.msg.ID)
+		if len(d.boxes) > 0 {
+			missing := slices.Sorted(maps.Keys(d.boxes))
+			w.log.Info("load: boxes did not acknowledge a crash", "replica", d.msg.Crash.Replica, "boxes", len(missing), "first", missing[0])
+		}
 	}
 	return delivered
 }
