--- a/gate/crash/crash_test.go
+++ b/gate/crash/crash_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 
 	"mulleingate.dev/base/fault"
@@ -21,7 +22,7 @@
 type fakeNet map[netip.AddrPort]error
 
 func (n fakeNet) Connect(ctx context.Context, addr netip.AddrPort) error {
-	if n[addr] == errSilent {
+	if errors.Is(n[addr], errSilent) {
 		<-ctx.Done()
 	}
 	return n[addr]
