load, mutant: test that joining boxes are told of crashes

The mutant joining_boxes_not_told was not found by the tests of platform/whole, where the repeats to random boxes reach the few others soon enough. TestJoiningBoxIsToldOfCrashes, with 200 others, finds it. The text of the mutant answered_request_not_cleared follows the code.

--- a/bench/mutant/list.go
+++ b/bench/mutant/list.go
@@ -60,7 +60,7 @@
 			Old: "if time.Since(peer.lastSeen) < leaveTimeout {", New: "if false {",
 		},
 		{
-			Name: "joining_boxes_not_told", Property: bounded, File: "gate/load/crash.go", TestPackage: "../platform/whole",
+			Name: "joining_boxes_not_told", Property: bounded, File: "gate/load/crash.go", TestPackage: "./load",
 			Old: "	if len(fresh) > 0 {\n", New: "	if false {\n",
 		},
 		{
@@ -73,7 +73,7 @@
 		},
 		{
 			Name: "answered_request_not_cleared", Property: fair, File: "gate/crash/tracker.go", TestPackage: "./crash",
-			Old: "		t.history.clear(a.req)\n", New: "",
+			Old: "		t.clear(now, a.req)\n", New: "",
 		},
 		{
 			Name: "workspaces_share_requests", Property: fair, File: "gate/work/fingerprint.go", TestPackage: "./work",
--- a/gate/load/load_test.go
+++ b/gate/load/load_test.go
@@ -309,3 +309,34 @@
 		}
 	}
 }
+
+// TestJoiningBoxIsToldOfCrashes checks that a box that joins a large fleet hears of earlier crashes at once, and not only
+// when one of the repeats reaches it by chance.
+func TestJoiningBoxIsToldOfCrashes(t *testing.T) {
+	boxes := fleet{{Name: "a", Zone: "y", Peer: freePort(t)}, {Name: "late", Zone: "y", Peer: freePort(t)}}
+	crashes, watches := map[string]*fakeCrashes{}, map[string]*Watch{}
+	for n := range 200 {
+		boxes = append(boxes, work.Box{Name: fmt.Sprintf("b-%d", n), Zone: "y", Peer: boxes[0].Peer})
+	}
+	crashes["a"] = &fakeCrashes{recent: []crash.Report{{Replica: "r", Requests: []work.Fingerprint{"x"}}}}
+	crashes["late"] = &fakeCrashes{}
+	for _, box := range boxes[:2] {
+		watches[box.Name] = New(box, reporter{}, &fakeTargets{}, crashes[box.Name], boxes, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		watches[box.Name].markInformed(boxes[2:])
+		if err := watches[box.Name].Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = watches[box.Name].Stop(context.Background()) }() // it only closes a socket
+	}
+	told := func() bool {
+		crashes["late"].mu.Lock()
+		defer crashes["late"].mu.Unlock()
+		return len(crashes["late"].merged) > 0
+	}
+	watches["a"].BoxesChanged()
+	for end := time.Now().Add(2 * time.Second); !told(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a box that joined was not told of a crash")
+		}
+	}
+}
