crash, turns: check replicas of turns that the box gave up

The attempt counted as one whose caller had left, so that its crash showed only seconds later, when the entry of the replica went, and one more replica crashed meanwhile.

A replica of a turn that the box gave up is now checked 100 ms later, and the caller is told only after that. TestCrashAfterAttemptWasGivenUp failed to build before, as the ending is new.

--- a/gate/crash/check.go
+++ b/gate/crash/check.go
@@ -13,6 +13,9 @@
 const (
 	// checkTimeout bounds a check, and so the time for which a call waits for the check of an earlier attempt.
 	checkTimeout = 150 * time.Millisecond
+	// givenUpDelay is how long after it was given up an attempt's replica is checked. The replica may still run the request
+	// until it notices that its connection was closed.
+	givenUpDelay = 100 * time.Millisecond
 	// checkTTL is how long the result of a check is used for further attempts at the replica.
 	checkTTL = 200 * time.Millisecond
 )
@@ -65,14 +68,14 @@
 	case last != nil && now.Sub(last.ended) < checkTTL:
 		t.decide(now, rep, last, []undecided{ended})
 	case listed:
-		t.startCheck(now, rep, onBreak, []undecided{ended})
+		t.startCheck(now, rep, onBreak, []undecided{ended}, 0)
 	default:
-		t.startCheck(now, rep, afterRemoval, []undecided{ended})
+		t.startCheck(now, rep, afterRemoval, []undecided{ended}, 0)
 	}
 }
 
-// startCheck starts a check of the replica.
-func (t *Tracker) startCheck(now time.Time, rep work.Replica, when occasion, waiting []undecided) {
+// startCheck starts a check of the replica after a delay.
+func (t *Tracker) startCheck(now time.Time, rep work.Replica, when occasion, waiting []undecided, delay time.Duration) {
 	for run, last := range t.checks {
 		if !last.ended.IsZero() && now.Sub(last.ended) > checkTTL {
 			delete(t.checks, run)
@@ -90,6 +93,7 @@
 	}
 	t.counts.Count(checkMetric, 1)
 	go func() {
+		time.Sleep(delay)
 		result := t.connect(rep)
 		t.send(t.endCheck(rep, c, result)) // before a caller that waits for the check can turn to another box
 		close(c.done)
--- a/gate/crash/crash_test.go
+++ b/gate/crash/crash_test.go
@@ -193,6 +193,24 @@
 	})
 }
 
+// TestCrashAfterAttemptWasGivenUp guards against a crash that goes unnoticed since the box stopped waiting for the answer
+// just before, for example as it lost the slot of the turn: the caller must not learn of that before it is known.
+func TestCrashAfterAttemptWasGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := fakeNet{}
+		tracker := newTracker(net)
+		for n := range maxCrashes {
+			begin(t, tracker, "a", replica(n)).End(GivenUp, true)
+			time.Sleep(givenUpDelay / 2)
+			net[replica(n).Addr] = errRefused
+			tracker.Await("a")
+		}
+		if err := tracker.Check("a"); !fault.Is(err, fault.RequestBlocked) {
+			t.Errorf("not refused: %v", err)
+		}
+	})
+}
+
 // TestAttemptsInProgressCount checks that no more attempts of a request are in progress at a time than replicas may still
 // crash under it. Without a crash, their number is not limited.
 func TestAttemptsInProgressCount(t *testing.T) {
--- a/gate/crash/tracker.go
+++ b/gate/crash/tracker.go
@@ -223,6 +223,8 @@
 	Broken
 	// Unframed means that an answer arrived whose end does not show whether it is complete.
 	Unframed
+	// GivenUp means that this box did not wait for the end of the answer, although its caller still does.
+	GivenUp
 	// Unknown means that nobody waited for the end of the answer.
 	Unknown
 	// Restarted means that the replica has restarted meanwhile, without having announced a stop.
@@ -256,6 +258,8 @@
 		t.recordCrash(now, a.replica.RunID(), false, shownByRestart, []undecided{ended})
 	case Broken:
 		t.check(now, a.replica, ended, listed)
+	case GivenUp:
+		t.startCheck(now, a.replica, onBreak, []undecided{ended}, givenUpDelay)
 	case Unknown:
 		if listed {
 			t.await(now, a.replica, ended)
--- a/gate/crash/undecided.go
+++ b/gate/crash/undecided.go
@@ -150,6 +150,6 @@
 		last.when = onRemoval
 	}
 	if waiting := notAccepted(t.takeUndecided(now, rep.RunID())); len(waiting) > 0 {
-		t.startCheck(now, rep, onRemoval, waiting)
+		t.startCheck(now, rep, onRemoval, waiting, 0)
 	}
 }
--- a/gate/target/judge.go
+++ b/gate/target/judge.go
@@ -78,7 +78,7 @@
 		if t.ejectorFor(s.Service).Failure(now, s.ID, len(t.services[s.Service])) {
 			t.log.Warn("target: replica ejected after repeated failures", "replica", s.ID, "service", s.Service)
 		}
-	case Refused, Abandoned:
+	case Refused, Abandoned, GivenUp:
 	}
 }
 
--- a/gate/target/lease.go
+++ b/gate/target/lease.go
@@ -74,6 +74,9 @@
 	Unresponsive
 	// Abandoned means that the caller left or its time ran out; it says nothing about the replica.
 	Abandoned
+	// GivenUp means that this box gave the call up while the replica may still run it; it says nothing about the
+	// replica.
+	GivenUp
 )
 
 // NotSentOutcome returns the outcome of a call that a sender did not get to the replica.
@@ -121,7 +124,7 @@
 			return crash.Unframed
 		}
 		return crash.Completed
-	case Incomplete, Unresponsive, Abandoned:
+	case Incomplete, Unresponsive, Abandoned, GivenUp:
 	}
 	switch {
 	case l.state.restarted:
@@ -130,6 +133,8 @@
 		return crash.NotRun
 	case out == Incomplete, out == Unresponsive:
 		return crash.Broken
+	case out == GivenUp:
+		return crash.GivenUp
 	default:
 		return crash.Unknown
 	}
--- a/gate/turns/answer.go
+++ b/gate/turns/answer.go
@@ -32,7 +32,7 @@
 	t.unframed = reply.Head.Unframed
 	t.lease.EndUnknown = t.unframed
 	if err := t.awaitStart(ctx); err != nil {
-		t.lease.Done(target.Abandoned, 0)
+		t.lease.Done(givenUpOutcome(ctx), 0)
 		return false, err
 	}
 	if reply.Head.Status != http.StatusOK || !reply.Signed {
@@ -90,6 +90,14 @@
 	return nil
 }
 
+// givenUpOutcome returns the outcome of a turn that is not answered since the log has not confirmed its start.
+func givenUpOutcome(ctx context.Context) target.Outcome {
+	if ctx.Err() != nil {
+		return target.Abandoned
+	}
+	return target.GivenUp
+}
+
 // statusOutcome maps a status to an outcome. A 5xx is a failure of the replica, except 504, which says
 // nothing about the replica. Other statuses are answers.
 func statusOutcome(status int) target.Outcome {
