--- a/stand/plat/plat.go
+++ b/stand/plat/plat.go
@@ -178,22 +178,29 @@
 var portsUsed atomic.Int64
 
 // processAddr returns a loopback address that depends on the process ID, so that processes which run side by side
-// rarely test the same ports.
+// rarely test the same ports, or 127.0.0.1 on systems that have no other.
 func processAddr() netip.Addr {
 	pid := os.Getpid()
-	return netip.AddrFrom4([4]byte{127, byte(1 + pid>>16&0x7f), byte(pid >> 8), byte(pid)})
+	addr := netip.AddrFrom4([4]byte{127, byte(1 + pid>>16&0x7f), byte(pid >> 8), byte(pid)})
+	ln, err := net.Listen("tcp", netip.AddrPortFrom(addr, 0).String())
+	if err != nil {
+		return Loopback().Addr()
+	}
+	_ = ln.Close() // only its address was of interest
+	return addr
 }
 
 // FreePorts returns n different loopback addresses whose ports are not in use at the moment. It returns no address
 // twice.
 func FreePorts(n int) ([]netip.AddrPort, error) {
 	out := make([]netip.AddrPort, 0, n)
+	ip := processAddr()
 	for len(out) < n {
 		port := firstPort + portsUsed.Add(1)
 		if port > lastPort {
 			return nil, fault.Refuse(fault.BadSettings, "no free port")
 		}
-		addr := netip.AddrPortFrom(processAddr(), uint16(port))
+		addr := netip.AddrPortFrom(ip, uint16(port))
 		ln, err := net.Listen("tcp", addr.String())
 		if err != nil {
 			continue
