view: boxes that vanish from the members may still serve callers

The new box saw it only vanish from the list of members, did not count it among the boxes that may serve callers, and told it nothing of a crash; the caller came to it 0.2 s later. Boxes that vanish are now told for 3 s more.

TestBoxThatVanishedMayServe failed to build before, as the time-out is new; without the loop over vanished boxes it lists one box instead of two.

--- a/bench/mutant/list.go
+++ b/bench/mutant/list.go
@@ -57,7 +57,7 @@
 		},
 		{
 			Name: "leaving_boxes_not_told", Property: bounded, File: "gate/view/view.go", TestPackage: "./view",
-			Old: "if time.Since(peer.lastSeen) < leaveTimeout {", New: "if false {",
+			Old: "!restarted && time.Since(peer.lastSeen) < leaveTimeout {", New: "!restarted && false {",
 		},
 		{
 			Name: "joining_boxes_not_told", Property: bounded, File: "gate/load/crash.go", TestPackage: "./load",
--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -22,8 +22,13 @@
 	Members(ctx context.Context, generation int64) ([]string, error)
 }
 
-// leaveTimeout is how long a box that leaves may serve callers after it announced that.
-const leaveTimeout = 8 * time.Second
+const (
+	// leaveTimeout is how long a box that leaves may serve callers after it announced that.
+	leaveTimeout = 8 * time.Second
+	// vanishedTimeout is how long a box that is no longer a member is taken for one that leaves: it may have announced
+	// that before it knew this box. It accepts new connections for less than that.
+	vanishedTimeout = 3 * time.Second
+)
 
 // peerState is what the view knows about another box.
 type peerState struct {
@@ -54,6 +59,9 @@
 	peers map[string]peerState
 	// departed holds boxes that announced that they leave, by name.
 	departed map[string]peerState
+	// vanished holds boxes that are no longer members although they did not announce that, by name; lastSeen is when
+	// that was found.
+	vanished map[string]peerState
 	// previousIncarnations holds the incarnation that each restarted box had before its current one, by name.
 	previousIncarnations map[string]string
 	// failures holds the recent failed calls to boxes, by name.
@@ -95,7 +103,7 @@
 func New(self work.Box, log Log, timing Timing, logger *slog.Logger) *View {
 	return &View{
 		self: self, log: log, timing: timing, logger: logger, live: []work.Box{self}, membersGeneration: -1, joinSem: make(chan struct{}, 1), cancelJoin: func() {},
-		peers: map[string]peerState{}, departed: map[string]peerState{}, previousIncarnations: map[string]string{}, failures: map[string]failureStreak{},
+		peers: map[string]peerState{}, departed: map[string]peerState{}, vanished: map[string]peerState{}, previousIncarnations: map[string]string{}, failures: map[string]failureStreak{},
 	}
 }
 
@@ -158,17 +166,20 @@
 	return v.live
 }
 
-// Serving returns the boxes that may serve callers: the live ones, and those that announced that they leave, which finish
-// first.
+// Serving returns the boxes that may serve callers: the live ones, and those that leave, which finish first.
 func (v *View) Serving() []work.Box {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	boxes := slices.Clone(v.live)
 	for name, peer := range v.departed {
-		if _, restarted := v.peers[name]; restarted {
-			continue
+		if _, restarted := v.peers[name]; !restarted && time.Since(peer.lastSeen) < leaveTimeout {
+			boxes = append(boxes, peer.Box)
 		}
-		if time.Since(peer.lastSeen) < leaveTimeout {
+	}
+	for name, peer := range v.vanished {
+		_, restarted := v.peers[name]
+		_, announced := v.departed[name]
+		if !restarted && !announced && time.Since(peer.lastSeen) < vanishedTimeout {
 			boxes = append(boxes, peer.Box)
 		}
 	}
@@ -433,9 +444,15 @@
 		if !peer.member && now.Sub(v.answeringSince) >= v.timing.OutageGrace {
 			v.logger.Info("view: box left or died", "other", name, "heard", now.Sub(peer.lastSeen))
 			delete(v.peers, name)
+			v.vanished[name] = peerState{Box: peer.Box, lastSeen: now}
 			v.liveChanged = true
 		}
 	}
+	for name, peer := range v.vanished {
+		if now.Sub(peer.lastSeen) > vanishedTimeout {
+			delete(v.vanished, name)
+		}
+	}
 	for name, peer := range v.departed {
 		if now.Sub(peer.lastSeen) > v.timing.DepartedTTL {
 			delete(v.departed, name)
--- a/gate/view/view_test.go
+++ b/gate/view/view_test.go
@@ -475,6 +475,28 @@
 	})
 }
 
+// TestBoxThatVanishedMayServe checks that a box which left without an announcement to this one, since it did not know this
+// one yet, is among those that may serve callers for a while.
+func TestBoxThatVanishedMayServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		views := startViews(t, log, "a", "b")
+		defer stopViews(views)
+		time.Sleep(2 * time.Second)
+		views["b"].Leave(context.Background())
+		serving := map[bool]int{}
+		for len(liveNames(views["a"])) > 1 {
+			time.Sleep(50 * time.Millisecond)
+		}
+		serving[false] = len(views["a"].Serving())
+		time.Sleep(vanishedTimeout)
+		serving[true] = len(views["a"].Serving())
+		if diff := cmp.Diff(map[bool]int{false: 2, true: 1}, serving); diff != "" {
+			t.Errorf("boxes that may serve callers, by whether the time is over (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestLeaveDuringHeartbeat guards against a heartbeat in flight that adds a box again after it has left: other
 // boxes would take it for the owner of slots that it never claims.
 func TestLeaveDuringHeartbeat(t *testing.T) {
