--- a/gate/crash/crash_test.go
+++ b/gate/crash/crash_test.go
@@ -28,6 +28,16 @@
 	return n[addr]
 }
 
+// refusesFrom refuses connections from a time on.
+type refusesFrom time.Time
+
+func (r refusesFrom) Connect(context.Context, netip.AddrPort) error {
+	if time.Now().Before(time.Time(r)) {
+		return nil
+	}
+	return errRefused
+}
+
 const (
 	errRefused = syscall.ECONNREFUSED
 	errSilent  = syscall.ETIMEDOUT
@@ -197,12 +207,10 @@
 // just before, for example as it lost the slot of the turn: the caller must not learn of that before it is known.
 func TestCrashAfterAttemptWasGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		net := fakeNet{}
-		tracker := newTracker(net)
+		tracker := New(nil, noCounts{}, slog.New(slog.DiscardHandler))
 		for n := range maxCrashes {
+			tracker.connector = refusesFrom(time.Now().Add(givenUpDelay / 2))
 			begin(t, tracker, "a", replica(n)).End(GivenUp, true)
-			time.Sleep(givenUpDelay / 2)
-			net[replica(n).Addr] = errRefused
 			tracker.Await("a")
 		}
 		if err := tracker.Check("a"); !fault.Is(err, fault.RequestBlocked) {
