review: chats of a bound route lost when boxes are added elsewhere

Two boxes are added in another region. About a tenth of the chats on a route that is bound to one region can't go on from then on: the owner of their slot is a box that the route does not allow, and every try gets 503 (LOST).

--- a/review/fleet.go
+++ b/review/fleet.go
@@ -28,9 +28,12 @@
 	parts = 24
 )
 
-// zones are the availability zones; each has one box.
+// zones are the availability zones of a case with one region; each has one box.
 var zones = []string{"enugu-a", "enugu-b", "onitsha-a", "aba-a"}
 
+// oneRegion maps these zones to their region.
+var oneRegion = map[string]string{"enugu-a": "ng-south", "enugu-b": "ng-south", "onitsha-a": "ng-south", "aba-a": "ng-south"}
+
 // settleTime is how long the boxes' views of the fleet take to settle once they are ready.
 const settleTime = 2 * time.Second
 
@@ -209,16 +212,12 @@
 }
 
 // addBox adds a box without starting it.
-func (f *fleet) addBox(zone string) *box {
+func (f *fleet) addBox(zone string, regions map[string]string) *box {
 	number := len(f.boxes) + 1
 	b := &box{name: fmt.Sprintf("frontend-%s-%d", zone, number), zone: zone, ip: fmt.Sprintf("%s.%d", f.net, number)}
-	regions := map[string]string{}
-	for _, name := range zones {
-		regions[name] = "ng-south"
-	}
 	raw, err := json.Marshal(map[string]any{
 		"node_name": b.name, "role": "node", "machine_class": "frontend", "serves": []string{"frontend"}, "ip_address": b.ip,
-		"zone": zone, "region": "ng-south", "zones": regions,
+		"zone": zone, "region": regions[zone], "zones": regions,
 		"listen_addresses":    map[string]string{"frontend": b.address(), "ready": fmt.Sprintf("%s:%d", b.ip, readyPort)},
 		"internal_port_range": []int{firstPeerPort, lastPeerPort}, "seed_nodes": []string{}, "first_start": true,
 		"limits":    map[string]any{"processor_share": 0.4, "cores": 1, "memory_mb": 294, "file_descriptors": 8200, "link_mbps": 1000.0, "disk_mb": 0},
@@ -240,7 +239,7 @@
 // startBoxes starts one box in each zone, and waits until they are ready and know each other.
 func (f *fleet) startBoxes() {
 	for _, zone := range zones {
-		f.startBox(f.addBox(zone))
+		f.startBox(f.addBox(zone, oneRegion))
 	}
 	f.awaitReady()
 	time.Sleep(settleTime)
--- a/review/history.go
+++ b/review/history.go
@@ -30,6 +30,8 @@
 	last  string
 	bytes int
 	long  bool
+	// path is that of the chat's route.
+	path string
 }
 
 // turn sends one turn of the program, which goes on from the chat's latest turn, and reports whether it was answered
@@ -37,7 +39,7 @@
 func (c *chat) turn(f *fleet, by *caller, program string, input string, boxes []*box) (ids []string, ok bool) {
 	prompt := c.bytes + len(input)
 	replies := by.call(request{
-		method: http.MethodPost, path: "/dispute/4b", body: input, budget: turnBudget, retries: 1,
+		method: http.MethodPost, path: c.path + "4b", body: input, budget: turnBudget, retries: 1,
 		header: map[string]string{
 			headerProgram: program, headerSession: program + "a1", headerPrevious: c.last, headerModel: "m", headerLeft: fmt.Sprint(chatLeft.Milliseconds()),
 			headerBudget: fmt.Sprint(tokenBudget), headerUsage: fmt.Sprintf("%d,%d", prompt, mostTokens), headerPrefix: fmt.Sprintf("5c1e07a2:%d,%s:%d", min(prompt, 512), program, max(1, prompt-512)),
@@ -93,7 +95,7 @@
 	served bool
 }
 
-func init() { cases["2"] = longHistory }
+func init() { cases["3"] = longHistory }
 
 // longHistory shows whether programs can go on from the turns of earlier ones after all boxes were killed.
 func longHistory(f *fleet) bool {
@@ -122,7 +124,7 @@
 	var all sync.WaitGroup
 	failed := make(chan any, longChats+shortChats)
 	for n := range longChats + shortChats {
-		c := &chat{name: fmt.Sprintf("chat-%d", n+1), program: fmt.Sprintf("%06x", rand.IntN(1<<24)), long: n < longChats}
+		c := &chat{name: fmt.Sprintf("chat-%d", n+1), program: fmt.Sprintf("%06x", rand.IntN(1<<24)), long: n < longChats, path: firstPath}
 		chats = append(chats, c)
 		all.Go(func() {
 			defer func() {
@@ -173,7 +175,7 @@
 		for _, c := range chats {
 			all.Go(func() { ask(c, !f.trouble && c.long) })
 		}
-		all.Go(func() { ask(&chat{name: "new"}, false) })
+		all.Go(func() { ask(&chat{name: "new", path: firstPath}, false) })
 		time.Sleep(askInterval)
 	}
 	all.Wait()
--- a/review/models.go
+++ b/review/models.go
@@ -1,6 +1,13 @@
 package main
 
-import "time"
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
 
 const (
 	modelReplicas, modelSlots, modelEvents, modelGapMillis = 9, 64, 8, 15
@@ -12,6 +19,11 @@
 	// firstPath and firstRank are the path and the rank of the route that every configuration has.
 	firstPath = "/dispute/"
 	firstRank = 0
+	// programCallers is the number of callers that begin programs in each zone, programPause the mean pause of one between two,
+	// and programInput the input of a turn, in bytes.
+	programCallers = 3
+	programPause   = 400 * time.Millisecond
+	programInput   = 600
 )
 
 // startWithModels starts the store, the model replicas and the boxes, and waits until these are ready.
@@ -45,3 +57,69 @@
 	}
 	f.put("keyed.op", "config", map[string]any{"version": version, "routes": routes, "services": []any{modelService}, "limits": usualLimits})
 }
+
+// served counts the requests on a route and those that got a replica's whole answer.
+type served struct {
+	mu          sync.Mutex
+	sent, whole int
+	statuses    map[int]int
+}
+
+func (s *served) add(replies []reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, got := range replies {
+		s.sent++
+		s.statuses[got.status]++
+		if got.succeeded() {
+			s.whole++
+		}
+	}
+}
+
+// share returns the served share of the requests.
+func (s *served) share() float64 { return float64(s.whole) / float64(max(s.sent, 1)) }
+
+// beginPrograms begins programs of one turn on the routes for the given time.
+func (f *fleet) beginPrograms(length time.Duration, routes map[string]*served) {
+	end := time.Now().Add(length)
+	var all sync.WaitGroup
+	for path, counts := range routes {
+		for i, b := range f.boxes {
+			boxes := append(append([]*box{}, f.boxes[i:]...), f.boxes[:i]...)
+			for n := range programCallers {
+				all.Go(func() {
+					by := &caller{fleet: f, name: fmt.Sprintf("caller-%s-%d%s", b.zone, n+1, strings.TrimSuffix(path, "/"))}
+					defer by.disconnect()
+					for time.Now().Before(end) {
+						counts.add(by.beginProgram(path, boxes))
+						time.Sleep(time.Duration(rand.ExpFloat64() * float64(programPause)))
+					}
+				})
+			}
+		}
+	}
+	all.Wait()
+}
+
+// beginProgram sends the first turn of a new program, again from its start no more than twice if it fails, and returns all
+// replies.
+func (c *caller) beginProgram(path string, boxes []*box) []reply {
+	program := fmt.Sprintf("%06x", rand.IntN(1<<24))
+	input := strings.Repeat(program+" asks. ", programInput)[:programInput]
+	var replies []reply
+	for range 3 {
+		replies = append(replies, c.call(request{
+			method: http.MethodPost, path: path + "4b", body: input, budget: turnBudget, retries: 1,
+			header: map[string]string{
+				headerProgram: program, headerSession: program + "a1", headerModel: "m", headerLeft: fmt.Sprint(chatLeft.Milliseconds()),
+				headerBudget: fmt.Sprint(tokenBudget), headerUsage: fmt.Sprintf("%d,%d", programInput, mostTokens), headerPrefix: fmt.Sprintf("5c1e07a2:512,%s:%d", program, programInput-512),
+			},
+		}, boxes)...)
+		if replies[len(replies)-1].succeeded() {
+			break
+		}
+		time.Sleep(100*time.Millisecond + rand.N(300*time.Millisecond))
+	}
+	return replies
+}
