--- a/review/crash.go
+++ b/review/crash.go
@@ -58,7 +58,7 @@
 	}
 }
 
-func init() { cases["1"] = crashedReplicas }
+func init() { cases["2"] = crashedReplicas }
 
 // crashedReplicas shows whether lookups are served again after all replicas of a service have crashed and started again.
 func crashedReplicas(f *fleet) bool {
