--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,5 @@
 # Builds the stand-ins of the cases' scripts. They use only Go's standard library.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-GOWORK=off GOFLAGS=-mod=mod go build -o target/review-standin review/*.go
+mkdir -p target
+GOWORK=off go build -o target/review-standin review/*.go
--- a/review/models.go
+++ b/review/models.go
@@ -77,6 +77,16 @@
 	}
 }
 
+// count counts the attempts at one request, the last of which was served or not.
+func (s *served) count(attempts int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent += attempts
+	if ok {
+		s.whole++
+	}
+}
+
 // share returns the served share of the requests.
 func (s *served) share() float64 { return float64(s.whole) / float64(max(s.sent, 1)) }
 
--- a/review/region.go
+++ b/review/region.go
@@ -10,12 +10,14 @@
 
 const (
 	// boundChats is the number of chats on the route that is bound to homeRegion, and boundTurns their turns before the change.
-	boundChats, boundTurns = 120, 2
+	boundChats, boundTurns = 100, 2
 	// homeRegion is the region in which that route may be served, and boundPath its path.
 	homeRegion = "dublin"
 	boundPath  = "/bound/"
 	// contactTime is contact_ms, and joinTime the time that the new boxes get before it.
 	contactTime, joinTime = 5 * time.Second, 8 * time.Second
+	// firstTurnsTime is how long programs begin on the other route, before the change and beside the check.
+	firstTurnsTime = 25 * time.Second
 	// leastTries is the number of tries from which a turn that reaches no replica is lost.
 	leastTries = 5
 )
@@ -40,7 +42,11 @@
 	f.awaitReady()
 	time.Sleep(settleTime)
 	home := f.boxes[:2]
-	chats := beginBound(f, home)
+	first := &served{statuses: map[int]int{}}
+	var beginning sync.WaitGroup
+	beginning.Go(func() { f.beginPrograms(firstTurnsTime, map[string]*served{firstPath: first}) })
+	chats := beginBound(f, home, first)
+	beginning.Wait()
 	if f.trouble {
 		f.note("driver", "boxes are added in another region")
 		f.startBox(f.addBox("london-b", twoRegions))
@@ -49,11 +55,11 @@
 	}
 	time.Sleep(joinTime)
 	time.Sleep(contactTime)
-	return f.judgeBound(chats, home)
+	return f.judgeBound(chats, home, first)
 }
 
-// beginBound begins the chats and returns those whose turns were all answered.
-func beginBound(f *fleet, home []*box) []*chat {
+// beginBound begins the chats and returns those whose turns were all answered. It counts their first turns.
+func beginBound(f *fleet, home []*box, first *served) []*chat {
 	var mu sync.Mutex
 	var begun []*chat
 	var all sync.WaitGroup
@@ -63,7 +69,11 @@
 			by := &caller{fleet: f, name: "caller-" + c.name}
 			defer by.disconnect()
 			for turn := range boundTurns {
-				if _, ok := c.turn(f, by, c.program, strings.Repeat(fmt.Sprintf("%s says %d. ", c.name, turn+1), 40), shuffled(home)); !ok {
+				ids, ok := c.turn(f, by, c.program, strings.Repeat(fmt.Sprintf("%s says %d. ", c.name, turn+1), 40), shuffled(home))
+				if turn == 0 {
+					first.count(len(ids), ok)
+				}
+				if !ok {
 					f.note("driver", "%s does not begin", c.name)
 					return
 				}
@@ -79,11 +89,10 @@
 }
 
 // judgeBound sends the next turn of each chat, as often as callers do, beside first turns on the other route, and checks the
-// rule LOST: no such turn reaches no replica in leastTries or more, if nine tenths of the first turns do.
-func (f *fleet) judgeBound(chats []*chat, home []*box) bool {
-	first := &served{statuses: map[int]int{}}
+// rule LOST: no such turn reaches no replica in leastTries or more, if nine tenths of the first turns of the run did.
+func (f *fleet) judgeBound(chats []*chat, home []*box, first *served) bool {
 	var all sync.WaitGroup
-	all.Go(func() { f.beginPrograms(8*time.Second, map[string]*served{firstPath: first}) })
+	all.Go(func() { f.beginPrograms(firstTurnsTime, map[string]*served{firstPath: first}) })
 	ids := make([][]string, len(chats))
 	for i, c := range chats {
 		all.Go(func() {
--- a/review/replica.go
+++ b/review/replica.go
@@ -39,9 +39,11 @@
 	// WorkMillis is the mean time of a plain call. Events is the number of events of a model's answer, zero for a plain
 	// service, and GapMillis the time before each.
 	WorkMillis, Events, GapMillis int
+	// EndsOn is a text in a body that makes the replica end in the middle of its answer; empty for a sound replica.
+	EndsOn string
 }
 
-// replica is a replica that follows the platform's pages and has no faults.
+// replica is a replica that follows the platform's pages and has no faults but the one that EndsOn sets.
 type replica struct {
 	replicaSettings
 	record *os.File
@@ -113,18 +115,21 @@
 	r.note("runs %s %s %s body %d %x", id, req.Method, req.RequestURI, len(body), sha256.Sum256(body))
 	head := headerID + ": " + id + "\r\n" + headerSigned + ": " + r.ID + "\r\n"
 	if r.Events > 0 {
-		return r.stream(conn, id, head)
+		return r.stream(conn, id, head, r.EndsOn != "" && strings.Contains(string(body), r.EndsOn))
 	}
 	time.Sleep(time.Duration(float64(r.WorkMillis)*(0.5+rand.Float64())) * time.Millisecond)
 	return send(conn, http.StatusOK, head, strings.Repeat("x", 800))
 }
 
-// stream answers with a series of events.
-func (r *replica) stream(conn net.Conn, id, head string) error {
+// stream answers with a series of events. If ends is set, the process ends in the middle of it.
+func (r *replica) stream(conn net.Conn, id, head string, ends bool) error {
 	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head); err != nil {
 		return err
 	}
 	for n := range r.Events {
+		if ends && n == r.Events/2 {
+			os.Exit(exitBroken)
+		}
 		time.Sleep(time.Duration(r.GapMillis) * time.Millisecond)
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n+1, eventText(id, n))
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
