crash: try a suspected request one attempt at a time

And a request that ends its replicas ended 12 of 12 of them if each still accepted connections for 5 ms or more after its answer broke off.

Cause: a request was refused once three replicas had crashed under it, whether they crashed one after the other or at one moment, and no attempt was let through any more that could have been answered. The opposite error has the same root: only what a connection showed at the moment of the break counted, so that a replica that was about to end counted as alive for good.

Change: a broken answer makes its request suspected, whether or not its replica is known to have crashed yet. Until the request is answered, its attempts are trials: one at a time over all boxes, which a box that all agree on arbitrates. Crashes of attempts that began before the first crash was known never refuse a request. It is refused with 400 only if three replicas crashed, one of them under a trial with no other crash near it: not if other replicas are down or crashed within 2 s, or if the request was answered in between. Trials wait 2.1 s after two failures, 6 s while replicas may still live, and longer with each further one. Replicas that accepted a connection are checked again after 5.2 s. The time for which a request is refused doubles, and ends with one trial. Attempts of a request that was not answered yet run on the replicas that run it already.

--- a/gate/crash/check.go
+++ b/gate/crash/check.go
@@ -132,33 +132,51 @@
 func (t *Tracker) decide(now time.Time, rep work.Replica, c *check, attempts []undecided) {
 	switch {
 	case c.result == refused && c.when != afterRemoval:
-		t.recordCrash(now, rep.RunID(), false, shownByRefusal, attempts)
+		t.recordCrash(now, rep, false, shownByRefusal, attempts)
 	case c.result == silent && c.when != onBreak:
-		t.recordCrash(now, rep.RunID(), true, shownBySilence, attempts)
+		t.recordCrash(now, rep, true, shownBySilence, attempts)
 	case c.when == onBreak:
-		for _, ended := range attempts {
-			ended.accepted = c.result == accepted
-			t.await(now, rep, ended)
-		}
-		if c.result == silent {
-			t.recordSuspect(now, rep.RunID(), attempts)
-		}
+		t.suspect(now, rep, c.result, attempts)
 	}
 }
 
-// Await waits for a check that concerns the request. An attempt that broke off must wait before its caller learns of that, so
-// that other boxes know of the crash before the caller turns to them.
-func (t *Tracker) Await(req work.Fingerprint) {
-	t.mu.Lock()
-	c := t.checking[req]
-	t.mu.Unlock()
-	if c == nil {
+// suspect keeps attempts until it is known whether their replica, which is listed, has crashed. One that accepts connections may
+// be about to end.
+func (t *Tracker) suspect(now time.Time, rep work.Replica, result contact, attempts []undecided) {
+	var suspected []undecided
+	for _, ended := range attempts {
+		ended.accepted = result == accepted
+		t.await(now, rep, ended)
+		if ended.broken || result == silent {
+			suspected = append(suspected, ended)
+		}
+	}
+	if len(suspected) == 0 {
 		return
 	}
-	<-c.done
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.checking[req] == c {
-		delete(t.checking, req)
+	state := "does not respond"
+	if result == accepted {
+		state = "accepts connections"
+	}
+	t.recheckLater(rep)
+	t.recordSuspect(now, rep, state, suspected)
+}
+
+// Await waits for the checks that concern the request. An attempt that broke off must wait before its caller learns of that,
+// so that other boxes know of the crash before the caller turns to them.
+func (t *Tracker) Await(req work.Fingerprint) {
+	for {
+		t.mu.Lock()
+		c := t.checking[req]
+		t.mu.Unlock()
+		if c == nil {
+			return
+		}
+		<-c.done
+		t.mu.Lock()
+		if t.checking[req] == c {
+			delete(t.checking, req)
+		}
+		t.mu.Unlock()
 	}
 }
--- a/gate/crash/crashes.go
+++ b/gate/crash/crashes.go
@@ -32,18 +32,54 @@
 )
 
 // recordCrash records the crash of a replica under the attempts, and reports it to the other boxes.
-func (t *Tracker) recordCrash(now time.Time, run string, silent bool, shownBy string, attempts []undecided) {
+func (t *Tracker) recordCrash(now time.Time, rep work.Replica, silent bool, shownBy string, attempts []undecided) {
 	if len(attempts) == 0 {
 		return
 	}
+	run := rep.RunID()
 	t.markCrashed(now, run, silent)
-	added := t.addCrash(now, end{replica: run, at: now, silent: silent}, requests(attempts))
+	added := t.recordEnds(now, end{replica: run, at: now, crashed: true, silent: silent}, attempts)
+	t.review(now, run, requests(attempts))
 	if len(added) == 0 {
 		return
 	}
 	t.counts.Count(FoundMetric, 1)
 	t.log.Warn("crash: replica crashed under requests", "replica", run, "shown_by", shownBy, "requests", len(added), "first", added[0])
-	t.unsent = append(t.unsent, Report{Replica: run, Silent: silent, Requests: added})
+	t.judge(now, rep.Service, added)
+}
+
+// recordSuspect records that the replica may have crashed under the attempts, and reports it to the other boxes.
+func (t *Tracker) recordSuspect(now time.Time, rep work.Replica, state string, attempts []undecided) {
+	added := t.recordEnds(now, end{replica: rep.RunID(), at: now}, attempts)
+	if len(added) == 0 {
+		return
+	}
+	t.log.Info("crash: replica may have crashed under requests", "replica", rep.RunID(), "state", state, "requests", len(added), "first", added[0])
+}
+
+// recordEnds records the end of the attempts like the template, and returns the requests for which it was not known. The
+// other boxes are told of these. Each trial has a report of its own.
+func (t *Tracker) recordEnds(now time.Time, template end, attempts []undecided) []work.Fingerprint {
+	var added []work.Fingerprint
+	var together []work.Fingerprint
+	for _, ended := range attempts {
+		failed := template
+		failed.id = ended.trial
+		if !t.history.add(now, ended.req, failed) {
+			continue
+		}
+		added = append(added, ended.req)
+		if failed.isTrial() {
+			t.unsent = append(t.unsent, failed.report(now, ended.req))
+		} else {
+			together = append(together, ended.req)
+		}
+	}
+	if len(together) > 0 {
+		t.unsent = append(t.unsent, template.report(now, together...))
+	}
+	t.counts.Gauge(recordsMetric, int64(len(t.history.records)))
+	return added
 }
 
 // markCrashed remembers that the replica has crashed.
@@ -76,38 +112,21 @@
 	}
 }
 
-// addCrash adds the crash to the records of the requests, and returns those for which it was not known.
-func (t *Tracker) addCrash(now time.Time, crashed end, reqs []work.Fingerprint) []work.Fingerprint {
-	var added []work.Fingerprint
-	for _, req := range reqs {
-		if !t.history.add(now, req, crashed) {
-			continue
-		}
-		added = append(added, req)
-		t.dropSuspect(req, crashed.replica)
-		if replicas := t.history.replicas(now, req); len(replicas) == maxCrashes {
-			t.counts.Count(BlockedMetric, 1)
-			t.log.Warn("crash: request blocked", "request", req, "replicas", replicas)
-		}
-	}
-	t.counts.Gauge(recordsMetric, int64(len(t.history.records)))
-	return added
-}
-
-// clear makes the crashes so far not count under the request, since it was answered. The other boxes are told if they may
-// refuse it soon.
+// clear makes the failures so far not count under the request, since it was answered. The other boxes are told if they may
+// refuse or defer it.
 func (t *Tracker) clear(now time.Time, req work.Fingerprint) {
-	if t.history.count(now, req)+t.suspects(now, req) >= maxCrashes-1 {
+	t.answers.add(now, req)
+	if rec := t.history.get(now, req); rec != nil && rec.failures >= maxCrashes-1 {
 		t.unsent = append(t.unsent, Report{Answered: true, Requests: []work.Fingerprint{req}})
 	}
 	t.history.clear(req)
-	delete(t.suspected, req)
 }
 
-// noteAlive records that the replica has answered an attempt: it has not crashed before that began.
+// noteAlive records that the replica has answered an attempt: it has not crashed before that began, unless it was
+// about to end.
 func (t *Tracker) noteAlive(a *Attempt) {
 	run := a.replica.RunID()
-	t.dropUndecidedBefore(run, a.begunAt)
+	t.dropUndecidedBefore(time.Now(), run, a.begunAt)
 	if known, ok := t.crashed[run]; ok && !known.alive && a.begunAt.After(known.at) {
 		t.retract(run)
 	}
--- a/gate/crash/tracker.go
+++ b/gate/crash/tracker.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,9 +16,6 @@
 	// busyRetryDelay is the Retry-After delay while other attempts of a request are in progress that may show whether
 	// the request makes replicas crash.
 	busyRetryDelay = 150 * time.Millisecond
-	// suspectRetryDelay is that delay while replicas do not respond. Whether they have crashed is known once their entries
-	// have gone, a few seconds after they fell silent.
-	suspectRetryDelay = time.Second
 )
 
 // The metrics of crashes.
@@ -30,6 +28,8 @@
 	BlockedMetric  = "crash.blocked"
 	refusedMetric  = "crash.refused"
 	deferredMetric = "crash.deferred"
+	// sparedMetric counts the times that a request was not refused since other replicas were down too.
+	sparedMetric = "crash.spared"
 	// recordsMetric is the number of requests under which replicas crashed that are remembered.
 	recordsMetric = "crash.records"
 )
@@ -54,39 +54,67 @@
 	log       *slog.Logger
 	// onCrash is called with what this box found, without locks.
 	onCrash func(Report)
+	arbiter Arbiter
+	// replicas may be nil.
+	replicas Replicas
 
 	mu      sync.Mutex
 	history history
+	// answers holds the requests that were answered lately.
+	answers answers
+	// reviewed holds requests that were blocked lately.
+	reviewed map[work.Fingerprint]bool
 	// unsent holds the reports to pass to onCrash once mu is unlocked.
 	unsent []Report
 	// attempts holds the attempts in progress, and inFlight their number by request.
 	attempts map[*Attempt]bool
 	inFlight map[work.Fingerprint]int
+	// trials holds the requests with a trial in progress at this box, changes the channels to close once an attempt of a
+	// request has ended, and grants the trials that this box arbitrates.
+	trials  map[work.Fingerprint]bool
+	changes map[work.Fingerprint]chan struct{}
+	grants  map[work.Fingerprint]grant
 	// checks holds the newest check of each replica, by work.Replica.RunID, and checking the latest unfinished check
 	// that concerns a request.
 	checks   map[string]*check
 	checking map[work.Fingerprint]*check
-	// undecided holds the attempts that got no complete answer although their replicas may not have crashed, by RunID.
+	// undecided holds the attempts that got no complete answer although their replicas may not have crashed, and rechecks
+	// the timers of the replicas that will be checked again, by RunID. stopped is set once there are no further ones.
 	undecided map[string]undecidedAt
+	rechecks  map[string]*time.Timer
+	stopped   bool
 	// crashed holds the replicas that crashed recently, by RunID.
 	crashed map[string]crashedReplica
 	// unframed holds the replicas of the latest unframed answers, by request.
 	unframed map[work.Fingerprint]unframedAnswer
-	// suspected holds, by request, the replicas that do not respond since an attempt there broke off.
-	suspected map[work.Fingerprint][]suspect
 }
 
 // New returns a tracker that knows of no crashes. Without attempts of requests with fingerprints, it uses none of its
 // dependencies.
 func New(connector Connector, counts Counts, log *slog.Logger) *Tracker {
 	return &Tracker{
-		connector: connector, counts: counts, log: log, onCrash: func(Report) {},
+		connector: connector, counts: counts, log: log, onCrash: func(Report) {}, arbiter: noArbiter{},
 		history: history{records: map[work.Fingerprint]*record{}}, attempts: map[*Attempt]bool{}, inFlight: map[work.Fingerprint]int{},
-		checks: map[string]*check{}, checking: map[work.Fingerprint]*check{}, undecided: map[string]undecidedAt{}, crashed: map[string]crashedReplica{},
-		unframed: map[work.Fingerprint]unframedAnswer{}, suspected: map[work.Fingerprint][]suspect{},
+		trials: map[work.Fingerprint]bool{}, changes: map[work.Fingerprint]chan struct{}{}, grants: map[work.Fingerprint]grant{},
+		checks: map[string]*check{}, checking: map[work.Fingerprint]*check{}, undecided: map[string]undecidedAt{}, rechecks: map[string]*time.Timer{},
+		reviewed: map[work.Fingerprint]bool{}, crashed: map[string]crashedReplica{}, unframed: map[work.Fingerprint]unframedAnswer{},
 	}
 }
 
+// Start implements kernel.Service.
+func (t *Tracker) Start(context.Context) error { return nil }
+
+// Stop implements kernel.Service. Replicas are not checked again after it.
+func (t *Tracker) Stop(context.Context) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	for _, timer := range t.rechecks {
+		timer.Stop()
+	}
+	return nil
+}
+
 // OnCrash registers do, which is called with crashes that this box found or suspects, to tell the other boxes. It must be
 // called before the first attempt.
 func (t *Tracker) OnCrash(do func(Report)) {
@@ -123,15 +151,16 @@
 }
 
 func (t *Tracker) checkLocked(now time.Time, req work.Fingerprint) error {
-	if t.history.count(now, req) < maxCrashes {
+	rec := t.history.get(now, req)
+	if rec == nil || !now.Before(rec.blockedUntil) {
 		return nil
 	}
 	t.counts.Count(refusedMetric, 1)
 	return fault.Refuse(fault.RequestBlocked, "replicas crashed under earlier attempts of this request")
 }
 
-// Begin begins an attempt of the request, unless that is refused. An attempt of a request without a fingerprint is not
-// tracked.
+// Begin begins an attempt of the request, unless that is refused. After an attempt that failed, the next ones are trials,
+// one at a time over all boxes, until one of them is answered. An attempt of a request without a fingerprint is not tracked.
 func (t *Tracker) Begin(req work.Fingerprint) (*Attempt, error) {
 	a := &Attempt{tracker: t, req: req}
 	if req == "" {
@@ -139,34 +168,38 @@
 	}
 	t.checkUnframed(req)
 	t.Await(req)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	a.begunAt = time.Now()
-	if err := t.checkLocked(a.begunAt, req); err != nil {
+	t.awaitOthers(req)
+	if err := t.register(a); err != nil {
 		return nil, err
 	}
-	if err := t.deferLocked(a.begunAt, req); err != nil {
+	if a.trial == 0 {
+		return a, nil
+	}
+	if err := t.beginTrial(a); err != nil {
 		return nil, err
 	}
-	t.attempts[a] = true
-	t.inFlight[req]++
+	a.claimed = true
 	return a, nil
 }
 
-// deferLocked returns a fault if the attempts in progress and the suspected replicas may turn out to be the crashes after
-// which the request is refused.
-func (t *Tracker) deferLocked(now time.Time, req work.Fingerprint) error {
-	suspects := t.suspects(now, req)
-	found := t.history.count(now, req) + suspects
-	if found == 0 || found+t.inFlight[req] < maxCrashes {
-		return nil
+// register adds the attempt to those in progress, unless it is refused.
+func (t *Tracker) register(a *Attempt) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a.begunAt = time.Now()
+	if err := t.verdict(a.begunAt, a.req); err != nil {
+		return err
+	}
+	if t.isBusy(a.begunAt, a.req) {
+		return t.deferral(busyRetryDelay)
 	}
-	t.counts.Count(deferredMetric, 1)
-	delay := busyRetryDelay
-	if suspects > 0 {
-		delay = suspectRetryDelay
+	if t.history.get(a.begunAt, a.req) != nil {
+		a.trial = newTrialID()
+		t.trials[a.req] = true
 	}
-	return fault.Refuse(fault.Overloaded, "it is not known yet whether replicas crashed under the request").WithRetryAfter(delay)
+	t.attempts[a] = true
+	t.inFlight[a.req]++
+	return nil
 }
 
 // Attempt is one attempt to send a request to a replica. End must be called exactly once.
@@ -174,6 +207,10 @@
 	tracker *Tracker
 	req     work.Fingerprint
 	begunAt time.Time
+	// trial identifies the attempt as a trial; zero if earlier attempts did not fail.
+	trial uint64
+	// claimed is set if the arbiter has granted the trial.
+	claimed bool
 	// replica is set by Place.
 	replica work.Replica
 }
@@ -188,8 +225,9 @@
 	a.replica = rep
 }
 
-// Avoid returns the IDs of replicas to which the request should not be sent if there are others. Of the requests that were
-// in progress on a crashed replica only one may be the cause, so their next attempts go to different replicas.
+// Avoid returns the replicas, by work.Replica.RunID, to which the request should not be sent if there are others: those where
+// earlier attempts failed, and those of other requests that were in progress on crashed replicas. Of these only one may be
+// the cause, so their next attempts go to different replicas.
 func (a *Attempt) Avoid() []string {
 	if a.req == "" {
 		return nil
@@ -198,16 +236,44 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	if t.history.count(now, a.req) == 0 {
+	rec := t.history.get(now, a.req)
+	if rec == nil {
 		return nil
 	}
-	var ids []string
+	var runs []string
+	for _, failed := range rec.ends {
+		if !failed.cleared {
+			runs = append(runs, failed.replica)
+		}
+	}
 	for other := range t.attempts {
 		if other.req != a.req && other.replica.ID != "" && t.history.count(now, other.req) > 0 {
-			ids = append(ids, other.replica.ID)
+			runs = append(runs, other.replica.RunID())
 		}
 	}
-	return ids
+	slices.Sort(runs)
+	return runs
+}
+
+// Prefer returns the replicas, by work.Replica.RunID, to which the request should be sent if they can take it: those where
+// other attempts of it are in progress. Until it has been answered, as few replicas as possible should run it.
+func (a *Attempt) Prefer() []string {
+	if a.req == "" {
+		return nil
+	}
+	t := a.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.inFlight[a.req] < 2 || t.answers.has(time.Now(), a.req) {
+		return nil
+	}
+	var runs []string
+	for other := range t.attempts {
+		if other != a && other.req == a.req && other.replica.ID != "" {
+			runs = append(runs, other.replica.RunID())
+		}
+	}
+	return runs
 }
 
 // Ending is how an attempt ended.
@@ -219,8 +285,10 @@
 	NotRun Ending = iota
 	// Completed means that a whole answer arrived.
 	Completed
-	// Broken means that the answer did not arrive or broke off, or that nothing arrived for long.
+	// Broken means that the replica broke the answer off, or the connection before it.
 	Broken
+	// Unanswered means that the answer did not arrive in time, or was not valid, although the connection did not break.
+	Unanswered
 	// Unframed means that an answer arrived whose end does not show whether it is complete.
 	Unframed
 	// GivenUp means that this box did not wait for the end of the answer, although its caller still does.
@@ -245,7 +313,7 @@
 		delete(t.inFlight, a.req)
 	}
 	now := time.Now()
-	ended := undecided{req: a.req, at: now}
+	ended := undecided{req: a.req, at: now, trial: a.trial, broken: how == Broken}
 	switch how {
 	case NotRun:
 	case Completed:
@@ -255,8 +323,8 @@
 		t.noteAlive(a)
 		t.rememberUnframed(now, a)
 	case Restarted:
-		t.recordCrash(now, a.replica.RunID(), false, shownByRestart, []undecided{ended})
-	case Broken:
+		t.recordCrash(now, a.replica, false, shownByRestart, []undecided{ended})
+	case Broken, Unanswered:
 		t.check(now, a.replica, ended, listed)
 	case GivenUp:
 		t.startCheck(now, a.replica, onBreak, []undecided{ended}, givenUpDelay)
@@ -267,4 +335,21 @@
 			t.check(now, a.replica, ended, listed)
 		}
 	}
+	t.endTrial(a)
+	t.notifyWaiting(a.req)
+}
+
+// endTrial makes room for the next trial, at other boxes once these know what this one showed.
+func (t *Tracker) endTrial(a *Attempt) {
+	if a.trial == 0 {
+		return
+	}
+	delete(t.trials, a.req)
+	if !a.claimed {
+		return
+	}
+	go func() {
+		t.Await(a.req)
+		t.arbiter.Release(a.req, a.trial)
+	}()
 }
--- a/gate/crash/undecided.go
+++ b/gate/crash/undecided.go
@@ -1,7 +1,6 @@
 package crash
 
 import (
-	"net/netip"
 	"slices"
 	"time"
 
@@ -15,9 +14,13 @@
 	// maxUndecided bounds the replicas with such attempts, and maxWaiting the attempts at each; the latest are kept.
 	maxUndecided = 1024
 	maxWaiting   = 128
-	// restartWindow is how long after a broken answer a replica that still accepted connections may have started for the
-	// answer to count as broken by a crash. It allows for differences between clocks.
-	restartWindow = time.Second
+	// lingerTime is how long a replica may still accept connections after it broke an answer off because it ends.
+	lingerTime = 5 * time.Second
+	// recheckDelay is when a replica that still accepted connections is checked again.
+	recheckDelay = lingerTime + 200*time.Millisecond
+	// suspectTTL is how long a replica is suspected to have crashed. Until then it has been checked again, and its entry
+	// has gone if it has.
+	suspectTTL = 6 * time.Second
 )
 
 // undecided is an attempt of which it is not known whether its replica crashed.
@@ -25,13 +28,22 @@
 	req work.Fingerprint
 	// at is when the attempt ended.
 	at time.Time
+	// trial is end.id.
+	trial uint64
+	// broken is set if the replica broke the answer off, or did not respond any more.
+	broken bool
 	// accepted is set if the replica's address accepted a connection after that.
 	accepted bool
 }
 
+// mayLinger reports whether the replica may end although it accepted a connection after the attempt.
+func (u undecided) mayLinger(now time.Time) bool {
+	return u.broken && now.Sub(u.at) <= suspectTTL
+}
+
 // undecidedAt holds the undecided attempts at one replica, the oldest first; at least one.
 type undecidedAt struct {
-	addr    netip.AddrPort
+	replica work.Replica
 	waiting []undecided
 }
 
@@ -48,7 +60,7 @@
 func (t *Tracker) await(now time.Time, rep work.Replica, ended undecided) {
 	run := rep.RunID()
 	if t.knownCrash(run) {
-		t.recordCrash(now, run, false, shownBefore, []undecided{ended})
+		t.recordCrash(now, rep, false, shownBefore, []undecided{ended})
 		return
 	}
 	if len(t.undecided) >= maxUndecided {
@@ -61,7 +73,7 @@
 	if len(waiting) >= maxWaiting {
 		waiting = waiting[1:]
 	}
-	t.undecided[run] = undecidedAt{addr: rep.Addr, waiting: append(waiting, ended)}
+	t.undecided[run] = undecidedAt{replica: rep, waiting: append(waiting, ended)}
 }
 
 // unexpired returns the attempts that have not waited for undecidedTTL.
@@ -72,15 +84,16 @@
 	return waiting
 }
 
-// dropUndecidedBefore drops the attempts at the replica that ended before the given time.
-func (t *Tracker) dropUndecidedBefore(run string, at time.Time) {
+// dropUndecidedBefore drops the attempts at the replica that ended before the given time, since it has answered another
+// one that began then. A replica that is about to end may do that too.
+func (t *Tracker) dropUndecidedBefore(now time.Time, run string, at time.Time) {
 	group, ok := t.undecided[run]
 	if !ok {
 		return
 	}
-	for len(group.waiting) > 0 && group.waiting[0].at.Before(at) {
-		group.waiting = group.waiting[1:]
-	}
+	group.waiting = slices.DeleteFunc(group.waiting, func(ended undecided) bool {
+		return ended.at.Before(at) && !(ended.accepted && ended.mayLinger(now))
+	})
 	if len(group.waiting) == 0 {
 		delete(t.undecided, run)
 		return
@@ -104,10 +117,10 @@
 	return unexpired(now, waiting)
 }
 
-// notAccepted returns the attempts after which the replica's address has not accepted a connection. Where it has, the
-// replica has not crashed under the attempt, unless it restarted at once.
-func notAccepted(waiting []undecided) []undecided {
-	return slices.DeleteFunc(waiting, func(ended undecided) bool { return ended.accepted })
+// mayHaveCrashed returns the attempts under which the replica may have crashed, if it is gone now: those after which its
+// address has not accepted a connection, or may have done so before the replica ended.
+func mayHaveCrashed(now time.Time, waiting []undecided) []undecided {
+	return slices.DeleteFunc(waiting, func(ended undecided) bool { return ended.accepted && !ended.mayLinger(now) })
 }
 
 // ReplicaListed records that the replica is listed.
@@ -119,8 +132,8 @@
 		t.retract(rep.RunID())
 	}
 	for run, group := range t.undecided {
-		if group.addr == rep.Addr && run != rep.RunID() {
-			t.recordCrash(now, run, false, shownByAddress, notAccepted(t.takeUndecided(now, run)))
+		if group.replica.Addr == rep.Addr && run != rep.RunID() {
+			t.recordCrash(now, group.replica, false, shownByAddress, mayHaveCrashed(now, t.takeUndecided(now, run)))
 		}
 	}
 }
@@ -132,12 +145,12 @@
 	now := time.Now()
 	var under []undecided
 	for _, ended := range t.takeUndecided(now, rep.RunID()) {
-		if !ended.accepted || startedAt.Sub(ended.at) < restartWindow {
+		if !ended.accepted || startedAt.Sub(ended.at) < lingerTime {
 			under = append(under, ended)
 		}
 	}
 	t.markCrashed(now, rep.RunID(), false) // for answers whose replica is being checked
-	t.recordCrash(now, rep.RunID(), false, shownByRestart, under)
+	t.recordCrash(now, rep, false, shownByRestart, under)
 }
 
 // ReplicaUnlisted records that the replica is no longer listed, without having announced a stop. It has crashed, or
@@ -149,7 +162,63 @@
 	if last := t.checks[rep.RunID()]; last != nil && last.ended.IsZero() {
 		last.when = onRemoval
 	}
-	if waiting := notAccepted(t.takeUndecided(now, rep.RunID())); len(waiting) > 0 {
+	if waiting := mayHaveCrashed(now, t.takeUndecided(now, rep.RunID())); len(waiting) > 0 {
 		t.startCheck(now, rep, onRemoval, waiting, 0)
 	}
 }
+
+// recheckLater checks the replica, which did not refuse a connection after it broke an answer off, once it would have ended.
+func (t *Tracker) recheckLater(rep work.Replica) {
+	run := rep.RunID()
+	if t.rechecks[run] != nil || t.stopped {
+		return
+	}
+	t.rechecks[run] = time.AfterFunc(recheckDelay, func() {
+		result := accepted
+		if t.isListed(rep) {
+			result = t.connect(rep)
+		}
+		t.send(t.endRecheck(rep, result))
+	})
+}
+
+// isListed reports whether the replica is listed and accepts work. The end of one that is not may be planned.
+func (t *Tracker) isListed(rep work.Replica) bool {
+	if t.replicas == nil {
+		return true
+	}
+	return slices.ContainsFunc(t.replicas.Listed(rep.Service), func(listed work.Replica) bool { return listed.RunID() == rep.RunID() })
+}
+
+// endRecheck decides the attempts that broke off long enough ago for their replica to have ended, and returns the reports
+// of what it showed. Later attempts wait for another check.
+func (t *Tracker) endRecheck(rep work.Replica, result contact) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, run := time.Now(), rep.RunID()
+	delete(t.rechecks, run)
+	t.counts.Count(checkMetric, 1)
+	var due, later []undecided
+	for _, ended := range t.takeUndecided(now, run) {
+		switch {
+		case !ended.broken || result == silent:
+			later = append(later, ended)
+		case result == refused || now.Sub(ended.at) >= lingerTime:
+			due = append(due, ended)
+		default:
+			later = append(later, ended)
+		}
+	}
+	if result == refused {
+		t.recordCrash(now, rep, false, shownByRefusal, due)
+	}
+	if len(later) > 0 {
+		t.undecided[run] = undecidedAt{replica: rep, waiting: later}
+	}
+	if result == accepted && slices.ContainsFunc(later, func(ended undecided) bool { return ended.broken }) {
+		t.recheckLater(rep)
+	}
+	reports := t.unsent
+	t.unsent = nil
+	return reports
+}
--- a/gate/crash/unframed.go
+++ b/gate/crash/unframed.go
@@ -17,6 +17,8 @@
 type unframedAnswer struct {
 	at      time.Time
 	replica work.Replica
+	// trial is end.id.
+	trial uint64
 }
 
 // rememberUnframed remembers the replica of an unframed answer, until the request comes again.
@@ -31,7 +33,7 @@
 	if len(t.unframed) >= maxUnframed {
 		clear(t.unframed)
 	}
-	t.unframed[a.req] = unframedAnswer{at: now, replica: a.replica}
+	t.unframed[a.req] = unframedAnswer{at: now, replica: a.replica, trial: a.trial}
 }
 
 // checkUnframed checks the replica of an earlier answer to the request. Checking each replica after each unframed answer
@@ -46,6 +48,6 @@
 	delete(t.unframed, req)
 	now := time.Now()
 	if now.Sub(answer.at) <= unframedTTL {
-		t.check(now, answer.replica, undecided{req: req, at: answer.at}, true)
+		t.check(now, answer.replica, undecided{req: req, at: answer.at, trial: answer.trial}, true)
 	}
 }
--- a/gate/load/load.go
+++ b/gate/load/load.go
@@ -63,6 +63,9 @@
 	Merge(report crash.Report)
 	// Recent returns the crashes that other boxes may not know.
 	Recent() []crash.Report
+	// Grant reports whether the box may begin a trial of the request, and Ungrant ends that.
+	Grant(box string, req work.Fingerprint, trial uint64) bool
+	Ungrant(req work.Fingerprint, trial uint64)
 }
 
 // Boxes tells which boxes need reports on a replica.
@@ -95,6 +98,8 @@
 	ID    uint64        `json:"id,omitempty"`
 	// Acknowledged is the ID of the message that the box From acknowledges.
 	Acknowledged uint64 `json:"acknowledged,omitempty"`
+	// Claim asks for the trial of a request, with that ID, or answers such a message.
+	Claim *claim `json:"claim,omitempty"`
 }
 
 // Watch polls replicas for their load and exchanges reports with other boxes.
@@ -117,6 +122,8 @@
 	lastID         uint64
 	// informed holds the boxes that know of crashes from before they joined.
 	informed map[work.Box]bool
+	// claims holds the claims that wait for an answer, by trial.
+	claims map[uint64]chan claimState
 
 	// demandSentAt is when the demand was last sent; only pollDue uses it.
 	demandSentAt time.Time
@@ -134,6 +141,7 @@
 	return &Watch{
 		self: self, reporter: reporter, targets: targets, crashes: crashes, boxes: boxes, log: log,
 		polls: map[string]poll{}, unacknowledged: map[uint64]*delivery{}, informed: map[work.Box]bool{},
+		claims: map[uint64]chan claimState{},
 	}
 }
 
@@ -322,6 +330,8 @@
 			w.acknowledged(msg)
 		case msg.Crash != nil:
 			w.mergeCrash(from, msg)
+		case msg.Claim != nil:
+			w.handleClaim(from, msg)
 		case msg.Demand != nil:
 			w.targets.UpdatePrefixDemand(msg.From, *msg.Demand)
 		case msg.Load != nil:
--- a/gate/load/load_test.go
+++ b/gate/load/load_test.go
@@ -211,6 +211,29 @@
 	mu     sync.Mutex
 	merged []crash.Report
 	recent []crash.Report
+	// granted holds the trials that are granted, by request.
+	granted map[work.Fingerprint]uint64
+}
+
+func (f *fakeCrashes) Grant(_ string, req work.Fingerprint, trial uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, held := f.granted[req]; held {
+		return false
+	}
+	if f.granted == nil {
+		f.granted = map[work.Fingerprint]uint64{}
+	}
+	f.granted[req] = trial
+	return true
+}
+
+func (f *fakeCrashes) Ungrant(req work.Fingerprint, trial uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.granted[req] == trial {
+		delete(f.granted, req)
+	}
 }
 
 func (f *fakeCrashes) Merge(report crash.Report) {
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -92,6 +92,7 @@
 	entry    *entry.Entry
 	peers    *remote.Client
 	targets  *target.Targets
+	crashes  *crash.Tracker
 	senders  *callSenders
 	server   *remote.Server
 	detector *cutOffDetector
@@ -108,6 +109,7 @@
 	n.peers = remote.NewClient(n.isNear, n.successors)
 	log := deps.Logger
 	crashes := crash.New(dial.Connector{}, deps.Meter, log)
+	n.crashes = crashes
 	n.targets = target.New(deps.Self.Zone, deps.Replicas, crashes, log)
 	detourLog := detour.New(deps.Log, logProxies{n}, log)
 	n.mirror = mirror.New(deps.Self, deps.Zones, detourLog, lateView{n}, n.peers, deps.Decoder, log)
@@ -125,6 +127,7 @@
 	})
 	n.watch = load.New(deps.Self, deps.Replicas, n.targets, crashes, n.senders, log)
 	crashes.OnCrash(n.watch.SendCrash)
+	crashes.SetArbiter(n.watch)
 	runner := turns.New(n.targets, deps.Replicas, deps.RecordBytes, deps.Meter, log)
 	forwarder := relay.New(n.targets, deps.Replicas, deps.Meter, log)
 	n.counter = quota.NewCounter(deps.Self, deps.Zones, deps.Quota, n.view)
@@ -216,6 +219,7 @@
 		{Name: "feed", DependsOn: []string{"meter", "mirror"}, Make: factoryFor(n.feed)},
 		{Name: "view", DependsOn: []string{"meter"}, Make: factoryFor(n.view)},
 		{Name: "load", DependsOn: []string{"view", "feed"}, Make: factoryFor(n.watch)},
+		{Name: "crash", DependsOn: []string{"load"}, Make: factoryFor(n.crashes)},
 		{Name: "quota", DependsOn: []string{"view", "feed"}, Make: factoryFor(n.counter)},
 		{Name: "reach", DependsOn: []string{"view"}, Make: factoryFor(n.detector)},
 		{Name: "failover", DependsOn: []string{"view", "reach"}, Make: factoryFor(n.failover)},
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -189,6 +189,7 @@
 	start := time.Now()
 	reply, err := a.sender.Send(tryCtx, lease, a.call, limit)
 	if err != nil {
+		lease.Unbroken = isTimedOut(tryCtx)
 		stop()
 		return answer{}, a.endFailed(ctx, lease, start, err)
 	}
@@ -201,21 +202,27 @@
 	}
 	a.runs++
 	lease.EndUnknown = reply.Head.Unframed
-	return a.accept(ctx, lease, reply.CheckEvents(a.route.Kind), stop, start)
+	return a.accept(ctx, tryCtx, lease, reply.CheckEvents(a.route.Kind), stop, start)
 }
 
-// accept returns the answer to forward for the reply of a replica that has run the call.
-func (a *attempts) accept(ctx context.Context, lease *target.Lease, reply work.Reply, stop func(), start time.Time) (answer, error) {
+// isTimedOut reports whether the time of an attempt has run out.
+func isTimedOut(tryCtx context.Context) bool {
+	return errors.Is(tryCtx.Err(), context.DeadlineExceeded)
+}
+
+// accept returns the answer to forward for the reply of a replica that has run the call. tryCtx is that of the attempt.
+func (a *attempts) accept(ctx, tryCtx context.Context, lease *target.Lease, reply work.Reply, stop func(), start time.Time) (answer, error) {
 	if reply.Succeeded() && !reply.Signed {
 		reply.Body.Close()
 		stop()
+		lease.Unbroken = true
 		lease.Done(target.Incomplete, 0)
 		return answer{}, fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
 	}
 	if a.route.Kind == work.Stream {
 		return a.streamed(lease, reply, stop), nil
 	}
-	return a.read(ctx, lease, reply, stop, start)
+	return a.read(ctx, tryCtx, lease, reply, stop, start)
 }
 
 // attemptTimeout returns how long one attempt may take. A call that cannot be sent to another replica gets
@@ -245,7 +252,7 @@
 
 // read reads a short answer completely, so that an incomplete one is never forwarded, and only the beginning
 // of a long one.
-func (a *attempts) read(ctx context.Context, lease *target.Lease, reply work.Reply, stop func(), start time.Time) (answer, error) {
+func (a *attempts) read(ctx, tryCtx context.Context, lease *target.Lease, reply work.Reply, stop func(), start time.Time) (answer, error) {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBuffered))
 	end := func(out target.Outcome, writeTime time.Duration) {
 		reply.Body.Close()
@@ -256,6 +263,7 @@
 		return answer{head: reply.Head, body: body, rest: reply.Body, end: end}, nil
 	}
 	if err != nil {
+		lease.Unbroken = isTimedOut(tryCtx)
 		reply.Body.Close()
 		stop()
 		a.runs--
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -74,7 +74,7 @@
 	}
 	estimates := &t.admissionFor(service).Estimates
 	for _, s := range t.services[service] {
-		if s.Draining || s.inFlight >= t.connectionShare(svc.Connections, s.level) || (s.missing && !lapsed) || slices.Contains(ask.Exclude, s.ID) || t.excluded(now, s, svc, ask) {
+		if s.Draining || s.inFlight >= t.connectionShare(svc.Connections, s.level) || (s.missing && !lapsed) || slices.Contains(ask.Exclude, s.ID) || !ask.allows(s.Replica) || t.excluded(now, s, svc, ask) {
 			continue
 		}
 		if !lastResort && (now.Before(s.suspectUntil) || ejector.Ejected(now, s.ID)) {
@@ -90,6 +90,15 @@
 	return choice{state: t.candidates[pick], estimate: t.estimate(now, ask, t.candidates[pick], utilization), cost: t.costs[pick]}, len(t.candidates)
 }
 
+// allows reports whether the replica is among those to choose from.
+func (r CallRequest) allows(rep work.Replica) bool {
+	if len(r.only) == 0 && len(r.avoid) == 0 {
+		return true
+	}
+	run := rep.RunID()
+	return (len(r.only) == 0 || slices.Contains(r.only, run)) && !slices.Contains(r.avoid, run)
+}
+
 // lapsedDivisor sets the threshold of entriesLapsed: fewer than one in lapsedDivisor replicas is listed.
 // Planned work replaces only a few replicas at a time, so the others cannot all have left.
 const lapsedDivisor = 4
--- a/gate/target/lease.go
+++ b/gate/target/lease.go
@@ -20,6 +20,9 @@
 	Candidates   int
 	// EndUnknown must be set before Done if the end of the answer does not show whether it is complete.
 	EndUnknown bool
+	// Unbroken must be set before Done if the answer did not arrive in time or was not valid, although the connection did
+	// not break.
+	Unbroken bool
 
 	targets   *Targets
 	state     *state
@@ -131,7 +134,9 @@
 		return crash.Restarted
 	case l.state.Draining:
 		return crash.NotRun
-	case out == Incomplete, out == Unresponsive:
+	case out == Unresponsive, out == Incomplete && l.Unbroken:
+		return crash.Unanswered
+	case out == Incomplete:
 		return crash.Broken
 	case out == GivenUp:
 		return crash.GivenUp
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -132,7 +131,7 @@
 
 // New returns Targets without replicas for a box in the zone. crashes learns of all attempts and replicas.
 func New(zone string, opener PoolOpener, crashes *crash.Tracker, log *slog.Logger) *Targets {
-	return &Targets{
+	t := &Targets{
 		zone: zone, opener: opener, crashes: crashes, log: log, boxes: 1, placers: 1,
 		byID: map[string]*state{}, services: map[string][]*state{}, ejectors: map[string]*limit.Ejector{},
 		meanUnitTime: map[string]time.Duration{},
@@ -141,6 +140,21 @@
 		onFailing:    func(work.Replica, float64) {},
 		warmsReplica: func(work.Replica, bool) bool { return true },
 	}
+	crashes.SetReplicas(t)
+	return t
+}
+
+// Listed implements crash.Replicas.
+func (t *Targets) Listed(service string) []work.Replica {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var listed []work.Replica
+	for _, s := range t.services[service] {
+		if !s.Draining && !s.missing {
+			listed = append(listed, s.Replica)
+		}
+	}
+	return listed
 }
 
 // OnFailing registers do, which is called with a replica that reports failed calls and with its failure
@@ -371,6 +385,10 @@
 	CachedTokens map[string]int
 	// Turn describes the call to admission control.
 	Turn sched.Turn
+
+	// only lists the replicas to choose from, and avoid those not to choose, by work.Replica.RunID. If only is empty, all
+	// others are allowed.
+	only, avoid []string
 }
 
 // Take selects a replica and takes a place there. It fails with NoTarget if no replica can take the call, and with
@@ -380,13 +398,11 @@
 	if err != nil {
 		return nil, err
 	}
-	lease, err := t.place(ask, attempt.Avoid())
+	lease, err := t.place(ask, attempt)
 	if err != nil {
 		attempt.End(crash.NotRun, true)
 		return nil, err
 	}
-	attempt.Place(lease.Replica)
-	lease.attempt = attempt
 	return lease, nil
 }
 
@@ -396,8 +412,9 @@
 	return fault.Is(err, fault.RequestBlocked) || (err != nil && fault.From(err).RetryAfter > 0)
 }
 
-// place selects a replica, if possible none of those to avoid, and takes a place there.
-func (t *Targets) place(ask CallRequest, avoid []string) (*Lease, error) {
+// place selects a replica for the attempt and takes a place there. If possible, it is one that the attempt prefers and none
+// that it avoids.
+func (t *Targets) place(ask CallRequest, attempt *crash.Attempt) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -405,20 +422,36 @@
 	if ask.Prompt != nil {
 		t.updatePrefixes(now, service)
 	}
-	var best choice
-	var candidates int
-	if len(avoid) > 0 {
-		apart := ask
-		apart.Exclude = slices.Concat(ask.Exclude, avoid)
-		best, candidates = t.choose(now, apart, service)
-	}
+	best, candidates := t.chooseApart(now, ask, service, attempt)
 	if best.state == nil {
 		best, candidates = t.choose(now, ask, service)
 	}
 	if best.state == nil {
 		return nil, fault.Refuse(fault.NoTarget, "no replica can take the call")
 	}
-	return t.lease(now, ask, best, candidates), nil
+	lease := t.lease(now, ask, best, candidates)
+	lease.attempt = attempt
+	attempt.Place(lease.Replica)
+	return lease, nil
+}
+
+// chooseApart chooses among the replicas that the attempt prefers, and otherwise among those that it does not avoid. It
+// returns no choice if the attempt has no such wishes, or if these replicas can't take the call.
+func (t *Targets) chooseApart(now time.Time, ask CallRequest, service string, attempt *crash.Attempt) (choice, int) {
+	if prefer := attempt.Prefer(); len(prefer) > 0 {
+		together := ask
+		together.only = prefer
+		if best, candidates := t.choose(now, together, service); best.state != nil {
+			return best, candidates
+		}
+	}
+	avoid := attempt.Avoid()
+	if len(avoid) == 0 {
+		return choice{}, 0
+	}
+	apart := ask
+	apart.avoid = avoid
+	return t.choose(now, apart, service)
 }
 
 // lease takes a place at the selected replica.
--- a/gate/turns/answer.go
+++ b/gate/turns/answer.go
@@ -67,6 +67,7 @@
 // forwards an error status to the caller, unless part of the answer was already sent.
 func (t *turn) forwardFailure(reply work.Reply) error {
 	if reply.Succeeded() {
+		t.lease.Unbroken = true
 		t.lease.Done(target.Incomplete, 0)
 		return fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
 	}
