remote: answer turns that can't be read as not run

Callers got 502 for a turn whose message the owner of its slot could not read, and so a failure that promises nothing, although nothing had been done with the turn.

Cause: unframe returns faults without NotRun, which is right for a response, but readTurn passed them on for a request as well; incomplete and truncated requests were answered 400, as if the caller had sent them so.

Change: all faults of readTurn are OwnerUnavailable with NotRun, so that the next candidate is asked and the caller is told 503.

--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -233,25 +233,32 @@
 	s.sendFault(out, fault.Fail(fault.Internal, "the owner of the slot failed the turn"))
 }
 
+// readTurn reads a forwarded turn. Its faults have NotRun set, since nothing has been done with the turn.
 func readTurn(body io.Reader) (turnRequest, error) {
 	var msg turnRequest
 	if err := unframe(body, &msg); err != nil {
-		return msg, err
+		return msg, unreadable(err)
 	}
 	call := msg.Call
 	if call == nil || call.ID == "" || call.Turn == nil || msg.Route == nil {
-		return msg, fault.Refuse(fault.BadRequest, "forwarded turn is incomplete")
+		return msg, unreadable(nil)
 	}
 	now := time.Now()
 	call.Deadline = now.Add(time.Duration(msg.LeftMillis) * time.Millisecond)
 	call.Arrived = now.Add(-time.Duration(msg.WaitedMillis) * time.Millisecond)
 	var err error
 	if call.Body, err = io.ReadAll(body); err != nil {
-		return msg, fault.Refuse(fault.BadRequest, "forwarded turn is truncated").WithCause(err)
+		return msg, unreadable(err)
 	}
 	return msg, nil
 }
 
+// unreadable returns the fault of a forwarded turn that this box can't read. Its owner can't be reached by way of the box
+// that sent it, so that the caller may come again.
+func unreadable(cause error) error {
+	return fault.Refuse(fault.OwnerUnavailable, "the forwarded turn can't be read").WithCause(cause)
+}
+
 // writeGrace is how long after a turn's deadline its response may still be written: a response that is ready then is
 // delivered, but a box that does not read it must not block the turn.
 const writeGrace = time.Second
