chain, turns, remote: keep and forward chains of any length

Turns of 195,841 bytes and more were refused with 413 although max_body_bytes allows them.

Cause: a turn, and the copy of a chain for another program, was one record of the log, so that record_bytes bounded both. A chain that is forwarded travels in the JSON header of its message, which may have 256 KiB. The next limits behind these: a write is one call to the log (call_bytes), and an answer with a line of more than 1 MiB lost that line from the program's history.

Change: texts that don't fit into a record are split over several, all but the last stored as turns that precede the turn, which boxes of earlier versions read as well. Writes are split into calls that keep their order. Chains of more than 64 KiB follow the header, on a path of their own: a box of an earlier version answers 404, which has not run. Lines have no limit but that of the chain (16 MiB), which the turn that exceeds it meets itself. The last records of a slot are read without a limit on the total time.

--- a/gate/chain/chain_test.go
+++ b/gate/chain/chain_test.go
@@ -121,7 +121,7 @@
 	recs := answerTurn(t, s, open("a", "", 9), "one ")
 	recs = append(recs, answerTurn(t, s, open("b", "a", 9), "two ")...)
 	text, _ := s.ChainText("a")
-	recs = append(recs, s.ImportCopy(start, "q", "a", text, time.Minute))
+	recs = append(recs, s.ImportCopy(start, OpenTurn{Program: "q", Previous: "a", Retention: time.Minute}, text)...)
 	nextOwner := rebuild(t, recs)
 	for _, c := range []struct{ program, id, want string }{{"p", "b", "one two "}, {"q", "a", "one "}} {
 		turns, err := nextOwner.History(c.program, c.id)
--- a/gate/node/failover_test.go
+++ b/gate/node/failover_test.go
@@ -488,11 +488,11 @@
 					t.Fatal(err)
 				}
 				call := &work.Call{ID: "i", Host: "h", Target: "/x", Arrived: time.Now(), Turn: &work.Turn{Program: "p", Previous: "t"}}
-				var copied work.Record
+				var copied []work.Record
 				slot.Update(func(state *chain.State) {
-					copied = state.ImportCopy(time.Now(), call.QualifiedName("p"), call.QualifiedName("t"), []byte("text"), time.Minute)
+					copied = state.ImportCopy(time.Now(), chain.OpenTurn{Program: call.QualifiedName("p"), Previous: call.QualifiedName("t"), Retention: time.Minute}, []byte("text"))
 				})
-				if err := slot.Write(context.Background(), []work.Record{copied}); err != nil {
+				if err := slot.Write(context.Background(), copied); err != nil {
 					t.Fatal(err)
 				}
 				f.set(func() { clear(f.cutLinks) })
--- a/gate/remote/chain_test.go
+++ b/gate/remote/chain_test.go
@@ -10,7 +10,9 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
+	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/work"
 )
 
@@ -26,6 +28,16 @@
 	return out.Begin(r.head)
 }
 
+// headAnswer records the head of an answer.
+type headAnswer struct{ head work.Head }
+
+func (h *headAnswer) Begin(head work.Head) error {
+	h.head = head
+	return nil
+}
+
+func (*headAnswer) Write([]byte) error { return nil }
+
 // startOwner starts the server of a box that runs turns, without its handlers in missing.
 func startOwner(t *testing.T, turns Turns, missing ...string) work.Box {
 	t.Helper()
@@ -43,18 +55,57 @@
 	return work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())}
 }
 
+// TestLongChainsTravel guards against turns that can't be forwarded since the chain that they continue is long.
+func TestLongChainsTravel(t *testing.T) {
+	for _, size := range []int{0, 1, maxInlineBase, maxInlineBase + 1, 150 << 10, 278_800, 1 << 20, 16 << 20} {
+		turns := &recordedTurns{head: work.Head{Status: http.StatusOK}}
+		box := startOwner(t, turns)
+		client := newNearClient()
+		base := bytes.Repeat([]byte("chain "), size/6+1)[:size]
+		body := bytes.Repeat([]byte("input "), size/60+1)
+		call := &work.Call{ID: "i", Method: http.MethodPost, Body: body, Turn: &work.Turn{Program: "p", Previous: "t", Base: base}, Deadline: time.Now().Add(5 * time.Second), Arrived: time.Now()}
+		if err := client.Turn(context.Background(), box, 0, nil, call, &work.Route{}, &headAnswer{}); err != nil {
+			t.Fatalf("%d bytes: %v", size, err)
+		}
+		if !bytes.Equal(base, turns.got.Turn.Base) || !bytes.Equal(body, turns.got.Body) {
+			t.Errorf("%d bytes: a chain of %d bytes and a body of %d of %d arrived", size, len(turns.got.Turn.Base), len(turns.got.Body), len(body))
+		}
+		client.CloseAllExcept(nil)
+	}
+}
+
+// TestLongChainForEarlierVersion checks that a box which does not know how long chains travel is sent none in a form that it
+// would misread: the turn has not run.
+func TestLongChainForEarlierVersion(t *testing.T) {
+	turns := &recordedTurns{head: work.Head{Status: http.StatusOK}}
+	box := startOwner(t, turns, chainTurnPath)
+	client := newNearClient()
+	defer client.CloseAllExcept(nil)
+	call := &work.Call{ID: "i", Method: http.MethodPost, Turn: &work.Turn{Program: "p", Base: make([]byte, 1<<20)}, Deadline: time.Now().Add(5 * time.Second), Arrived: time.Now()}
+	err := client.Turn(context.Background(), box, 0, nil, call, &work.Route{}, &headAnswer{})
+	if f := fault.From(err); !fault.Is(err, fault.OwnerUnavailable) || !f.NotRun {
+		t.Errorf("fault %+v, want a refusal", f)
+	}
+	call.Turn.Base = call.Turn.Base[:maxInlineBase]
+	if err := client.Turn(context.Background(), box, 0, nil, call, &work.Route{}, &headAnswer{}); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestUnreadableTurnHasNotRun guards against a 502 for a turn that its owner could not read, and so has not run.
 func TestUnreadableTurnHasNotRun(t *testing.T) {
-	whole, err := frame(turnRequest{Call: &work.Call{ID: "i", Turn: &work.Turn{Program: "p"}}, Route: &work.Route{}})
+	whole, err := frame(turnRequest{Call: &work.Call{ID: "i", Turn: &work.Turn{Program: "p"}}, Route: &work.Route{}, BaseBytes: 1000})
 	if err != nil {
 		t.Fatal(err)
 	}
 	for name, body := range map[string]string{
-		"empty":          "",
-		"long header":    "\xff\xff\xff\xff",
-		"not JSON":       "\x00\x00\x00\x02{x",
-		"header cut off": string(whole[:len(whole)/2]),
-		"no call":        "\x00\x00\x00\x02{}",
+		"empty":           "",
+		"long header":     "\xff\xff\xff\xff",
+		"not JSON":        "\x00\x00\x00\x02{x",
+		"header cut off":  string(whole[:len(whole)/2]),
+		"no call":         "\x00\x00\x00\x02{}",
+		"chain cut off":   string(whole) + "chain",
+		"negative length": strings.Replace(string(whole), `"base_bytes":1000`, `"base_bytes":-999`, 1),
 	} {
 		turns := &recordedTurns{}
 		box := startOwner(t, turns)
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -23,10 +24,12 @@
 )
 
 const (
-	turnPath     = "/turn"
-	handoverPath = "/yield"
-	findPath     = "/find"
-	logPath      = "/log"
+	turnPath = "/turn"
+	// chainTurnPath accepts turns with a chain after the header. Boxes of earlier versions do not know it.
+	chainTurnPath = "/turn-with-chain"
+	handoverPath  = "/yield"
+	findPath      = "/find"
+	logPath       = "/log"
 	// deliverPath accepts records of turns that began at a previous owner of the slot.
 	deliverPath = "/deliver"
 	pingPath    = "/ping"
@@ -116,22 +119,20 @@
 	defer stop()
 	ctx, silence, stopWatch := c.endIfLost(ctx, box)
 	defer stopWatch()
-	meta := *call
-	meta.Body = nil
-	raw, err := frame(turnRequest{
-		Slot: slot, Unreached: unreached, Call: &meta, Route: route, LeftMillis: time.Until(call.Deadline).Milliseconds(),
-		WaitedMillis: time.Since(call.Arrived).Milliseconds(),
-	})
+	path, body, err := encodeTurn(slot, unreached, call, route)
 	if err != nil {
 		return err
 	}
 	silence.begin()
-	resp, err := c.sendTurn(ctx, box, slot, append(raw, call.Body...))
+	resp, err := c.sendTurn(ctx, box, slot, path, body)
 	silence.end()
 	if err != nil {
 		return turnFault(err)
 	}
 	defer resp.Close()
+	if resp.Status == http.StatusNotFound {
+		return fault.Refuse(fault.OwnerUnavailable, "the owner of the slot is of an earlier version and can't read long chains")
+	}
 	in := &watchedReader{in: resp, silence: silence}
 	var head turnResponse
 	if err := unframe(in, &head); err != nil {
@@ -150,12 +151,34 @@
 	return work.CopyBody(in, out, fault.PeerUnreachable)
 }
 
+// encodeTurn returns the path and the body of the request that forwards a turn.
+func encodeTurn(slot int, unreached []work.Box, call *work.Call, route *work.Route) (path string, body []byte, err error) {
+	meta := *call
+	meta.Body = nil
+	msg := turnRequest{
+		Slot: slot, Unreached: unreached, Call: &meta, Route: route, LeftMillis: time.Until(call.Deadline).Milliseconds(),
+		WaitedMillis: time.Since(call.Arrived).Milliseconds(),
+	}
+	path = turnPath
+	var base []byte
+	if len(call.Turn.Base) > maxInlineBase {
+		turn := *meta.Turn
+		turn.Base, base = nil, call.Turn.Base
+		meta.Turn, msg.BaseBytes, path = &turn, len(base), chainTurnPath
+	}
+	raw, err := frame(msg)
+	if err != nil {
+		return "", nil, err
+	}
+	return path, slices.Concat(raw, base, call.Body), nil
+}
+
 // sendTurn sends a turn to the box. A near box that does not respond within suspectAfter is checked: if it does
 // not accept connections, sendTurn fails at once, otherwise it waits up to continueTimeout. The boxes that are asked
 // next are checked together with it, so that a turn for a zone that is cut off waits only once.
-func (c *Client) sendTurn(ctx context.Context, box work.Box, slot int, body []byte) (*dial.Response, error) {
+func (c *Client) sendTurn(ctx context.Context, box work.Box, slot int, path string, body []byte) (*dial.Response, error) {
 	req := dial.Request{
-		Method: http.MethodPost, Target: turnPath, Host: box.Peer.String(), Body: body, ContinueTimeout: continueTimeout,
+		Method: http.MethodPost, Target: path, Host: box.Peer.String(), Body: body, ContinueTimeout: continueTimeout,
 	}
 	if !c.near(box) {
 		return c.pool(box.Peer).Send(ctx, req)
--- a/gate/remote/frame.go
+++ b/gate/remote/frame.go
@@ -1,6 +1,7 @@
 package remote
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"io"
@@ -9,10 +10,18 @@
 	"mulleingate.dev/gate/work"
 )
 
-// maxHeader bounds the JSON header of a message, in bytes.
-const maxHeader = 256 << 10
+const (
+	// maxHeader bounds a short message, in bytes, and maxTurnHeader the JSON header of a turn. That holds the headers of
+	// the caller, which the configuration bounds.
+	maxHeader     = 256 << 10
+	maxTurnHeader = 16 << 20
+	// maxInlineBase is the size in bytes up to which a chain travels in the header of a turn, where boxes of earlier
+	// versions look for it.
+	maxInlineBase = 64 << 10
+)
 
-// turnRequest is the header of a forwarded turn, followed by the body of the call.
+// turnRequest is the header of a forwarded turn, followed by the chain that it continues, if BaseBytes is set, and the body
+// of the call.
 type turnRequest struct {
 	Slot int `json:"slot"`
 	// Unreached lists the boxes that should rather own the slot, but that the forwarding box can't reach.
@@ -24,6 +33,8 @@
 	LeftMillis int64 `json:"left_ms"`
 	// WaitedMillis is the time since the call arrived at the forwarding box.
 	WaitedMillis int64 `json:"waited_ms"`
+	// BaseBytes is the length of the chain that follows the header; zero if the call holds it or has none.
+	BaseBytes int `json:"base_bytes,omitempty"`
 }
 
 // turnResponse is the header of the response to a forwarded turn. Exactly one field is set.
@@ -55,11 +66,11 @@
 		return fault.Fail(fault.PeerUnreachable, "message is truncated").WithCause(err)
 	}
 	n := binary.BigEndian.Uint32(size[:])
-	if n > maxHeader {
+	if n > maxTurnHeader {
 		return fault.Fail(fault.Protocol, "message header is too long")
 	}
-	raw := make([]byte, n)
-	if _, err := io.ReadFull(in, raw); err != nil {
+	raw, err := readFull(in, int(n))
+	if err != nil {
 		return fault.Fail(fault.PeerUnreachable, "message is truncated").WithCause(err)
 	}
 	if err := json.Unmarshal(raw, header); err != nil {
@@ -67,3 +78,12 @@
 	}
 	return nil
 }
+
+// readFull reads n bytes. It takes memory only for what arrives.
+func readFull(in io.Reader, n int) ([]byte, error) {
+	var raw bytes.Buffer
+	if _, err := io.CopyN(&raw, in, int64(n)); err != nil {
+		return nil, err
+	}
+	return raw.Bytes(), nil
+}
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -86,6 +86,7 @@
 	s := &Server{self: self, turns: turns, slots: slots, boxes: boxes, quotas: quotas, sources: sources, directLog: direct, counts: counts, logger: logger}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+turnPath, s.turn)
+	mux.HandleFunc("POST "+chainTurnPath, s.turn)
 	mux.HandleFunc("POST "+handoverPath, s.handover)
 	mux.HandleFunc("POST "+takenPath, s.taken)
 	mux.HandleFunc("GET "+findPath, s.find)
@@ -196,7 +197,7 @@
 func (s *Server) turn(w http.ResponseWriter, r *http.Request) {
 	out := &turnWriter{w: w, flush: http.NewResponseController(w)}
 	defer s.answerPanic(out)
-	msg, err := readTurn(http.MaxBytesReader(w, r.Body, maxBody))
+	msg, err := readTurn(r.Body)
 	if err == nil {
 		out.deadline = msg.Call.Deadline
 		err = s.turns.RunHere(r.Context(), msg.Slot, msg.Unreached, msg.Call, msg.Route, out)
@@ -233,20 +234,26 @@
 	s.sendFault(out, fault.Fail(fault.Internal, "the owner of the slot failed the turn"))
 }
 
-// readTurn reads a forwarded turn. Its faults have NotRun set, since nothing has been done with the turn.
+// readTurn reads a forwarded turn. Its faults have NotRun set, since nothing has been done with the turn. The sender bounds the
+// turn's length.
 func readTurn(body io.Reader) (turnRequest, error) {
 	var msg turnRequest
 	if err := unframe(body, &msg); err != nil {
 		return msg, unreadable(err)
 	}
 	call := msg.Call
-	if call == nil || call.ID == "" || call.Turn == nil || msg.Route == nil {
+	if call == nil || call.ID == "" || call.Turn == nil || msg.Route == nil || msg.BaseBytes < 0 {
 		return msg, unreadable(nil)
 	}
 	now := time.Now()
 	call.Deadline = now.Add(time.Duration(msg.LeftMillis) * time.Millisecond)
 	call.Arrived = now.Add(-time.Duration(msg.WaitedMillis) * time.Millisecond)
 	var err error
+	if msg.BaseBytes > 0 {
+		if call.Turn.Base, err = readFull(body, msg.BaseBytes); err != nil {
+			return msg, unreadable(err)
+		}
+	}
 	if call.Body, err = io.ReadAll(body); err != nil {
 		return msg, unreadable(err)
 	}
--- a/gate/shard/claim.go
+++ b/gate/shard/claim.go
@@ -66,7 +66,7 @@
 		return nil, err
 	}
 	fenced()
-	if err := m.catchUp(ctx, shard, next, loader); err != nil {
+	if err := m.catchUp(shard, next, loader); err != nil {
 		return nil, err
 	}
 	slot := newSlot(m, number, epoch, loader.state)
@@ -170,10 +170,10 @@
 }
 
 // catchUp applies the records written since offset next. If the log no longer keeps them, it loads the
-// slot anew.
-func (m *Manager) catchUp(ctx context.Context, shard work.Shard, next int64, loader *slotLoader) error {
+// slot anew. As in read, only single calls to the log have a timeout.
+func (m *Manager) catchUp(shard work.Shard, next int64, loader *slotLoader) error {
 	for {
-		page, err := m.log.Read(ctx, shard, next, 0)
+		page, err := m.readPage(shard, next)
 		if fault.Is(err, fault.HistoryGone) {
 			*loader = slotLoader{state: chain.New(), manager: m}
 			_, err = work.AllNewest(m.ctx, m.log, shard, callTimeout, loader.apply)
@@ -195,6 +195,12 @@
 	}
 }
 
+func (m *Manager) readPage(shard work.Shard, next int64) (work.Page, error) {
+	ctx, stop := context.WithTimeout(m.ctx, callTimeout)
+	defer stop()
+	return m.log.Read(ctx, shard, next, 0)
+}
+
 // slotLoader rebuilds the state of a slot from its records.
 type slotLoader struct {
 	state   *chain.State
--- a/gate/shard/claim_test.go
+++ b/gate/shard/claim_test.go
@@ -163,9 +163,9 @@
 		"no records after some": {[]int{2, 0}, "b", true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			m := &Manager{log: &shortLog{recs: recs, reads: c.reads}, logger: slog.New(slog.DiscardHandler)}
+			m := &Manager{ctx: t.Context(), log: &shortLog{recs: recs, reads: c.reads}, logger: slog.New(slog.DiscardHandler)}
 			loader := &slotLoader{state: chain.New(), manager: m}
-			err := m.catchUp(context.Background(), work.Shard{Topic: work.Turns}, 0, loader)
+			err := m.catchUp(work.Shard{Topic: work.Turns}, 0, loader)
 			if diff := cmp.Diff([]any{c.owner, c.fails}, []any{loader.owner.Box, fault.Is(err, fault.LogUnavailable)}); diff != "" {
 				t.Errorf("newest owner read and failure %v (-want +got):\n%s", err, diff)
 			}
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// maxAppendBytes is the size in bytes at which an append takes no further batches: half of the smallest
-	// limit that a store sets for one call.
+	// maxAppendBytes bounds an append, in bytes, unless it has only one record: half of the smallest limit that a store
+	// sets for one call.
 	maxAppendBytes = 1 << 20
 	// minRetryDelay and maxRetryDelay bound the delay before an append is retried.
 	minRetryDelay = 25 * time.Millisecond
@@ -121,36 +121,85 @@
 }
 
 // QueueLocked is Queue for callers within BeginTurn or Update, so that records are written in the order in
-// which the state changed.
+// which the state changed. Records that are too long for one append are written by several, in their order.
 func (s *Slot) QueueLocked(recs []work.Record) *PendingWrite {
-	b := &batch{recs: recs, done: make(chan struct{})}
-	if s.lost {
-		b.err = slotLostFault()
-		close(b.done)
-		return &PendingWrite{b}
+	pending := &PendingWrite{}
+	for _, part := range splitRecords(recs) {
+		b := &batch{recs: part, done: make(chan struct{})}
+		pending.batches = append(pending.batches, b)
+		if s.lost {
+			b.err = slotLostFault()
+			close(b.done)
+			continue
+		}
+		s.queue = append(s.queue, b)
 	}
-	s.queue = append(s.queue, b)
-	if !s.writing {
+	if !s.lost && !s.writing {
 		s.writing = true
 		go s.runWriter()
 	}
-	return &PendingWrite{b}
+	return pending
+}
+
+// splitRecords splits the records into groups of at most maxAppendBytes, or of one record; at least one group.
+func splitRecords(recs []work.Record) [][]work.Record {
+	var groups [][]work.Record
+	size, first := 0, 0
+	for n := range recs {
+		length := recordBytes(recs[n : n+1])
+		if n > first && size+length > maxAppendBytes {
+			groups = append(groups, recs[first:n:n])
+			size, first = 0, n
+		}
+		size += length
+	}
+	return append(groups, recs[first:])
+}
+
+// recordOverhead bounds what the log adds to each record, in bytes.
+const recordOverhead = 16
+
+// recordBytes returns the size of the records in an append; 0 if there are none.
+func recordBytes(recs []work.Record) int {
+	size := 0
+	for _, rec := range recs {
+		size += len(rec.Key) + len(rec.Value) + recordOverhead
+	}
+	return size
 }
 
 // PendingWrite is a write of records that is queued or in progress.
-type PendingWrite struct{ batch *batch }
+type PendingWrite struct{ batches []*batch }
+
+// records returns the records of the write.
+func (p *PendingWrite) records() []work.Record {
+	var recs []work.Record
+	for _, b := range p.batches {
+		recs = append(recs, b.recs...)
+	}
+	return recs
+}
 
 // Wait returns nil once the records are written, or a fault if they can't be written or ctx ends first.
 // After ctx has ended they may still be written.
 func (p *PendingWrite) Wait(ctx context.Context) error {
+	for _, b := range p.batches {
+		if err := b.wait(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *batch) wait(ctx context.Context) error {
 	select {
-	case <-p.batch.done:
-		return p.batch.err
+	case <-b.done:
+		return b.err
 	default:
 	}
 	select {
-	case <-p.batch.done:
-		return p.batch.err
+	case <-b.done:
+		return b.err
 	case <-ctx.Done():
 		return fault.Fail(fault.LogUnavailable, "the log did not confirm the write in time")
 	}
@@ -163,7 +212,7 @@
 	if !fault.Is(err, fault.NotOwner) {
 		return err
 	}
-	return s.manager.forward(ctx, s.number, p.batch.recs)
+	return s.manager.forward(ctx, s.number, p.records())
 }
 
 // applyAndWrite applies and writes the records of a turn that began at a previous owner.
@@ -217,11 +266,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	size, n := 0, 0
-	for n < len(s.queue) && (n == 0 || size < maxAppendBytes) {
-		for _, rec := range s.queue[n].recs {
-			size += len(rec.Key) + len(rec.Value)
+	for ; n < len(s.queue); n++ {
+		length := recordBytes(s.queue[n].recs)
+		if n > 0 && size+length > maxAppendBytes {
+			break
 		}
-		n++
+		size += length
 	}
 	batches := s.queue[:n:n]
 	s.queue = s.queue[n:]
--- a/gate/turns/answer.go
+++ b/gate/turns/answer.go
@@ -12,6 +12,9 @@
 	"mulleingate.dev/gate/work"
 )
 
+// maxErrorBody bounds the body of an error answer, in bytes.
+const maxErrorBody = 1 << 20
+
 // forwardReply streams the answer to the caller and records the end of the turn in the ledger.
 func (t *turn) forwardReply(ctx context.Context, reply work.Reply) error {
 	complete, err := t.copyReply(ctx, reply)
@@ -71,7 +74,7 @@
 		t.lease.Done(target.Incomplete, 0)
 		return fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxLine))
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxErrorBody))
 	if err != nil {
 		t.lease.Done(target.Incomplete, 0)
 		return fault.Fail(fault.TargetFailed, "the answer broke off").WithCause(err)
@@ -134,8 +137,9 @@
 	work.Answer
 	turn *turn
 	head work.Head
-	// collected holds the events sent to the caller.
+	// collected holds the events sent to the caller, and maxText bounds what it keeps of them, in bytes.
 	collected events
+	maxText   int
 	// partial buffers an incomplete event on a resumable route. Only complete events are sent to the caller,
 	// so that a resumed answer repeats no part of an event.
 	partial []byte
@@ -196,6 +200,9 @@
 // that fails, since the caller may have got it.
 func (w *answerWriter) send(data []byte) error {
 	w.collected.write(data)
+	if w.collected.size() > w.maxText {
+		return fault.Fail(fault.TooLarge, "the program's history is too long with this answer")
+	}
 	if !w.begun {
 		w.turn.lease.RecordFirstEvent(time.Since(w.turn.sentAt))
 	}
--- a/gate/turns/events.go
+++ b/gate/turns/events.go
@@ -2,13 +2,14 @@
 
 import "bytes"
 
-// maxLine bounds a buffered line of an event and the body of an error answer, in bytes.
+// maxLine bounds a buffered line of events that are not kept, in bytes.
 const maxLine = 1 << 20
 
 // events parses a stream of server-sent events and collects their data.
 type events struct {
-	// text is the data of all events, each followed by a line feed.
-	text []byte
+	// text is the data of all events, each followed by a line feed. It is empty if discard is set.
+	text    []byte
+	discard bool
 	// count is the number of events with data.
 	count int
 	// line buffers a line whose end has not arrived.
@@ -28,12 +29,17 @@
 	return e.count
 }
 
+// size returns the number of bytes that are kept.
+func (e *events) size() int {
+	return len(e.text) + len(e.data) + len(e.line)
+}
+
 // write parses the next bytes of the stream.
 func (e *events) write(raw []byte) {
 	for len(raw) > 0 {
 		end := bytes.IndexByte(raw, '\n')
 		if end < 0 {
-			if len(e.line)+len(raw) <= maxLine {
+			if !e.discard || len(e.line)+len(raw) <= maxLine {
 				e.line = append(e.line, raw...)
 			}
 			return
@@ -62,10 +68,12 @@
 	if !ok {
 		return
 	}
-	if e.hasData {
+	if e.hasData && !e.discard {
 		e.data = append(e.data, '\n')
 	}
-	e.data = append(e.data, bytes.TrimPrefix(data, []byte(" "))...)
+	if !e.discard {
+		e.data = append(e.data, bytes.TrimPrefix(data, []byte(" "))...)
+	}
 	e.hasData = true
 }
 
@@ -74,8 +82,10 @@
 	if !e.hasData {
 		return
 	}
-	e.text = append(e.text, e.data...)
-	e.text = append(e.text, '\n')
+	if !e.discard {
+		e.text = append(e.text, e.data...)
+		e.text = append(e.text, '\n')
+	}
 	e.count++
 	e.lastID = e.id
 	e.data = e.data[:0]
--- a/gate/turns/events_test.go
+++ b/gate/turns/events_test.go
@@ -1,6 +1,8 @@
 package turns
 
 import (
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -31,6 +33,28 @@
 	}
 }
 
+// TestLongEventsAreKept guards against the loss of a part of an event, which the program's next turns would lack. Events that
+// need not be kept take no memory.
+func TestLongEventsAreKept(t *testing.T) {
+	long := strings.Repeat("x", 3*maxLine)
+	for _, discard := range []bool{false, true} {
+		e := events{discard: discard}
+		for chunk := range slices.Chunk([]byte("data: "+long+"\n\ndata: end\n\n"), 10_000) {
+			e.write(chunk)
+		}
+		want := long + "\nend\n"
+		if discard {
+			want = ""
+		}
+		if string(e.text) != want || e.count != 2 {
+			t.Errorf("discarded %t: %d bytes of %d events, want %d of 2", discard, len(e.text), e.count, len(want))
+		}
+		if discard && e.size() > 0 {
+			t.Errorf("%d bytes are kept", e.size())
+		}
+	}
+}
+
 // TestEventsInPieces checks that the boundaries between writes do not change the parsed text.
 func TestEventsInPieces(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/gate/turns/ledger.go
+++ b/gate/turns/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"mulleingate.dev/base/fault"
@@ -12,11 +13,8 @@
 
 const (
 	// recordSpare is the number of bytes of a log record that are reserved for the identifiers of a turn.
-	// answerDivisor sets how much of the remaining space the input must leave for the answer:
-	// 1/answerDivisor.
-	recordSpare   = 1 << 10
-	answerDivisor = 4
-	// maxHistoryBytes bounds a prompt: the program's history and the new input.
+	recordSpare = 1 << 10
+	// maxHistoryBytes bounds a chain: the program's history, the new input and its answer.
 	maxHistoryBytes = 16 << 20
 	// defaultRetention is how long the token count of a program is kept if its route sets no retention. It
 	// exceeds the usual pause between two turns.
@@ -55,16 +53,10 @@
 type statefulLedger struct{ *turn }
 
 func (l *statefulLedger) enter(state *chain.State) error {
-	if len(l.input) > l.maxTextBytes-l.maxTextBytes/answerDivisor {
-		return fault.Refuse(fault.TooLarge, "the turn is too long for a log record")
-	}
-	if len(l.call.Turn.Base) > l.maxTextBytes {
-		return fault.Refuse(fault.TooLarge, "the history to copy is too long for a log record")
-	}
 	var recs []work.Record
 	history, err := state.History(l.open.Program, l.open.Previous)
 	if fault.Is(err, fault.NoTurn) && l.call.Turn.Base != nil {
-		recs = append(recs, state.ImportCopy(time.Now(), l.open.Program, l.open.Previous, l.call.Turn.Base, l.open.Retention))
+		recs = state.ImportCopy(time.Now(), l.open, l.call.Turn.Base)
 		history, err = state.History(l.open.Program, l.open.Previous)
 	}
 	if err != nil {
@@ -77,18 +69,45 @@
 	if size > maxHistoryBytes {
 		return fault.Refuse(fault.TooLarge, "the program's history is too long")
 	}
+	if err := l.reserveMemory(size); err != nil {
+		return err
+	}
 	starts, err := state.BeginStateful(time.Now(), l.open, l.call.Turn.Budget)
 	if err != nil {
 		return err
 	}
 	recs = append(recs, starts...)
 	l.buildPrompt(history, size)
+	l.answer.maxText = maxHistoryBytes - size
 	if len(recs) > 0 {
 		l.started = l.slot.QueueLocked(recs)
 	}
 	return nil
 }
 
+const (
+	// longPrompt is the length in bytes from which prompts count against maxLongPrompts, which bounds the memory of those in
+	// progress at a box.
+	longPrompt     = 64 << 10
+	maxLongPrompts = 64 << 20
+	// memoryRetryDelay is the Retry-After delay of a turn for which there is no memory.
+	memoryRetryDelay = 400 * time.Millisecond
+)
+
+// reserveMemory reserves the memory for a prompt of that size until the turn ends. A single prompt always has room.
+func (t *turn) reserveMemory(size int) error {
+	if size < longPrompt {
+		return nil
+	}
+	if sum := t.longPrompts.Add(int64(size)); sum > maxLongPrompts && sum > int64(size) {
+		t.longPrompts.Add(-int64(size))
+		t.counts.Count("turns.no_memory", 1)
+		return fault.Refuse(fault.Overloaded, "too many long prompts are in progress").WithRetryAfter(memoryRetryDelay)
+	}
+	t.reservedBytes = size
+	return nil
+}
+
 // buildPrompt assembles the prompt, of size bytes, from the history and the input.
 func (l *statefulLedger) buildPrompt(history []*chain.Turn, size int) {
 	l.prompt = make([]byte, 0, size)
@@ -109,10 +128,7 @@
 // finish writes the turn to the log and waits for the confirmation. Until then, the answer does not count as
 // complete for the caller.
 func (l *statefulLedger) finish(ctx context.Context) error {
-	text := append(append([]byte(nil), l.input...), l.answer.collected.text...)
-	if len(text) > l.maxTextBytes {
-		return fault.Fail(fault.TooLarge, "the turn with its answer is too long for a log record")
-	}
+	text := slices.Concat(l.input, l.answer.collected.text)
 	tokens := l.answerTokens(l.answer.collected.count)
 	var pending *shard.PendingWrite
 	l.slot.Update(func(state *chain.State) {
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"mulleingate.dev/base/fault"
@@ -65,8 +66,10 @@
 	sender  Sender
 	counts  Counts
 	log     *slog.Logger
-	// maxTextBytes bounds the text of one turn, which is stored as one log record.
+	// maxTextBytes is the number of bytes of a turn's text that fit into one log record.
 	maxTextBytes int
+	// longPrompts is the size of the long prompts in progress, in bytes.
+	longPrompts atomic.Int64
 }
 
 // New returns a Runner. recordBytes is the largest record that the log accepts.
@@ -84,6 +87,8 @@
 	ledger ledger
 	// input is what the caller sent; prompt is the program's history followed by input.
 	input, prompt []byte
+	// reservedBytes is the part of Runner.longPrompts that this turn takes.
+	reservedBytes int
 	// cachedTokens is how many tokens of the history each replica holds, by work.Replica.RunID.
 	cachedTokens map[string]int
 	// started is the pending write of the record that reserves the turn's tokens, which must be in the log
@@ -121,10 +126,12 @@
 	defer stop()
 	t := &turn{Runner: r, slot: slot, call: call, route: route, input: call.Body, lease: &target.Lease{}}
 	t.open = chain.OpenTurn{
-		ID: call.QualifiedName(call.ID), Program: call.QualifiedName(call.Turn.Program), Previous: call.QualifiedName(call.Turn.Previous), MaxTokens: maxAnswerTokens(call), Retention: route.Retention,
+		ID: call.QualifiedName(call.ID), Program: call.QualifiedName(call.Turn.Program), Previous: call.QualifiedName(call.Turn.Previous), MaxTokens: maxAnswerTokens(call), Retention: route.Retention, MaxText: r.maxTextBytes,
 	}
-	t.answer = &answerWriter{turn: t, Answer: out}
+	t.answer = &answerWriter{turn: t, Answer: out, maxText: maxHistoryBytes}
+	t.answer.collected.discard = !route.Stateful
 	t.ledger = newLedger(t)
+	defer func() { r.longPrompts.Add(-int64(t.reservedBytes)) }()
 	if err := slot.BeginTurn(t.enter); err != nil {
 		return err
 	}
@@ -326,7 +333,7 @@
 	switch {
 	case fault.From(err).NotRun:
 		return target.NotSentOutcome(err)
-	case fault.Is(err, fault.CallerGone):
+	case fault.Is(err, fault.CallerGone), fault.Is(err, fault.TooLarge):
 		return target.Abandoned
 	case ctx.Err() == nil:
 		return target.Incomplete
--- a/gate/turns/turns_test.go
+++ b/gate/turns/turns_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -146,7 +147,7 @@
 		Runner: &Runner{log: quiet}, route: &work.Route{Name: "pick", Resumable: true}, mayHaveRun: true, lease: lease, ledger: ledger,
 		call: &work.Call{ID: "i", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}, lastReceived: time.Now(),
 	}
-	tr.answer = &answerWriter{turn: tr, Answer: out}
+	tr.answer = &answerWriter{turn: tr, Answer: out, maxText: maxHistoryBytes}
 	return tr
 }
 
@@ -250,3 +251,51 @@
 		t.Errorf("refused by admission control, by the turn that is continued (-want +got):\n%s", diff)
 	}
 }
+
+// TestAnswerTooLongToKeepFails checks that a turn whose chain can't be kept fails itself, not a later one, and that this does not
+// count against the replica.
+func TestAnswerTooLongToKeepFails(t *testing.T) {
+	body := &pieces{texts: []string{"data: a\n\n", "data: " + strings.Repeat("b", 100) + "\n\n"}, err: io.EOF}
+	ends := &countingLedger{body: body}
+	tr := newAnsweredTurn(t, &caller{takes: 10}, ends)
+	tr.answer.maxText = 50
+	err := tr.forwardReply(context.Background(), work.Reply{Head: work.Head{Status: http.StatusOK}, Signed: true, Body: body})
+	if !fault.Is(err, fault.TooLarge) || fault.From(err).NotRun || ends.finished > 0 {
+		t.Errorf("fault %+v, finished %d times", err, ends.finished)
+	}
+	if got := tr.errorOutcome(context.Background(), err); got != target.Abandoned {
+		t.Errorf("outcome %d", got)
+	}
+}
+
+// TestMemoryOfLongPromptsIsBounded checks that long prompts are refused, with when to come again, while too many are in
+// progress, and that short ones are not.
+func TestMemoryOfLongPromptsIsBounded(t *testing.T) {
+	r := &Runner{counts: noCounts{}}
+	const size = 8 << 20
+	var begun []*turn
+	for {
+		tr := &turn{Runner: r}
+		err := tr.reserveMemory(size)
+		if err == nil {
+			begun = append(begun, tr)
+			continue
+		}
+		if f := fault.From(err); !fault.Is(err, fault.Overloaded) || !f.NotRun || f.RetryAfter == 0 {
+			t.Errorf("fault %+v, want a refusal with a delay", f)
+		}
+		break
+	}
+	if diff := cmp.Diff(maxLongPrompts/size, len(begun)); diff != "" {
+		t.Errorf("long prompts in progress (-want +got):\n%s", diff)
+	}
+	if err := (&turn{Runner: r}).reserveMemory(longPrompt - 1); err != nil {
+		t.Errorf("a short prompt is refused: %v", err)
+	}
+	for _, tr := range begun {
+		r.longPrompts.Add(-int64(tr.reservedBytes))
+	}
+	if err := (&turn{Runner: r}).reserveMemory(2 * maxLongPrompts); err != nil {
+		t.Errorf("a single prompt is refused: %v", err)
+	}
+}
