remote, work: pass on texts that are not UTF-8 unchanged

A request id or header with bytes that are not valid UTF-8 reached the replica changed, with U+FFFD in their place, if its turn was forwarded to another box.

Cause: the call travels as JSON, which replaces such bytes. The same holds for keys of records, in which names of turns and programs are, and for the headers of answers.

Change: a call or head with such texts travels with each byte as one character, as in ISO 8859-1, and says so. Names that are not UTF-8 become digests in keys. All other messages are as before.

--- a/gate/remote/chain_test.go
+++ b/gate/remote/chain_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/work"
 )
@@ -92,6 +94,36 @@
 	}
 }
 
+// TestTextsThatAreNotUTF8Travel guards against headers and names that arrive changed at the owner of a slot, or at the caller,
+// since messages between boxes are JSON.
+func TestTextsThatAreNotUTF8Travel(t *testing.T) {
+	const latin1, valid = "caf\xe9 \xff\x80", "café"
+	head := work.Head{Status: http.StatusOK, Header: http.Header{"X-Name": {latin1, valid}}, Length: -1}
+	for _, text := range []string{latin1, valid, "plain"} {
+		turns := &recordedTurns{head: head}
+		box := startOwner(t, turns)
+		client := newNearClient()
+		call := &work.Call{
+			ID: text, Method: http.MethodPost, Host: "h", Target: "/x?" + text, Header: http.Header{"X-Name": {text, valid}}, Body: []byte(text),
+			Prompt: &work.Prompt{Tokens: 1, Parts: []work.Part{{ID: text, Tokens: 1}}}, Turn: &work.Turn{Program: text, Previous: text, Budget: -1},
+			Deadline: time.Now().Add(5 * time.Second), Arrived: time.Now(),
+		}
+		answer := &headAnswer{}
+		if err := client.Turn(context.Background(), box, 0, nil, call, &work.Route{}, answer); err != nil {
+			t.Fatal(err)
+		}
+		got := *turns.got
+		got.Deadline, got.Arrived = call.Deadline, call.Arrived
+		if diff := cmp.Diff(*call, got); diff != "" {
+			t.Errorf("%q: call (-want +got):\n%s", text, diff)
+		}
+		if diff := cmp.Diff(head, answer.head); diff != "" {
+			t.Errorf("%q: head (-want +got):\n%s", text, diff)
+		}
+		client.CloseAllExcept(nil)
+	}
+}
+
 // TestUnreadableTurnHasNotRun guards against a 502 for a turn that its owner could not read, and so has not run.
 func TestUnreadableTurnHasNotRun(t *testing.T) {
 	whole, err := frame(turnRequest{Call: &work.Call{ID: "i", Turn: &work.Turn{Program: "p"}}, Route: &work.Route{}, BaseBytes: 1000})
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -145,6 +145,9 @@
 	if head.Head == nil {
 		return fault.Fail(fault.Protocol, "another box's response has no head")
 	}
+	if head.Latin1 {
+		head.Head.Header = mapHeader(head.Head.Header, fromLatin1)
+	}
 	if err := out.Begin(*head.Head); err != nil {
 		return err
 	}
@@ -153,11 +156,12 @@
 
 // encodeTurn returns the path and the body of the request that forwards a turn.
 func encodeTurn(slot int, unreached []work.Box, call *work.Call, route *work.Route) (path string, body []byte, err error) {
-	meta := *call
+	encoded, latin1 := encodeCall(call)
+	meta := *encoded
 	meta.Body = nil
 	msg := turnRequest{
 		Slot: slot, Unreached: unreached, Call: &meta, Route: route, LeftMillis: time.Until(call.Deadline).Milliseconds(),
-		WaitedMillis: time.Since(call.Arrived).Milliseconds(),
+		WaitedMillis: time.Since(call.Arrived).Milliseconds(), Latin1: latin1,
 	}
 	path = turnPath
 	var base []byte
--- a/gate/remote/frame.go
+++ b/gate/remote/frame.go
@@ -35,12 +35,16 @@
 	WaitedMillis int64 `json:"waited_ms"`
 	// BaseBytes is the length of the chain that follows the header; zero if the call holds it or has none.
 	BaseBytes int `json:"base_bytes,omitempty"`
+	// Latin1 is set if the texts of the call are encoded by toLatin1, since they are not all valid UTF-8.
+	Latin1 bool `json:"latin1,omitempty"`
 }
 
 // turnResponse is the header of the response to a forwarded turn. Exactly one field is set.
 type turnResponse struct {
 	Head    *work.Head     `json:"head,omitempty"`
 	Problem *fault.Problem `json:"problem,omitempty"`
+	// Latin1 is set if the header of the head is encoded by toLatin1.
+	Latin1 bool `json:"latin1,omitempty"`
 }
 
 // findResponse is the response to a search for a turn.
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -245,6 +245,10 @@
 	if call == nil || call.ID == "" || call.Turn == nil || msg.Route == nil || msg.BaseBytes < 0 {
 		return msg, unreadable(nil)
 	}
+	if msg.Latin1 {
+		call = mapCall(call, fromLatin1)
+		msg.Call = call
+	}
 	now := time.Now()
 	call.Deadline = now.Add(time.Duration(msg.LeftMillis) * time.Millisecond)
 	call.Arrived = now.Add(-time.Duration(msg.WaitedMillis) * time.Millisecond)
@@ -294,7 +298,8 @@
 func (t *turnWriter) Begin(head work.Head) error {
 	t.begun = true
 	t.setWriteDeadline(t.deadline.Add(writeGrace))
-	return t.send(turnResponse{Head: &head})
+	encoded, latin1 := encodeHead(head)
+	return t.send(turnResponse{Head: &encoded, Latin1: latin1})
 }
 
 // setWriteDeadline bounds the writes to the connection, until it is set again.
--- a/gate/work/fingerprint_test.go
+++ b/gate/work/fingerprint_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -45,3 +46,22 @@
 		}
 	}
 }
+
+// TestQualifiedNamesAreUTF8 checks that names which are not valid UTF-8 become keys that JSON does not change, and stay
+// apart.
+func TestQualifiedNamesAreUTF8(t *testing.T) {
+	seen := map[string]string{}
+	for _, workspace := range []string{"", "w"} {
+		for _, name := range []string{"a", "caf\xe9", "caf\xea", "café", "\xff", "\xff\xfe"} {
+			call := &Call{Workspace: workspace}
+			got := call.QualifiedName(name)
+			if !utf8.ValidString(got) {
+				t.Errorf("%q is not valid UTF-8", got)
+			}
+			if other, ok := seen[got]; ok {
+				t.Errorf("%q and %q become one name", name, other)
+			}
+			seen[got] = workspace + "/" + name
+		}
+	}
+}
--- a/gate/work/space.go
+++ b/gate/work/space.go
@@ -1,6 +1,10 @@
 package work
 
-import "mulleingate.dev/base/ident"
+import (
+	"unicode/utf8"
+
+	"mulleingate.dev/base/ident"
+)
 
 // Workspace is a customer whose callers use keys.
 type Workspace struct {
@@ -64,9 +68,20 @@
 	maxWorkspacePrefix = 24
 )
 
+// digestMark precedes the digest of a name, and digestChars is the number of its characters. Callers can't send names with the
+// mark.
+const (
+	digestMark  = "\x01"
+	digestChars = 32
+)
+
 // QualifiedName qualifies a caller's name for a program or a turn with the workspace, so that workspaces can't
-// reach each other's programs by guessing names. An empty name stays empty.
+// reach each other's programs by guessing names. An empty name stays empty. A name that is not valid UTF-8 is replaced by a
+// digest, since qualified names are keys of records, which travel as JSON.
 func (c *Call) QualifiedName(name string) string {
+	if !utf8.ValidString(name) {
+		name = digestMark + ident.KeyDigest(name)[:digestChars]
+	}
 	if c.Workspace == "" || name == "" {
 		return name
 	}
