sched: bound what a low priority adds to the load

Cause: admitShare adds 0.05 for each step of priority to the load figures. From 18 steps on that alone exceeds the end of the range of sustained load (0.9 to 1), so that no program starts whatever the load.

Change: the penalty grows as before up to priority 6 and approaches 0.5 beyond, so that less urgent programs are still refused first.

TestProgramsOfAnyPriorityStartAtLightLoad failed before for priority 12 at a load of 0.4 and for 18, 20 and more at any; TestUrgentRefusedLeast covers 30 priorities now, where it had 3.

--- a/gate/sched/overload.go
+++ b/gate/sched/overload.go
@@ -30,6 +30,10 @@
 	// priorityPenalty is added to each load figure per step of lower priority, so that less urgent
 	// programs are refused earlier.
 	priorityPenalty = 0.05
+	// linearPriorities is the priority up to which the penalty grows by the same amount for each step. Beyond that it
+	// approaches maxPenalty, which leaves room for programs of any priority at a lightly loaded service.
+	linearPriorities = 6
+	maxPenalty       = 0.5
 )
 
 // admissionRange is the range of a load figure in which the share of admitted programs falls
@@ -82,9 +86,18 @@
 	return o.utilization
 }
 
+// penaltyOf returns what is added to the load figures for programs of the priority. It is larger for less urgent ones.
+func penaltyOf(priority int) float64 {
+	if priority <= linearPriorities {
+		return priorityPenalty * float64(priority)
+	}
+	const linear = priorityPenalty * linearPriorities
+	return linear + (maxPenalty-linear)*(1-linearPriorities/float64(priority))
+}
+
 // admitShare returns the share of programs of a priority that may start, 0 to 1.
 func (o *Overload) admitShare(now time.Time, priority int) float64 {
-	penalty := priorityPenalty * float64(priority)
+	penalty := penaltyOf(priority)
 	share := slowdownRange.share(o.Slowdown(now) + penalty)
 	if o.utilization < 0 {
 		return share
--- a/gate/sched/retry_test.go
+++ b/gate/sched/retry_test.go
@@ -208,7 +208,7 @@
 func TestUrgentRefusedLeast(t *testing.T) {
 	for load := 0.5; load < 1.6; load += 0.01 {
 		for _, o := range []Overload{{slowdown: load, utilization: -1}, {utilization: load}, {utilization: 0.5, meanUtilization: load}} {
-			for priority := range 3 {
+			for priority := range 30 {
 				if urgent, less := o.admitShare(time.Time{}, priority), o.admitShare(time.Time{}, priority+1); urgent < less {
 					t.Errorf("load %.2f: %.2f of priority %d are admitted, and %.2f of the next", load, urgent, priority, less)
 				}
@@ -217,6 +217,19 @@
 	}
 }
 
+// TestProgramsOfAnyPriorityStartAtLightLoad guards against a route whose programs are all refused, since its priority alone
+// counted as more load than engines have room for.
+func TestProgramsOfAnyPriorityStartAtLightLoad(t *testing.T) {
+	for _, priority := range []int{0, 1, 6, 7, 12, 18, 20, 100, 1 << 30} {
+		for _, load := range []float64{0, 0.2, 0.4} {
+			o := Overload{slowdown: load, utilization: load, meanUtilization: load}
+			if share := o.admitShare(time.Time{}, priority); share < 1 {
+				t.Errorf("priority %d, load %.1f: %.2f of the programs are admitted", priority, load, share)
+			}
+		}
+	}
+}
+
 func contains(list []string, name string) bool {
 	for _, item := range list {
 		if item == name {
