crash, chain, target: split files, linter findings

chain.go, target.go and store.go of the fakes had grown beyond 500 lines: texts in parts, the choice of a place and the limits of records have files of their own now. beginTrial no longer sets a variable that is not read.

--- a/gate/crash/tracker.go
+++ b/gate/crash/tracker.go
@@ -178,7 +178,6 @@
 	if err := t.beginTrial(a); err != nil {
 		return nil, err
 	}
-	a.claimed = true
 	return a, nil
 }
 
--- a/gate/crash/trial.go
+++ b/gate/crash/trial.go
@@ -79,20 +79,22 @@
 // beginTrial makes the attempt the only trial of its request, over all boxes. It returns a fault if another one is in
 // progress.
 func (t *Tracker) beginTrial(a *Attempt) error {
-	granted := t.arbiter.Claim(a.req, a.trial)
-	t.mu.Lock()
-	err := error(nil)
-	if !granted {
-		err = t.deferral(busyRetryDelay)
-	} else {
-		err = t.verdict(time.Now(), a.req) // the trial before it may have failed meanwhile
-	}
-	t.mu.Unlock()
-	if err != nil {
-		a.claimed = granted
+	a.claimed = t.arbiter.Claim(a.req, a.trial)
+	if err := t.checkClaimed(a); err != nil {
 		a.End(NotRun, true)
+		return err
+	}
+	return nil
+}
+
+// checkClaimed returns a fault if the trial must not begin, since another one is in progress or has failed meanwhile.
+func (t *Tracker) checkClaimed(a *Attempt) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !a.claimed {
+		return t.deferral(busyRetryDelay)
 	}
-	return err
+	return t.verdict(time.Now(), a.req)
 }
 
 // newTrialID returns an identifier of a trial.
--- a/gate/crash/undecided.go
+++ b/gate/crash/undecided.go
@@ -92,7 +92,7 @@
 		return
 	}
 	group.waiting = slices.DeleteFunc(group.waiting, func(ended undecided) bool {
-		return ended.at.Before(at) && !(ended.accepted && ended.mayLinger(now))
+		return ended.at.Before(at) && (!ended.accepted || !ended.mayLinger(now))
 	})
 	if len(group.waiting) == 0 {
 		delete(t.undecided, run)
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/crash"
 	"mulleingate.dev/gate/limit"
 	"mulleingate.dev/gate/sched"
@@ -391,92 +390,6 @@
 	only, avoid []string
 }
 
-// Take selects a replica and takes a place there. It fails with NoTarget if no replica can take the call, and with
-// RequestBlocked if replicas have crashed under earlier attempts of the request.
-func (t *Targets) Take(ask CallRequest) (*Lease, error) {
-	attempt, err := t.crashes.Begin(ask.Request)
-	if err != nil {
-		return nil, err
-	}
-	lease, err := t.place(ask, attempt)
-	if err != nil {
-		attempt.End(crash.NotRun, true)
-		return nil, err
-	}
-	return lease, nil
-}
-
-// RefusesRequest reports whether err, of Take, refuses the request whatever replicas there are. Its Retry-After delay
-// must be passed on.
-func RefusesRequest(err error) bool {
-	return fault.Is(err, fault.RequestBlocked) || (err != nil && fault.From(err).RetryAfter > 0)
-}
-
-// place selects a replica for the attempt and takes a place there. If possible, it is one that the attempt prefers and none
-// that it avoids.
-func (t *Targets) place(ask CallRequest, attempt *crash.Attempt) (*Lease, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	service := t.pickService(ask.Services)
-	if ask.Prompt != nil {
-		t.updatePrefixes(now, service)
-	}
-	best, candidates := t.chooseApart(now, ask, service, attempt)
-	if best.state == nil {
-		best, candidates = t.choose(now, ask, service)
-	}
-	if best.state == nil {
-		return nil, fault.Refuse(fault.NoTarget, "no replica can take the call")
-	}
-	lease := t.lease(now, ask, best, candidates)
-	lease.attempt = attempt
-	attempt.Place(lease.Replica)
-	return lease, nil
-}
-
-// chooseApart chooses among the replicas that the attempt prefers, and otherwise among those that it does not avoid. It
-// returns no choice if the attempt has no such wishes, or if these replicas can't take the call.
-func (t *Targets) chooseApart(now time.Time, ask CallRequest, service string, attempt *crash.Attempt) (choice, int) {
-	if prefer := attempt.Prefer(); len(prefer) > 0 {
-		together := ask
-		together.only = prefer
-		if best, candidates := t.choose(now, together, service); best.state != nil {
-			return best, candidates
-		}
-	}
-	avoid := attempt.Avoid()
-	if len(avoid) == 0 {
-		return choice{}, 0
-	}
-	apart := ask
-	apart.avoid = avoid
-	return t.choose(now, apart, service)
-}
-
-// lease takes a place at the selected replica.
-func (t *Targets) lease(now time.Time, ask CallRequest, best choice, candidates int) *Lease {
-	s := best.state
-	if s.pool == nil {
-		s.pool = t.opener.Open(s.Replica, t.maxConnections(s))
-	}
-	s.inFlight++
-	if s.cold(now, t.serviceConfig(s.Service)) {
-		s.coldCalls.Record(now)
-	}
-	l := &Lease{
-		Replica: s.Replica, CachedTokens: best.estimate.CachedTokens, ExpectedCost: best.cost, Candidates: candidates,
-		targets: t, state: s, ask: ask, startedAt: now, lightLoad: best.estimate.LightlyLoaded(),
-	}
-	if ask.Prompt != nil {
-		t.recordPrefixUse(now, l, best.estimate)
-		s.lastTurnAt = now
-		s.rememberParts(now, ask.Prompt.Parts)
-		t.admissionFor(s.Service).TurnStarted(now, ask.Turn)
-	}
-	return l
-}
-
 // SetLevels sets the subset levels by which this box's replicas were selected. The fewer boxes use a
 // replica, the larger the share of its connections that each of them may open.
 func (t *Targets) SetLevels(levels subset.Levels) {
