crash: check again while a replica accepts connections without an answer

TestBlockedRequestIsAnsweredAtOnce got 503 with Retry-After after the third crash, where it wants 400: the check reached the replica between the end of its answer and that of its listener, so that it counted as one that may linger, for 5.2 s.

Change: within the time of a check, it is repeated every 20 ms until the replica answers or refuses.

--- a/gate/crash/check.go
+++ b/gate/crash/check.go
@@ -10,6 +10,8 @@
 const (
 	// checkTimeout bounds a check, and so the time for which a call waits for the check of an earlier attempt.
 	checkTimeout = 150 * time.Millisecond
+	// probeInterval is the time between two tries of a check.
+	probeInterval = 20 * time.Millisecond
 	// givenUpDelay is how long after it was given up an attempt's replica is checked. The replica may still run the request
 	// until it notices that its connection was closed.
 	givenUpDelay = 100 * time.Millisecond
@@ -117,11 +119,21 @@
 	return reports
 }
 
-// probe checks the replica.
+// probe checks the replica, again while it accepts connections but does not answer: one that ends soon refuses them then.
 func (t *Tracker) probe(rep work.Replica) Contact {
 	ctx, stop := context.WithTimeout(context.Background(), checkTimeout)
 	defer stop()
-	return t.prober.Probe(ctx, rep)
+	for {
+		result := t.prober.Probe(ctx, rep)
+		if result != Accepted {
+			return result
+		}
+		select {
+		case <-time.After(probeInterval):
+		case <-ctx.Done():
+			return result
+		}
+	}
 }
 
 // decide ends attempts by a check of their replica that has ended. A replica that is no longer listed and refuses
--- a/gate/crash/crash_test.go
+++ b/gate/crash/crash_test.go
@@ -26,7 +26,7 @@
 
 // answerProbe returns the result after the time that it takes.
 func answerProbe(ctx context.Context, result Contact) Contact {
-	if result == Silent || result == Accepted {
+	if result == Silent {
 		<-ctx.Done()
 	}
 	return result
