--- a/gate/crash/trial.go
+++ b/gate/crash/trial.go
@@ -137,20 +137,13 @@
 
 // awaitOthers waits until no attempt in progress may show soon whether the request crashes replicas, or for trialWait.
 func (t *Tracker) awaitOthers(req work.Fingerprint) {
+	changed := t.changeOfBusy(req)
+	if changed == nil {
+		return
+	}
 	deadline := time.NewTimer(trialWait)
 	defer deadline.Stop()
-	for {
-		t.mu.Lock()
-		if !t.isBusy(time.Now(), req) {
-			t.mu.Unlock()
-			return
-		}
-		changed, ok := t.changes[req]
-		if !ok {
-			changed = make(chan struct{})
-			t.changes[req] = changed
-		}
-		t.mu.Unlock()
+	for ; changed != nil; changed = t.changeOfBusy(req) {
 		select {
 		case <-changed:
 			t.Await(req)
@@ -160,6 +153,22 @@
 	}
 }
 
+// changeOfBusy returns a channel that is closed once an attempt of the request has ended, or nil if the request is not
+// busy.
+func (t *Tracker) changeOfBusy(req work.Fingerprint) <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isBusy(time.Now(), req) {
+		return nil
+	}
+	changed, ok := t.changes[req]
+	if !ok {
+		changed = make(chan struct{})
+		t.changes[req] = changed
+	}
+	return changed
+}
+
 // notifyWaiting wakes the attempts that wait for one of the request that has ended.
 func (t *Tracker) notifyWaiting(req work.Fingerprint) {
 	if changed, ok := t.changes[req]; ok {
