crash: names in the terms of the field

judge, guilty, verdict and spared become startBlockCheck, isLikelyCause, admit and not_blocked, and block.go holds what refuses requests. No logic changed.

--- a/bench/mutant/list.go
+++ b/bench/mutant/list.go
@@ -64,11 +64,11 @@
 			Old: "if ended.broken || result == Silent {", New: "if result == Silent {",
 		},
 		{
-			Name: "crashes_at_once_block", Property: fair, File: "gate/crash/judge.go", TestPackage: "./crash",
+			Name: "crashes_at_once_block", Property: fair, File: "gate/crash/block.go", TestPackage: "./crash",
 			Old: "rec.failedTrials == 0 || ", New: "",
 		},
 		{
-			Name: "crashes_elsewhere_ignored", Property: fair, File: "gate/crash/judge.go", TestPackage: "./crash",
+			Name: "crashes_elsewhere_ignored", Property: fair, File: "gate/crash/block.go", TestPackage: "./crash",
 			Old: "if reason := t.otherCause(rec, down); reason != \"\" {", New: "if reason := t.otherCause(rec, down); false {",
 		},
 		{
--- a/gate/crash/judge.go
+++ b/gate/crash/block.go
@@ -27,32 +27,30 @@
 	t.replicas = replicas
 }
 
-// isGuilty reports whether enough replicas crashed under the request to refuse it, one of them under a trial: crashes
+// isLikelyCause reports whether enough replicas crashed under the request to refuse it, one of them under a trial: crashes
 // at the same time may have another cause.
-func (t *Tracker) isGuilty(now time.Time, req work.Fingerprint) bool {
+func (t *Tracker) isLikelyCause(now time.Time, req work.Fingerprint) bool {
 	rec := t.history.get(now, req)
 	if rec == nil || rec.failedTrials == 0 || now.Before(rec.blockedUntil) {
 		return false
 	}
-	if count := t.history.count(now, req); count < maxCrashes && (rec.blocks == 0 || count == 0) {
-		return false
-	}
-	return true
+	count := t.history.count(now, req)
+	return count >= maxCrashes || (rec.blocks > 0 && count > 0)
 }
 
-// judge starts to decide whether the requests, under which the replica has just crashed, are refused.
-func (t *Tracker) judge(now time.Time, service string, reqs []work.Fingerprint) {
-	var guilty []work.Fingerprint
+// startBlockCheck starts to decide whether the requests, under which the replica has just crashed, are refused.
+func (t *Tracker) startBlockCheck(now time.Time, service string, reqs []work.Fingerprint) {
+	var likely []work.Fingerprint
 	for _, req := range reqs {
-		if t.isGuilty(now, req) {
-			guilty = append(guilty, req)
+		if t.isLikelyCause(now, req) {
+			likely = append(likely, req)
 		}
 	}
-	if len(guilty) == 0 {
+	if len(likely) == 0 {
 		return
 	}
 	c := &check{done: make(chan struct{})}
-	for _, req := range guilty {
+	for _, req := range likely {
 		t.checking[req] = c
 	}
 	go func() {
@@ -60,24 +58,24 @@
 		if t.replicas != nil {
 			others = t.replicas.Listed(service)
 		}
-		t.send(t.endJudge(c, guilty, t.findDown(others, guilty)))
+		t.send(t.endBlockCheck(c, likely, t.findDown(others, likely)))
 		close(c.done)
 	}()
 }
 
-// endJudge refuses the requests unless all crashes under them may have another cause. down lists other replicas that refuse
+// endBlockCheck refuses the requests unless all crashes under them may have another cause. down lists other replicas that refuse
 // connections.
-func (t *Tracker) endJudge(c *check, guilty []work.Fingerprint, down []string) []Report {
+func (t *Tracker) endBlockCheck(c *check, likely []work.Fingerprint, down []string) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c.ended = time.Now()
-	for _, req := range guilty {
+	for _, req := range likely {
 		rec := t.history.get(c.ended, req)
 		if rec == nil {
 			continue
 		}
 		if reason := t.otherCause(rec, down); reason != "" {
-			t.counts.Count(sparedMetric, 1)
+			t.counts.Count(notBlockedMetric, 1)
 			t.log.Info("crash: request not blocked", "request", req, "replicas", t.history.replicas(c.ended, req), "reason", reason)
 			continue
 		}
@@ -118,8 +116,8 @@
 
 // findDown returns the replicas, by RunID, that refuse connections although they are not known to have crashed. It checks at
 // most maxProbes, and none at which an attempt of each request failed.
-func (t *Tracker) findDown(reps []work.Replica, guilty []work.Fingerprint) []string {
-	reps = slices.DeleteFunc(reps, func(rep work.Replica) bool { return t.isKnownDown(rep.RunID(), guilty) })
+func (t *Tracker) findDown(reps []work.Replica, likely []work.Fingerprint) []string {
+	reps = slices.DeleteFunc(reps, func(rep work.Replica) bool { return t.isKnownDown(rep.RunID(), likely) })
 	reps = reps[:min(len(reps), maxProbes)]
 	var mu sync.Mutex
 	var all sync.WaitGroup
@@ -158,22 +156,22 @@
 func (t *Tracker) block(now time.Time, req work.Fingerprint) {
 	rec := t.history.records[req]
 	duration := rec.block(now)
-	t.reviewed[req] = true
+	t.recentBlocks[req] = true
 	t.counts.Count(BlockedMetric, 1)
 	t.log.Warn("crash: request blocked", "request", req, "replicas", t.history.replicas(now, req), "failures", rec.failures, "for", duration)
 	t.unsent = append(t.unsent, rec.blockReport(now, req))
 }
 
-// review ends the refusal of requests if a replica has crashed soon after that without one of their attempts.
-func (t *Tracker) review(now time.Time, run string, reqs []work.Fingerprint) {
+// reviewBlocks ends the refusal of requests if a replica has crashed soon after that without one of their attempts.
+func (t *Tracker) reviewBlocks(now time.Time, run string, reqs []work.Fingerprint) {
 	under := map[work.Fingerprint]bool{}
 	for _, req := range reqs {
 		under[req] = true
 	}
-	for req := range t.reviewed {
+	for req := range t.recentBlocks {
 		rec, ok := t.history.records[req]
 		if !ok || !now.Before(rec.blockedUntil) || now.Sub(rec.blockedAt) > reviewWindow {
-			delete(t.reviewed, req)
+			delete(t.recentBlocks, req)
 			continue
 		}
 		if under[req] || rec.has(run) {
--- a/gate/crash/crashes.go
+++ b/gate/crash/crashes.go
@@ -40,13 +40,13 @@
 	run := rep.RunID()
 	t.markCrashed(now, run, silent)
 	added := t.recordEnds(now, end{replica: run, at: now, crashed: true, silent: silent}, attempts)
-	t.review(now, run, requests(attempts))
+	t.reviewBlocks(now, run, requests(attempts))
 	if len(added) == 0 {
 		return
 	}
 	t.counts.Count(FoundMetric, 1)
 	t.log.Warn("crash: replica crashed under requests", "replica", run, "shown_by", shownBy, "requests", len(added), "first", added[0])
-	t.judge(now, rep.Service, added)
+	t.startBlockCheck(now, rep.Service, added)
 }
 
 // recordSuspect records that the replica may have crashed under the attempts, and reports it to the other boxes.
--- a/gate/crash/report.go
+++ b/gate/crash/report.go
@@ -76,7 +76,7 @@
 	failed := end{replica: report.Replica, id: report.Trial, at: at, crashed: !report.Suspected, silent: report.Silent}
 	if failed.crashed {
 		t.markCrashed(at, report.Replica, report.Silent)
-		t.review(now, report.Replica, report.Requests)
+		t.reviewBlocks(now, report.Replica, report.Requests)
 	}
 	added := 0
 	for _, req := range report.Requests {
@@ -102,7 +102,7 @@
 			continue // answered or known
 		}
 		rec.blocks, rec.blockedAt, rec.blockedUntil = report.Blocks, at, until
-		t.reviewed[req] = true
+		t.recentBlocks[req] = true
 		t.log.Info("crash: another box blocked a request", "request", req, "for", until.Sub(now))
 	}
 }
--- a/gate/crash/tracker.go
+++ b/gate/crash/tracker.go
@@ -27,8 +27,8 @@
 	BlockedMetric  = "crash.blocked"
 	refusedMetric  = "crash.refused"
 	deferredMetric = "crash.deferred"
-	// sparedMetric counts the times that a request was not refused since other replicas were down too.
-	sparedMetric = "crash.spared"
+	// notBlockedMetric counts the times that a request was not refused since other replicas were down too.
+	notBlockedMetric = "crash.not_blocked"
 	// recordsMetric is the number of requests under which replicas crashed that are remembered.
 	recordsMetric = "crash.records"
 )
@@ -61,8 +61,8 @@
 	history history
 	// answers holds the requests that were answered lately.
 	answers answers
-	// reviewed holds requests that were blocked lately.
-	reviewed map[work.Fingerprint]bool
+	// recentBlocks holds requests that were blocked lately.
+	recentBlocks map[work.Fingerprint]bool
 	// unsent holds the reports to pass to onCrash once mu is unlocked.
 	unsent []Report
 	// attempts holds the attempts in progress, and inFlight their number by request.
@@ -96,7 +96,7 @@
 		history: history{records: map[work.Fingerprint]*record{}}, attempts: map[*Attempt]bool{}, inFlight: map[work.Fingerprint]int{},
 		trials: map[work.Fingerprint]bool{}, changes: map[work.Fingerprint]chan struct{}{}, grants: map[work.Fingerprint]grant{},
 		checks: map[string]*check{}, checking: map[work.Fingerprint]*check{}, undecided: map[string]undecidedAt{}, rechecks: map[string]*time.Timer{},
-		reviewed: map[work.Fingerprint]bool{}, crashed: map[string]crashedReplica{}, unframed: map[work.Fingerprint]unframedAnswer{},
+		recentBlocks: map[work.Fingerprint]bool{}, crashed: map[string]crashedReplica{}, unframed: map[work.Fingerprint]unframedAnswer{},
 	}
 }
 
@@ -185,7 +185,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a.begunAt = time.Now()
-	if err := t.verdict(a.begunAt, a.req); err != nil {
+	if err := t.admit(a.begunAt, a.req); err != nil {
 		return err
 	}
 	if t.isBusy(a.begunAt, a.req) {
--- a/gate/crash/trial.go
+++ b/gate/crash/trial.go
@@ -94,7 +94,7 @@
 	if !a.claimed {
 		return t.deferral(busyRetryDelay)
 	}
-	return t.verdict(time.Now(), a.req)
+	return t.admit(time.Now(), a.req)
 }
 
 // newTrialID returns an identifier of a trial.
@@ -102,8 +102,8 @@
 	return rand.Uint64() | 1
 }
 
-// verdict returns a fault if the request is refused, or if its next trial may not begin yet.
-func (t *Tracker) verdict(now time.Time, req work.Fingerprint) error {
+// admit returns a fault if the request is refused, or if its next trial may not begin yet.
+func (t *Tracker) admit(now time.Time, req work.Fingerprint) error {
 	if err := t.checkLocked(now, req); err != nil {
 		return err
 	}
--- a/gate/crash/trial_test.go
+++ b/gate/crash/trial_test.go
@@ -175,9 +175,9 @@
 	})
 }
 
-// TestCrashesThatRequestOutlivedSpareIt guards against the refusal of a request after replicas crashed one after the other, the
+// TestCrashesBeforeAnAnswerDoNotCount guards against the refusal of a request after replicas crashed one after the other, the
 // first of them before it was answered.
-func TestCrashesThatRequestOutlivedSpareIt(t *testing.T) {
+func TestCrashesBeforeAnAnswerDoNotCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		net := fakeNet{}
 		tracker := newTracker(net)
@@ -192,7 +192,7 @@
 	})
 }
 
-// TestRequestsThatCrashReplicasInTurn guards against a request that is spared since replicas crashed shortly before it under
+// TestRequestsThatCrashReplicasInTurn guards against a request that is not refused since replicas crashed shortly before it under
 // another one, which is known to be the cause.
 func TestRequestsThatCrashReplicasInTurn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
