crash: a refusal ends only with a new crash of a replica that ran several requests

Change: a crash speaks for a refused request if it was not known, came after the refusal, and met two other requests or more: a replica that ran one may have crashed because of that.

--- a/gate/crash/block.go
+++ b/gate/crash/block.go
@@ -162,22 +162,22 @@
 	t.unsent = append(t.unsent, rec.blockReport(now, req))
 }
 
-// reviewBlocks ends the refusal of requests if a replica has crashed soon after that without one of their attempts.
-func (t *Tracker) reviewBlocks(now time.Time, run string, reqs []work.Fingerprint) {
-	under := map[work.Fingerprint]bool{}
-	for _, req := range reqs {
-		under[req] = true
+// reviewBlocks ends the refusal of requests if a replica has crashed soon after that without one of their attempts. A replica that
+// ran only one request may have crashed because of that. It must be called before the replica is marked as crashed.
+func (t *Tracker) reviewBlocks(at time.Time, run string, reqs []work.Fingerprint) {
+	if len(reqs) < 2 || t.knownCrash(run) {
+		return
 	}
 	for req := range t.recentBlocks {
 		rec, ok := t.history.records[req]
-		if !ok || !now.Before(rec.blockedUntil) || now.Sub(rec.blockedAt) > reviewWindow {
+		if !ok || !at.Before(rec.blockedUntil) || at.Sub(rec.blockedAt) > reviewWindow {
 			delete(t.recentBlocks, req)
 			continue
 		}
-		if under[req] || rec.has(run) {
+		if at.Before(rec.blockedAt) || slices.Contains(reqs, req) || rec.has(run) {
 			continue
 		}
-		rec.blockedUntil = now
+		rec.blockedUntil = at
 		t.log.Info("crash: request no longer blocked, another replica crashed too", "request", req, "replica", run)
 	}
 }
--- a/gate/crash/crashes.go
+++ b/gate/crash/crashes.go
@@ -38,9 +38,9 @@
 		return
 	}
 	run := rep.RunID()
+	t.reviewBlocks(now, run, requests(attempts))
 	t.markCrashed(now, run, silent)
 	added := t.recordEnds(now, end{replica: run, at: now, crashed: true, silent: silent}, attempts)
-	t.reviewBlocks(now, run, requests(attempts))
 	if len(added) == 0 {
 		return
 	}
--- a/gate/crash/report.go
+++ b/gate/crash/report.go
@@ -75,8 +75,8 @@
 	}
 	failed := end{replica: report.Replica, id: report.Trial, at: at, crashed: !report.Suspected, silent: report.Silent}
 	if failed.crashed {
+		t.reviewBlocks(at, report.Replica, report.Requests)
 		t.markCrashed(at, report.Replica, report.Silent)
-		t.reviewBlocks(now, report.Replica, report.Requests)
 	}
 	added := 0
 	for _, req := range report.Requests {
--- a/gate/crash/trial_test.go
+++ b/gate/crash/trial_test.go
@@ -165,8 +165,18 @@
 		if err := boxes[1].Check("a"); !fault.Is(err, fault.RequestBlocked) {
 			t.Errorf("not refused: %v", err)
 		}
-		time.Sleep(3 * time.Second)
-		crashUnder(t, boxes[0], net, replica(9), "c")
+		time.Sleep(time.Second)
+		for _, report := range boxes[0].Recent() {
+			boxes[1].Merge(report)
+		}
+		crashUnder(t, boxes[0], net, replica(8), "c")
+		for n, tracker := range boxes {
+			if err := tracker.Check("a"); !fault.Is(err, fault.RequestBlocked) {
+				t.Errorf("box %d: not refused after the crash of a replica that ran one other request: %v", n, err)
+			}
+		}
+		time.Sleep(time.Second)
+		crashUnder(t, boxes[0], net, replica(9), "d", "e")
 		for n, tracker := range boxes {
 			if err := tracker.Check("a"); err != nil {
 				t.Errorf("box %d: still refused: %v", n, err)
