--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -19,6 +19,7 @@
 	"mulleingate.dev/gate/feed"
 	"mulleingate.dev/gate/kernel"
 	"mulleingate.dev/gate/load"
+	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/meter"
 	"mulleingate.dev/gate/mirror"
 	"mulleingate.dev/gate/quota"
@@ -78,6 +79,8 @@
 	Cold    sched.ColdLimits
 	// Spool accounts for the answers that callers have not read.
 	Spool *spool.Spool
+	// Memory bounds the bytes held for the calls in progress.
+	Memory *memory.Budgets
 }
 
 // Node is a box with all of its services.
