store: reads of the newest records end

A box that starts, or that reads its list anew, asks the store for pages of the newest records and goes on after the last key of each. It asked without end, and kept all records, if a page did not advance: a store that announces more pages each time, or keys of other writers that are not valid UTF-8. JSON replaces their bytes, the replaced key sorts before the original, and the store returns the same page again. Such a box never became ready, and callers were refused.

work.AllNewest now fails if a batch ends with a key that an earlier one ended with, or if there are more keys than the shard has records.

--- a/gate/work/log.go
+++ b/gate/work/log.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"mulleingate.dev/base/fault"
 )
 
 // Log is the platform's log as a box uses it. All of its calls may be retried.
@@ -43,9 +45,11 @@
 
 // AllNewest calls each with the newest record of every key and returns an offset from which Read returns all
 // records added since AllNewest was called. wait is the timeout of each call to the log; the total time is
-// not bounded, since it depends on the size of the shard.
+// not bounded, since it depends on the size of the shard. It fails with Protocol if a batch ends with the same key as an
+// earlier one or if there are more keys than the shard has records, since such batches may never end.
 func AllNewest(ctx context.Context, log NewestReader, shard Shard, wait time.Duration, each func(Record)) (next int64, err error) {
-	next, after := int64(-1), ""
+	next, after, count := int64(-1), "", int64(0)
+	seen := map[string]bool{}
 	for {
 		batch, err := newestBatch(ctx, log, shard, wait, after)
 		if err != nil {
@@ -54,6 +58,11 @@
 		if next < 0 {
 			next = batch.Next // covers records added while later batches are read
 		}
+		count += int64(len(batch.Records))
+		if seen[batch.After] || count > batch.Next {
+			return 0, fault.Fail(fault.Protocol, "the log's newest records do not end")
+		}
+		seen[batch.After] = true
 		for _, rec := range batch.Records {
 			each(rec)
 		}
