mirror: numbers from other boxes are checked before they are used

Boxes of large zones get the list of replicas from other boxes, with the levels of their part. A level below 0 or above 64, as a box of another version or a faulty one may send, is used as a number of bits: each box that got it ended with "negative shift amount" in the goroutine that reads the list, and ended again after its restart; a source that was asked with it panicked. An offset below 0 made the box read the list anew without end, and one far away, or a negative age, made it take an empty list for the newest.

Responses with levels, offsets or ages out of range are rejected, and the box asks the next source or the log. Sources refuse such levels and wait for maxCopyAge at most. No level that passes the check can be larger than the number of bits.

--- a/gate/mirror/topics.go
+++ b/gate/mirror/topics.go
@@ -108,7 +108,17 @@
 func (m *Mirror) askCopy(ctx context.Context, box work.Box, req CopyRequest, wait time.Duration) (CopyResponse, error) {
 	ctx, stop := context.WithTimeout(ctx, wait)
 	defer stop()
-	return m.peers.Copy(ctx, box, req)
+	answer, err := m.peers.Copy(ctx, box, req)
+	if err == nil && !answer.answers(req) {
+		return CopyResponse{}, fault.Fail(fault.Protocol, "a source's response is out of range")
+	}
+	return answer, err
+}
+
+// answers reports whether the numbers in the response can answer the request. Other offsets would lead this box to records
+// that it has applied already, or to such that the log never has.
+func (r CopyResponse) answers(req CopyRequest) bool {
+	return r.Page.Next >= max(req.From, 0) && r.Page.Age >= 0 && r.Page.Age <= maxCopyAge && r.Levels.Valid()
 }
 
 // setLevels records the levels of this box's own part and passes them to the callback of OnLevels.
@@ -277,6 +287,9 @@
 
 // Copy answers another box's request for a topic, as a source.
 func (m *Mirror) Copy(ctx context.Context, req CopyRequest) (CopyResponse, error) {
+	if !req.Levels.Valid() {
+		return CopyResponse{}, fault.Refuse(fault.BadRequest, "the levels of the part are out of range")
+	}
 	m.mu.Lock()
 	cached := m.copies[req.Topic]
 	m.mu.Unlock()
@@ -292,9 +305,9 @@
 	return m.waitForRecords(ctx, cached, req, zoneSize)
 }
 
-// waitForRecords waits for records of the box's part, for ask.Wait at most.
+// waitForRecords waits for records of the box's part, for req.Wait and maxCopyAge at most.
 func (m *Mirror) waitForRecords(ctx context.Context, cached *topicCopy, req CopyRequest, zoneSize int) (CopyResponse, error) {
-	ctx, stop := context.WithTimeout(ctx, req.Wait)
+	ctx, stop := context.WithTimeout(ctx, min(req.Wait, maxCopyAge))
 	defer stop()
 	for {
 		page, changed, err := cached.Since(req.From, req.Box, zoneSize, req.Levels)
--- a/gate/subset/subset.go
+++ b/gate/subset/subset.go
@@ -15,6 +15,8 @@
 	// multiples of minReplicas. The level thus does not change whenever a few replicas come or go.
 	maxSizeFactor = 2.5
 	minSizeFactor = 0.6
+	// maxLevel is far above the level of the largest group in the largest zone.
+	maxLevel = 16
 	// weightBits is the length of a rendezvous weight.
 	weightBits = 64
 )
@@ -53,6 +55,16 @@
 // level.
 type Levels map[string]int
 
+// Valid reports whether all levels can be those of groups. Levels from other boxes must be checked by it.
+func (l Levels) Valid() bool {
+	for _, level := range l {
+		if level < 0 || level > maxLevel {
+			return false
+		}
+	}
+	return true
+}
+
 // Knows reports whether the box knows the replica of the group.
 func (l Levels) Knows(box, id, group string) bool {
 	level := l[group]
--- a/gate/subset/subset_test.go
+++ b/gate/subset/subset_test.go
@@ -52,3 +52,13 @@
 		t.Error("a replica of a group without a level is not known")
 	}
 }
+
+// TestLevelsOutOfRange guards against levels of other boxes that hide all replicas of a group or can't be used as a number
+// of bits.
+func TestLevelsOutOfRange(t *testing.T) {
+	for level, valid := range map[int]bool{-1: false, 0: true, Level(1_000_000, 10_000): true, 63: false, 65: false} {
+		if got := (Levels{"a": 0, "s@a": level}).Valid(); got != valid {
+			t.Errorf("level %d is valid: %v", level, got)
+		}
+	}
+}
