mirror: a source's copy of a topic is bounded in bytes

A source keeps the newest 64 answers of the log with records, whatever their size, and the name of every group that a replica was ever in. An answer may have 1 MB, so that a few writers with long entries that change, or one with a new zone each time, take more than the memory of a small box (112 MB), which ends with all calls that it holds.

The answers kept have 2 MB at most, but for the newest one, and a group is forgotten with its last replica. A box that has been away for longer reads its part anew, as after 64 answers.

--- a/gate/mirror/copy.go
+++ b/gate/mirror/copy.go
@@ -13,6 +13,9 @@
 const (
 	// historyLength is how many of the log's newest answers with records a source keeps.
 	historyLength = 64
+	// historyBytes bounds the records in these answers, in bytes; the newest answer is kept in any case. It is several
+	// times what a zone of thousands of replicas changes while a box is away.
+	historyBytes = 2 << 20
 	// stableAfter is how long the size of a group must be unchanged before parts that have become too small
 	// are drawn anew, so that boxes don't read their parts again when replicas disappear from the list and
 	// soon return. Parts that are too large are drawn anew at once; otherwise a growing list would be sent
@@ -33,6 +36,8 @@
 type segment struct {
 	next    int64
 	records []groupedRecord
+	// bytes is the size of the records.
+	bytes int
 }
 
 // topicCopy is a source's copy of a topic.
@@ -47,7 +52,9 @@
 	groupSizes    map[string]int
 	sizeChangedAt map[string]time.Time
 	// history holds the answers that cover the offsets from first to next, in order.
-	history     []segment
+	history []segment
+	// bytes is the size of the records in history.
+	bytes       int
 	first, next int64
 	// verifiedAt is when the last successful read of the log was sent; the copy was complete at that time.
 	verifiedAt time.Time
@@ -91,6 +98,10 @@
 	if from != "" {
 		c.groupSizes[from]--
 		c.sizeChangedAt[from] = now
+		if c.groupSizes[from] == 0 {
+			delete(c.groupSizes, from)
+			delete(c.sizeChangedAt, from)
+		}
 	}
 	if to != "" {
 		c.groupSizes[to]++
@@ -114,11 +125,14 @@
 		seg := segment{next: page.Next}
 		for _, rec := range page.Records {
 			seg.records = append(seg.records, c.put(rec))
+			seg.bytes += len(rec.Key) + len(rec.Value)
 		}
 		c.history = append(c.history, seg)
+		c.bytes += seg.bytes
 	}
-	for len(c.history) > historyLength {
+	for len(c.history) > historyLength || (len(c.history) > 1 && c.bytes > historyBytes) {
 		c.first = c.history[0].next
+		c.bytes -= c.history[0].bytes
 		c.history = slices.Delete(c.history, 0, 1)
 	}
 	c.next = page.Next
--- a/gate/mirror/odd_test.go
+++ b/gate/mirror/odd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math"
 	"testing"
@@ -101,3 +102,30 @@
 		}
 	})
 }
+
+// TestCopyForgetsChanges guards against a source that keeps up to 64 answers of any size, and the names of groups that no
+// replica is in any more, while other writers change their long entries again and again.
+func TestCopyForgetsChanges(t *testing.T) {
+	const answers, size = 60, 200 << 10
+	groupOf := func(rec work.Record) string { return string(rec.Value[:8]) }
+	cached := newCopy(groupOf, work.Snapshot{}, time.Now())
+	for n := range answers {
+		value := append(fmt.Appendf(nil, "%08d", n), make([]byte, size)...)
+		cached.Add(work.Page{Records: []work.Record{{Key: "odd", Value: value}}, Next: int64(n + 1)}, time.Now())
+	}
+	kept := 0
+	for _, seg := range cached.history {
+		for _, rec := range seg.records {
+			kept += len(rec.Value)
+		}
+	}
+	if kept > historyBytes || len(cached.groupSizes) != 1 || len(cached.sizeChangedAt) != 1 {
+		t.Errorf("keeps %d bytes of changes, %d groups, %d times", kept, len(cached.groupSizes), len(cached.sizeChangedAt))
+	}
+	if page, _, err := cached.Since(answers-1, "x", 0, nil); err != nil || len(page.Records) != 1 {
+		t.Errorf("newest change: %d records, %v", len(page.Records), err)
+	}
+	if _, _, err := cached.Since(0, "x", 0, nil); !fault.Is(err, fault.HistoryGone) {
+		t.Errorf("oldest change: %v", err)
+	}
+}
