dial: bound what a peer may send before its response

Callers saw boxes end for lack of memory: a replica whose status line, header or list of headers goes on without end was read by http.ReadResponse, which has no bound, until the call's time was over or the box had none left. Skipped responses to other requests were read without bound too. All that is met over dial shares this: replicas, the store, other boxes.

It is a fault of kind Protocol and costs no allocation, since it is part of the connection.

--- a/gate/dial/confirm.go
+++ b/gate/dial/confirm.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
 	"time"
 
@@ -83,6 +82,6 @@
 	if string(start) != string(continueLine) {
 		return false, nil
 	}
-	_, err = http.ReadResponse(r.conn.reader, nil) //nolint:bodyclose // an interim response has no body
+	_, err = r.conn.readHead(nil) //nolint:bodyclose // an interim response has no body
 	return err == nil, err
 }
--- a/gate/dial/conn.go
+++ b/gate/dial/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 )
@@ -10,13 +11,27 @@
 // conn is one connection. It carries one request at a time.
 type conn struct {
 	netConn net.Conn
-	reader  *bufio.Reader
+	// reader buffers what conn.Read returns.
+	reader *bufio.Reader
+	head   headLimit
 	// idleSince is when the last response ended; zero on a new connection.
 	idleSince time.Time
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{netConn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}
+	c := &conn{netConn: raw}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c
+}
+
+// Read implements io.Reader. It fails beyond the limit of a head.
+func (c *conn) Read(data []byte) (int, error) {
+	return c.head.read(c.netConn, data)
+}
+
+// readHead reads the head of a response.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	return c.head.readHead(c.reader, req)
 }
 
 func (c *conn) disconnect() {
--- a/gate/dial/send.go
+++ b/gate/dial/send.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mulleingate.dev/base/fault"
 )
 
@@ -17,6 +19,10 @@
 // responses and of responses to earlier requests.
 const maxResponseHeads = 4
 
+// maxSkippedBody bounds the body of a response to another request that is skipped, in bytes. It exceeds the largest
+// requests, whose responses are the longest that replicas send twice.
+const maxSkippedBody = 4 << 20
+
 // requestHeadSize is enough for most heads of requests, in bytes.
 const requestHeadSize = 1 << 10
 
@@ -79,7 +85,7 @@
 }
 
 // Send sends the request once. A fault with NotRun means that the peer has not received the whole
-// request. The caller must call Close on the response. When ctx ends, reads and writes on the connection
+// request, and one of kind Protocol that the peer sent too much before the response. The caller must call Close on the response. When ctx ends, reads and writes on the connection
 // fail.
 func (p *Pool) Send(ctx context.Context, req Request) (*Response, error) {
 	if req.MaxIdle == 0 {
@@ -116,7 +122,11 @@
 	if ctx.Err() != nil {
 		return nil, fault.Fail(fault.TimedOut, "the call ended before the target answered").WithCause(err)
 	}
-	return nil, fault.Fail(fault.TargetFailed, "the target did not answer").WithCause(err)
+	kind := fault.TargetFailed
+	if fault.Is(err, fault.Protocol) {
+		kind = fault.Protocol
+	}
+	return nil, fault.Fail(kind, "the target did not answer").WithCause(err)
 }
 
 // maxInlineWrite is the longest request that is written before its response is read, in bytes. Writing a
@@ -159,7 +169,7 @@
 func (r *Response) readHead(req Request) error {
 	skipped := false
 	for range maxResponseHeads {
-		resp, err := http.ReadResponse(r.conn.reader, &http.Request{Method: req.Method}) //nolint:bodyclose // Close closes or releases the connection
+		resp, err := r.conn.readHead(&http.Request{Method: req.Method}) //nolint:bodyclose // Close closes or releases the connection
 		if err != nil {
 			return err
 		}
@@ -171,11 +181,24 @@
 			return nil
 		}
 		skipped = true
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := skip(resp.Body); err != nil {
 			return err
 		}
 	}
-	return fault.Fail(fault.Protocol, "the target sent responses to other requests")
+	return fault.Fail(fault.TargetFailed, "the target sent too many interim responses or responses to other requests")
+}
+
+// skip reads the body of a response to another request.
+func skip(body io.Reader) error {
+	n, err := io.CopyN(io.Discard, body, maxSkippedBody+1)
+	switch {
+	case n > maxSkippedBody:
+		return fault.Fail(fault.Protocol, "the response to another request is too long")
+	case errors.Is(err, io.EOF):
+		return nil
+	default:
+		return err
+	}
 }
 
 func (r *Response) setHead(resp *http.Response, skipped, acceptUnframed bool) {
