target, sched, crash: a replica from which nothing comes back gets no more calls

Callers saw all calls of one content fail with a timeout while two of three replicas of the service were idle: of 15 calls of one content, sent within 1.2 s, the replica that never answers took 15.

Cause: attempts of a request that has not been answered lately go to the replica that runs it already, so that a request which crashes replicas ends few (crash.Attempt.Prefer). That choice ignored whether the replica responds, and it also took suspect and ejected replicas before sound ones. Besides, nothing but a failed call counted against a replica: calls whose callers leave within 1.5 s are Abandoned and count as nothing, so a silent replica went on drawing its share.

sched.Silence tracks, for each replica, the calls since its last response. The response is the first event of a turn or the answer of a call. It is overdue after the mean and four mean deviations of earlier responses to the kind of work, at any replica and under whatever load they met, at least 250 ms; twice the prefill of the prompt and the wait for a slot are added for turns. A replica with two or more calls without a response, one of them overdue, is used only if no other is available, and is tried again after 1 s and then at doubling intervals up to 30 s. Any response ends that. Attempts of one request stay together while the replica responds; otherwise they go to one more. If a box has the request at two replicas and these leave nothing else unanswered, the request itself may be the reason, and it goes to no third one before a trial.

This works since it needs neither the end of the calls in progress nor a failure, and since a replica under load keeps responding: its peers' times, which include queueing, set what is overdue.

BenchmarkTakeAssigned panicked since crash attempts exist; its leases have one now.

--- a/gate/crash/history.go
+++ b/gate/crash/history.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// MaxTogether is the number of replicas that one box lets run a request at the same time although none of them
+	// responds to anything else either. It leaves the last crash that a request may cause to a trial.
+	MaxTogether = maxCrashes - 1
 	// maxCrashes is the number of replicas that may crash under a request before it is refused.
 	maxCrashes = 3
 	// retention is how long a crash counts, and how long a request is refused at first. The cause may have been removed
--- a/gate/crash/tracker.go
+++ b/gate/crash/tracker.go
@@ -254,7 +254,7 @@
 }
 
 // Prefer returns the replicas, by work.Replica.RunID, to which the request should be sent if they can take it: those where
-// other attempts of it are in progress. Until it has been answered, as few replicas as possible should run it.
+// other attempts of it are in progress, each as often as there are such attempts. Until it has been answered, as few replicas as possible should run it.
 func (a *Attempt) Prefer() []string {
 	if a.req == "" {
 		return nil
@@ -271,6 +271,7 @@
 			runs = append(runs, other.replica.RunID())
 		}
 	}
+	slices.Sort(runs)
 	return runs
 }
 
--- a/gate/sched/figures.go
+++ b/gate/sched/figures.go
@@ -69,6 +69,18 @@
 	return max(start, 0) + e.prefillTime(missing) + time.Duration(max(events-1, 0))*e.gap
 }
 
+// ResponseDelay returns how much later than usual the first event of a turn may come that was placed at the replica: by
+// twice the estimated time to prefill the prompt and to wait for a place.
+func (e *EngineEstimates) ResponseDelay(promptTokens int, r ReplicaState) time.Duration {
+	delay := e.prefillTime(max(0, promptTokens-r.CachedTokens))
+	if r.Slots > 0 {
+		calls, _ := r.estimateCalls()
+		excess := max(0, calls+1-float64(r.Slots))
+		delay += time.Duration(excess / float64(r.Slots) * float64(e.turnTime()))
+	}
+	return 2 * delay
+}
+
 // updateMean returns the running mean after the value seen; the first value becomes the mean.
 func updateMean(old, seen time.Duration) time.Duration {
 	if old == 0 {
--- a/gate/target/admission.go
+++ b/gate/target/admission.go
@@ -61,12 +61,13 @@
 
 // RecordFirstEvent records the time from the lease to the answer's first event.
 func (l *Lease) RecordFirstEvent(took time.Duration) {
-	if l.ask.Prompt == nil {
-		return
-	}
 	t := l.targets
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	l.recordResponse(time.Now())
+	if l.ask.Prompt == nil {
+		return
+	}
 	l.firstEventAfter = took
 	if l.lightLoad {
 		t.admissionFor(l.state.Service).Estimates.ObserveFirstEvent(took, l.uncachedTokens())
--- a/gate/target/bench_test.go
+++ b/gate/target/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"mulleingate.dev/gate/crash"
 	"mulleingate.dev/gate/work"
 )
 
@@ -43,6 +44,7 @@
 		ask.Turn.Program = programNames[i%len(programNames)]
 		best, candidates := t.choose(now, ask, "s")
 		lease := t.lease(now, ask, best, candidates)
+		lease.attempt = &crash.Attempt{}
 		t.mu.Unlock()
 		lease.Done(Answered, 0)
 	}
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -18,8 +18,8 @@
 	cost     time.Duration
 }
 
-// choose returns a replica with nearly the lowest expected cost and the number of candidates. Suspect and
-// ejected replicas are used only if no other of the service is available, and other services of the route
+// choose returns a replica with nearly the lowest expected cost and the number of candidates. Suspect, ejected and
+// silent replicas are used only if no other of the service is available, and other services of the route
 // only after those.
 func (t *Targets) choose(now time.Time, ask CallRequest, service string) (choice, int) {
 	best, candidates := t.pickReplica(now, ask, service, false)
@@ -60,7 +60,7 @@
 }
 
 // pickReplica selects among the usable replicas of a service, and returns the number of them. With
-// lastResort, it includes suspect and ejected ones.
+// lastResort, it includes suspect, ejected and silent ones.
 func (t *Targets) pickReplica(now time.Time, ask CallRequest, service string, lastResort bool) (choice, int) {
 	t.candidates, t.costs = t.candidates[:0], t.costs[:0]
 	ejector := t.ejectorFor(service)
@@ -77,7 +77,7 @@
 		if s.Draining || s.inFlight >= t.connectionShare(svc.Connections, s.level) || (s.missing && !lapsed) || slices.Contains(ask.Exclude, s.ID) || !ask.allows(s.Replica) || t.excluded(now, s, svc, ask) {
 			continue
 		}
-		if !lastResort && (now.Before(s.suspectUntil) || ejector.Ejected(now, s.ID)) {
+		if !lastResort && (now.Before(s.suspectUntil) || ejector.Ejected(now, s.ID) || s.silence.Silent(now)) {
 			continue
 		}
 		t.candidates = append(t.candidates, s)
--- a/gate/target/lease.go
+++ b/gate/target/lease.go
@@ -29,6 +29,9 @@
 	attempt   *crash.Attempt
 	ask       CallRequest
 	startedAt time.Time
+	// responseDue is when the response should have come, and responded is set once it has.
+	responseDue time.Time
+	responded   bool
 	// firstEventAfter is the time from the lease to the answer's first event, zero before it.
 	firstEventAfter time.Duration
 	// lightLoad is set if the replica was lightly loaded when the call was placed.
@@ -98,6 +101,7 @@
 	defer t.mu.Unlock()
 	l.attempt.End(l.ending(out), !s.removed && (!s.missing || t.entriesLapsed(s.Service)))
 	s.inFlight--
+	l.endResponse(time.Now(), out)
 	if l.ask.Prompt != nil {
 		t.finishTurn(l, out, took)
 	}
--- a/gate/target/place.go
+++ b/gate/target/place.go
@@ -54,14 +54,13 @@
 // chooseApart chooses among the replicas that the attempt prefers, and otherwise among those that it does not avoid. It
 // returns no choice if the attempt has no such wishes, or if these replicas can't take the call.
 func (t *Targets) chooseApart(now time.Time, ask CallRequest, service string, attempt *crash.Attempt) (choice, int) {
+	avoid := attempt.Avoid()
 	if prefer := attempt.Prefer(); len(prefer) > 0 {
-		together := ask
-		together.only = prefer
-		if best, candidates := t.choose(now, together, service); best.state != nil {
+		if best, candidates := t.chooseTogether(now, ask, service, prefer); best.state != nil {
 			return best, candidates
 		}
+		avoid = append(avoid, prefer...)
 	}
-	avoid := attempt.Avoid()
 	if len(avoid) == 0 {
 		return choice{}, 0
 	}
@@ -70,6 +69,54 @@
 	return t.choose(now, apart, service)
 }
 
+// chooseTogether chooses among the replicas at which other attempts of the request are in progress. It returns no choice
+// if these don't respond, so that the request is sent to one more replica, unless the request may be the reason.
+func (t *Targets) chooseTogether(now time.Time, ask CallRequest, service string, runs []string) (choice, int) {
+	together := ask
+	together.only = runs
+	if best, candidates := t.pickReplica(now, together, service, false); best.state != nil {
+		return best, candidates
+	}
+	for _, split := range ask.Services {
+		if split.Service == service || split.Weight == 0 {
+			continue
+		}
+		if best, candidates := t.pickReplica(now, together, split.Service, false); best.state != nil {
+			return best, candidates
+		}
+	}
+	if t.awaitOnly(runs) >= crash.MaxTogether {
+		return t.choose(now, together, service)
+	}
+	return choice{}, 0
+}
+
+// awaitOnly returns the number of replicas that leave nothing unanswered but attempts of one request. runs lists the
+// replica of each of these attempts, sorted.
+func (t *Targets) awaitOnly(runs []string) int {
+	only := 0
+	for len(runs) > 0 {
+		run, attempts := runs[0], 0
+		for len(runs) > 0 && runs[0] == run {
+			attempts, runs = attempts+1, runs[1:]
+		}
+		if s := t.byRun(run); s != nil && s.silence.Unanswered() <= attempts {
+			only++
+		}
+	}
+	return only
+}
+
+// byRun returns the replica with the work.Replica.RunID, or nil.
+func (t *Targets) byRun(run string) *state {
+	for _, s := range t.byID {
+		if s.RunID() == run {
+			return s
+		}
+	}
+	return nil
+}
+
 // lease takes a place at the selected replica.
 func (t *Targets) lease(now time.Time, ask CallRequest, best choice, candidates int) *Lease {
 	s := best.state
@@ -77,12 +124,15 @@
 		s.pool = t.opener.Open(s.Replica, t.maxConnections(s))
 	}
 	s.inFlight++
+	s.awaited++
+	expected := t.expectedResponse(ask, s.Service, best.estimate)
+	s.silence.Sent(now, expected)
 	if s.cold(now, t.serviceConfig(s.Service)) {
 		s.coldCalls.Record(now)
 	}
 	l := &Lease{
 		Replica: s.Replica, CachedTokens: best.estimate.CachedTokens, ExpectedCost: best.cost, Candidates: candidates,
-		targets: t, state: s, ask: ask, startedAt: now, lightLoad: best.estimate.LightlyLoaded(),
+		targets: t, state: s, ask: ask, startedAt: now, responseDue: now.Add(expected), lightLoad: best.estimate.LightlyLoaded(),
 	}
 	if ask.Prompt != nil {
 		t.recordPrefixUse(now, l, best.estimate)
--- a/gate/target/prefix.go
+++ b/gate/target/prefix.go
@@ -46,7 +46,7 @@
 	ejector, lapsed := t.ejectorFor(service), t.entriesLapsed(service)
 	replicas := make([]sched.PrefixReplica, 0, len(t.services[service]))
 	for _, s := range t.services[service] {
-		if s.Draining || (s.missing && !lapsed) || t.evacuated[s.Zone] || now.Before(s.suspectUntil) || ejector.Ejected(now, s.ID) || s.cold(now, svc) {
+		if s.Draining || (s.missing && !lapsed) || t.evacuated[s.Zone] || now.Before(s.suspectUntil) || ejector.Ejected(now, s.ID) || s.silence.Silent(now) || s.cold(now, svc) {
 			continue
 		}
 		replicas = append(replicas, sched.PrefixReplica{ID: s.ID, Zone: s.Zone, Slowdown: s.slowdown})
--- a/gate/target/target.go
+++ b/gate/target/target.go
@@ -31,8 +31,10 @@
 // state is what this box knows about one replica.
 type state struct {
 	work.Replica
-	// inFlight counts this box's calls in flight at the replica.
-	inFlight int
+	// inFlight counts this box's calls in flight at the replica, and awaited those of them without a response yet.
+	inFlight, awaited int
+	// silence tracks whether the replica responds.
+	silence sched.Silence
 	// slowdown is the moving average of the time of a unit of work here relative to the usual time: 1 for
 	// an ordinary replica. A unit is one call of a plain service, or the interval between two events of a
 	// model's answer.
@@ -103,6 +105,8 @@
 	ejectors map[string]*limit.Ejector
 	// meanUnitTime is the moving average of the time of a unit of work, by kind of work.
 	meanUnitTime map[string]time.Duration
+	// responseTimes holds the time to the response, by kind of work.
+	responseTimes map[string]*sched.ResponseTime
 	// admissions holds the admission state of each service.
 	admissions map[string]*sched.Admission
 	conf       *work.Config
@@ -133,8 +137,8 @@
 	t := &Targets{
 		zone: zone, opener: opener, crashes: crashes, log: log, boxes: 1, placers: 1,
 		byID: map[string]*state{}, services: map[string][]*state{}, ejectors: map[string]*limit.Ejector{},
-		meanUnitTime: map[string]time.Duration{},
-		admissions:   map[string]*sched.Admission{}, prefixes: map[string]*sched.Prefixes{},
+		meanUnitTime: map[string]time.Duration{}, responseTimes: map[string]*sched.ResponseTime{},
+		admissions: map[string]*sched.Admission{}, prefixes: map[string]*sched.Prefixes{},
 		rng:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		onFailing:    func(work.Replica, float64) {},
 		warmsReplica: func(work.Replica, bool) bool { return true },
