serve: a stop sees the end of the last requests before its deadline

A planned stop whose calls ended in the last half second before its deadline exited with status 1 ("context deadline exceeded") and closed connections that a pending answer could still use: http.Server.Shutdown doubles the pause between its checks up to 500 ms. Stop now calls it in rounds of 50 ms, each of which begins with short pauses again.

--- a/base/serve/serve.go
+++ b/base/serve/serve.go
@@ -23,6 +23,9 @@
 	// unusedPollInterval is the interval between two checks for such connections. Stop also waits
 	// for it after the last check, so that a request that has just been read reaches its handler.
 	unusedPollInterval = 10 * time.Millisecond
+	// shutdownRound is the time after which http.Server.Shutdown is called again while requests are in flight. Left
+	// alone it checks for them only every 500 ms in the end, and would miss the last ones before a deadline.
+	shutdownRound = 50 * time.Millisecond
 )
 
 // Listen opens a TCP listener on addr. It returns a BadSettings fault if that fails.
@@ -101,12 +104,24 @@
 	_ = s.ln.Close() // it may be closed already
 	<-s.serveReturned
 	s.awaitFirstRequests(ctx)
-	if err := s.http.Shutdown(ctx); err != nil {
+	if err := s.shutdown(ctx); err != nil {
 		return errors.CombineErrors(err, s.http.Close())
 	}
 	return nil
 }
 
+// shutdown waits for requests in flight until ctx ends.
+func (s *Server) shutdown(ctx context.Context) error {
+	for {
+		round, stop := context.WithTimeout(ctx, shutdownRound)
+		err := s.http.Shutdown(round)
+		stop()
+		if err == nil || ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
+			return err
+		}
+	}
+}
+
 // awaitFirstRequests waits until no unused connection is younger than firstRequestTimeout, or
 // until ctx ends.
 func (s *Server) awaitFirstRequests(ctx context.Context) {
