drain: what a stop takes in, it can finish, or it refuses at once as not run

Callers of a box in a planned stop lost calls: requests that became whole 4.6 to 6.6 s after SIGTERM were passed on to a replica and cut at 6.8 s without an answer, calls that may not be repeated among them. A box decided by the age of the connection, not by whether the answer could come, and its schedule was fixed for a grace period of 8 s: with one of 4 s the platform would kill it in the middle of its calls, with one of 30 s calls were cut at 6.8 s.

gate/drain derives the schedule from grace_period_s. Schedule.RefuseAt is the one rule: a call whose deadline is before the cut is taken, others only until 2.6 s (1.67 s with 4 s). It is asked when a call arrives, after the quota, after the search for the owner, before a turn is forwarded, for turns that other boxes forward (these refusals are owner_unavailable, so that the forwarding box tries the next owner) and before each send to a replica. At the cut, 240 ms before connections close, the contexts of all calls end, so that each call whose answer has not begun gets a 502 or 504.

The times that TestStopReservesTimeBehindFront reserves are 280 and 160 ms, from 400 and 200: the calls of callers and of other boxes now end at the cut, before these times begin, which the test of the schedule checks for all grace periods.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -115,6 +115,21 @@
 	Admit(priority int) error
 }
 
+// Drain decides which calls a stopping box still takes.
+type Drain interface {
+	// Check returns a fault with NotRun if the box stops and must refuse a call with the given deadline that has not
+	// been passed on to a replica yet.
+	Check(deadline time.Time) error
+	// IsCut reports whether the calls in progress have been ended.
+	IsCut() bool
+}
+
+// neverStops is the Drain of a box that does not stop.
+type neverStops struct{}
+
+func (neverStops) Check(time.Time) error { return nil }
+func (neverStops) IsCut() bool           { return false }
+
 // Counts records metrics.
 type Counts interface {
 	Count(name string, n int64)
@@ -140,6 +155,7 @@
 	log          *slog.Logger
 	// memory is nil if calls need no such check.
 	memory Memory
+	drain  Drain
 }
 
 // New returns an Entry for the box self.
@@ -147,7 +163,7 @@
 	peers Peers, relay Relay, crashes Crashes, counts Counts, log *slog.Logger) *Entry {
 	return &Entry{
 		self: self, layout: layout, regions: regions, feed: feed, rules: rules, quotas: quotas, boxes: boxes, connectivity: connectivity, slots: slots, runner: runner,
-		peers: peers, relay: relay, crashes: crashes, counts: counts, log: log,
+		peers: peers, relay: relay, crashes: crashes, counts: counts, log: log, drain: neverStops{},
 	}
 }
 
@@ -157,6 +173,34 @@
 	e.memory = memory
 }
 
+// SetDrain makes calls pass the check of a box that stops, when they arrive and after each wait. It must be called before
+// the first call.
+func (e *Entry) SetDrain(drain Drain) {
+	e.drain = drain
+}
+
+// Deadline returns the time at which a call must end: that of its route's timeout, unless the caller waits for less.
+// left is how long the caller waits, zero if it is not known. The zero time stands for a call that has no route.
+func (e *Entry) Deadline(call *work.Call, left time.Duration) time.Time {
+	known := e.feed.Current()
+	if known.Config == nil {
+		return time.Time{}
+	}
+	path, _, _ := strings.Cut(call.Target, "?")
+	route := known.Config.FindRoute(call.Host, path)
+	if route == nil {
+		return time.Time{}
+	}
+	return deadline(call, route, left)
+}
+
+func deadline(call *work.Call, route *work.Route, left time.Duration) time.Time {
+	if left <= 0 || left > route.Timeout {
+		left = route.Timeout
+	}
+	return call.Arrived.Add(left)
+}
+
 // Handle serves one call. left is how long the caller waits, zero if it is not known. Handle returns nil
 // after a complete answer. A fault with NotRun means that no replica has run the call or will; after any
 // other fault, a replica may have run it.
@@ -186,11 +230,11 @@
 	if call.Regions, err = e.regionsOf(call, route, space); err != nil {
 		return err
 	}
-	if left <= 0 || left > route.Timeout {
-		left = route.Timeout
-	}
-	call.Deadline = call.Arrived.Add(left)
+	call.Deadline = deadline(call, route, left)
 	call.Priority = replicaPriority(call, space, route)
+	if err := e.checkDrain(call, route); err != nil {
+		return err
+	}
 	if err := e.checkMemory(call, route); err != nil {
 		return err
 	}
@@ -206,6 +250,16 @@
 	return err
 }
 
+// checkDrain refuses a call that could not end before this box stops.
+func (e *Entry) checkDrain(call *work.Call, route *work.Route) error {
+	err := e.drain.Check(call.Deadline)
+	if err != nil {
+		e.counts.Count("entry.stopping", 1)
+		e.log.Info("entry: refused, this box stops", "id", call.ID, "route", route.Name, "workspace", call.Workspace, "after", time.Since(call.Arrived), "left", time.Until(call.Deadline))
+	}
+	return err
+}
+
 // checkMemory refuses a call while too many answers are unread.
 func (e *Entry) checkMemory(call *work.Call, route *work.Route) error {
 	if e.memory == nil {
@@ -265,6 +319,9 @@
 
 // run runs the call on the owner of its program, or on a replica if it needs no owner.
 func (e *Entry) run(ctx context.Context, call *work.Call, route *work.Route, out work.Answer) error {
+	if err := e.checkDrain(call, route); err != nil {
+		return err
+	}
 	if needsOwner(call, route) {
 		return e.turn(ctx, call, route, out)
 	}
@@ -272,9 +329,10 @@
 }
 
 // settle returns err, the result of a call that ran here. If the call may have run without an answer, it first waits until
-// it is known whether its replica crashed, so that all boxes know before the caller can send the request again.
+// it is known whether its replica crashed, so that all boxes know before the caller can send the request again. At the end of
+// a planned stop there is no time for that.
 func (e *Entry) settle(call *work.Call, err error) error {
-	if err != nil && !fault.From(err).NotRun {
+	if err != nil && !fault.From(err).NotRun && !e.drain.IsCut() {
 		e.crashes.Await(call.Request)
 	}
 	return err
@@ -406,6 +464,9 @@
 	if e.boxes.RecentlyUnreachable(box) {
 		return fault.Refuse(fault.PeerUnreachable, "a recent attempt to reach the owner of the slot failed")
 	}
+	if err := e.checkDrain(call, route); err != nil {
+		return err
+	}
 	e.log.Info("entry: turn forwarded", "id", call.ID, "program", call.Turn.Program, "slot", slot, "owner", box.Name, "rank", rank, "unreached", len(unreached))
 	err := e.peers.Turn(ctx, box, slot, unreached, call, route, out)
 	if fault.Is(err, fault.PeerUnreachable) && ctx.Err() == nil {
@@ -453,5 +514,8 @@
 	if err != nil {
 		return err
 	}
+	if err := e.checkDrain(call, route); err != nil {
+		return err
+	}
 	return e.settle(call, e.runner.Run(ctx, slot, call, route, out))
 }
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -7,14 +7,13 @@
 	"runtime/metrics"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"mulleingate.dev/base/fault"
 	"mulleingate.dev/base/serve"
 	"mulleingate.dev/gate/access"
 	"mulleingate.dev/gate/crash"
 	"mulleingate.dev/gate/detour"
+	"mulleingate.dev/gate/drain"
 	"mulleingate.dev/gate/entry"
 	"mulleingate.dev/gate/feed"
 	"mulleingate.dev/gate/kernel"
@@ -35,20 +34,6 @@
 	"mulleingate.dev/gate/work"
 )
 
-const (
-	// leaveGrace is how long a leaving box accepts new connections. The load balancer needs two failed health
-	// checks, one second apart, to take it out.
-	leaveGrace = 2600 * time.Millisecond
-	// stopTimeout bounds the stop of all services after that. The platform kills a box 8 s after the request
-	// to stop; leaveGrace and stopTimeout together must stay below that.
-	stopTimeout = 4600 * time.Millisecond
-	// frontReserve is the part of stopTimeout that is reserved for the services stopped after the front, even
-	// if callers' calls are still in flight. Of that, shardsReserve is reserved for the services stopped
-	// after the shards, so that turns of other boxes can end.
-	frontReserve  = 400 * time.Millisecond
-	shardsReserve = 200 * time.Millisecond
-)
-
 // Replicas sends requests to replicas.
 type Replicas interface {
 	target.PoolOpener
@@ -81,6 +66,8 @@
 	Spool *spool.Spool
 	// Memory bounds the bytes held for the calls in progress.
 	Memory *memory.Budgets
+	// Grace is the time from the signal to stop until the platform ends the process; drain.DefaultGrace if it is zero.
+	Grace time.Duration
 }
 
 // Node is a box with all of its services.
@@ -102,13 +89,15 @@
 	failover *view.Failover
 	watch    *load.Watch
 	counter  *quota.Counter
-	leaving  atomic.Bool
+	schedule drain.Schedule
+	drain    *drain.State
 }
 
 // New returns a box whose services are not started.
 func New(deps Deps) *Node {
 	layout := shard.NewLayout(deps.Slots)
-	n := &Node{deps: deps, layout: layout, kern: kernel.New(deps.Logger)}
+	n := &Node{deps: deps, layout: layout, kern: kernel.New(deps.Logger), schedule: drain.NewSchedule(deps.Grace)}
+	n.drain = drain.New(n.schedule)
 	n.peers = remote.NewClient(n.isNear, n.successors)
 	log := deps.Logger
 	crashes := crash.New(deps.Replicas, deps.Meter, log)
@@ -131,13 +120,15 @@
 	n.watch = load.New(deps.Self, deps.Replicas, n.targets, crashes, n.senders, log)
 	crashes.OnCrash(n.watch.SendCrash)
 	crashes.SetArbiter(n.watch)
-	runner := turns.New(n.targets, deps.Replicas, deps.RecordBytes, deps.Meter, log)
-	forwarder := relay.New(n.targets, deps.Replicas, deps.Meter, log)
+	sender := drainSender{Sender: deps.Replicas, drain: n.drain}
+	runner := turns.New(n.targets, sender, deps.RecordBytes, deps.Meter, log)
+	forwarder := relay.New(n.targets, sender, deps.Meter, log)
 	n.counter = quota.NewCounter(deps.Self, deps.Zones, deps.Quota, n.view)
 	quotas := quota.New(deps.Self, deps.Zones, deps.Quota, n.view, n.counter, n.peers, deps.Meter)
 	n.entry = entry.New(deps.Self, layout, deps.Regions, n.feed, access.New(deps.Access), quotas, n.failover, n.detector, n.shards, runner, n.peers, forwarder, crashes, deps.Meter, log)
 	n.entry.SetMemoryCheck(deps.Spool)
-	n.server = remote.NewServer(deps.Self, n.entry, n.shards, n.failover, n.counter, n.mirror, deps.Log, deps.Meter, log)
+	n.entry.SetDrain(n.drain)
+	n.server = remote.NewServer(deps.Self, forwardedTurns{Entry: n.entry, drain: n.drain}, n.shards, n.failover, n.counter, n.mirror, deps.Log, deps.Meter, log)
 	for _, name := range []string{serve.PanicsMetric, crash.FoundMetric, crash.BlockedMetric} {
 		deps.Meter.Count(name, 0) // exists from the start, so that alerts see its first increase
 	}
@@ -227,29 +218,11 @@
 		{Name: "reach", DependsOn: []string{"view"}, Make: factoryFor(n.detector)},
 		{Name: "failover", DependsOn: []string{"view", "reach"}, Make: factoryFor(n.failover)},
 		{Name: "peers", DependsOn: []string{"view", "feed", "quota", "failover"}, Make: factoryFor(n.server)},
-		{Name: "shards", DependsOn: []string{"peers"}, Make: factoryFor(n.shards), StopReserve: shardsReserve},
-		{Name: "front", DependsOn: []string{"shards"}, Make: factoryFor(front), StopReserve: frontReserve},
+		{Name: "shards", DependsOn: []string{"peers"}, Make: factoryFor(n.shards), StopReserve: n.schedule.End - n.schedule.Release},
+		{Name: "front", DependsOn: []string{"shards"}, Make: factoryFor(front), StopReserve: n.schedule.End - n.schedule.Close},
 	}
 }
 
-// Stop performs a planned stop. While the box still serves, its slots are handed over and the load balancer
-// takes it out; then its services stop and complete what they have accepted.
-func (n *Node) Stop(ctx context.Context) error {
-	n.leaving.Store(true)
-	n.deps.Logger.Info("node: leaving")
-	graceOver := time.After(leaveGrace) // also runs while leave waits for the log
-	n.leave(ctx)
-	select {
-	case <-graceOver:
-	case <-ctx.Done():
-	}
-	ctx, stop := context.WithTimeout(ctx, stopTimeout)
-	defer stop()
-	err := n.kern.Stop(ctx)
-	n.deps.Logger.Info("node: stopped")
-	return err
-}
-
 // leave removes this box from the fleet and announces that to other boxes, which then ask for its slots. The
 // announcement does not wait for the log, which may be slow, and overrides its member list.
 func (n *Node) leave(ctx context.Context) {
@@ -280,7 +253,7 @@
 
 // Ready reports whether the load balancer should send callers to this box.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.feed.Ready() && n.view.HasSettled() && !n.detector.CutOff()
+	return !n.drain.Begun() && n.feed.Ready() && n.view.HasSettled() && !n.detector.CutOff()
 }
 
 // WriteMetrics writes the metrics of the box in the Prometheus text exposition format.
@@ -339,11 +312,3 @@
 func (n *Node) Count(name string, by int64) {
 	n.deps.Meter.Count(name, by)
 }
-
-// Handle serves one call; see entry.Entry.Handle.
-func (n *Node) Handle(ctx context.Context, call *work.Call, left time.Duration, out work.Answer) error {
-	if n.feed.Config() != nil && !n.feed.Ready() {
-		return fault.Refuse(fault.NoConfig, "the list of replicas is not known yet").WithRetryAfter(time.Second)
-	}
-	return n.entry.Handle(ctx, call, left, out)
-}
--- a/gate/node/stop_test.go
+++ b/gate/node/stop_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"mulleingate.dev/gate/drain"
 	"mulleingate.dev/gate/kernel"
 )
 
@@ -39,7 +40,8 @@
 		uses[name] = true
 	}
 	got := stopTimes{}
-	specs := (&Node{}).serviceSpecs(nil)
+	schedule := drain.NewSchedule(8 * time.Second)
+	specs := (&Node{schedule: schedule}).serviceSpecs(nil)
 	for i, spec := range specs {
 		svc := &fakeService{name: spec.Name, uses: uses[spec.Name], got: got}
 		specs[i].Make = func(*kernel.Kernel) (kernel.Service, error) { return svc, nil }
@@ -48,7 +50,7 @@
 	if err := kern.Start(context.Background(), specs); err != nil {
 		t.Fatal(err)
 	}
-	ctx, stop := context.WithTimeout(context.Background(), stopTimeout)
+	ctx, stop := context.WithTimeout(context.Background(), schedule.End-schedule.Accept)
 	defer stop()
 	_ = kern.Stop(ctx) // fails if a service used up its time
 	return got
@@ -63,16 +65,16 @@
 			using                []string
 			front, shards, peers time.Duration
 		}{
-			{"no service hangs", nil, 4200 * time.Millisecond, 4400 * time.Millisecond, 4600 * time.Millisecond},
-			{"calls outlast the stop", []string{"front"}, 4200 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond},
-			{"the store hangs too", []string{"front", "shards"}, 4200 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond},
+			{"no service hangs", nil, 4320 * time.Millisecond, 4440 * time.Millisecond, 4600 * time.Millisecond},
+			{"calls outlast the stop", []string{"front"}, 4320 * time.Millisecond, 120 * time.Millisecond, 280 * time.Millisecond},
+			{"the store hangs too", []string{"front", "shards"}, 4320 * time.Millisecond, 120 * time.Millisecond, 160 * time.Millisecond},
 		} {
 			got := stopBox(t, c.using...)
 			if got["front"] != c.front || got["shards"] != c.shards || got["peers"] != c.peers {
 				t.Errorf("%s: %v", c.name, got)
 			}
 		}
-		if whole := leaveGrace + stopTimeout; whole > 7200*time.Millisecond {
+		if whole := drain.NewSchedule(8 * time.Second).End; whole > 7200*time.Millisecond {
 			t.Errorf("a stop may take %v, want at most 7.2s", whole)
 		}
 	})
