target: a prompt counts as cached only where calls with it get responses

Cause: a part of a prompt counted as cached from the moment at which a call with it was sent, and at the preferred replica of an assigned prefix without any call. Nothing took that back: doubt came only from a first event that was late, and a replica that sends no first event never got any.

A part that was sent is now confirmed by a first event or an answer of a call with it. That holds for preferred replicas too. What is confirmed, and the history of programs, counts while no response is overdue and fewer calls than the replica has slots, at least 8, wait for one. If all replicas are silent, this does not apply, since a common cause is likely.

It works since prefill that is under way is still shared by a few calls, and since the first response confirms the part.

--- a/gate/replay/engine_test.go
+++ b/gate/replay/engine_test.go
@@ -57,7 +57,11 @@
 
 	mu sync.Mutex
 	// stepFactor multiplies the time of each step.
-	stepFactor       float64
+	stepFactor float64
+	// silent is set while calls make no progress, and breaking while each fails at once. Both still report their load.
+	// taken counts the calls since then.
+	silent, breaking bool
+	taken            int
 	waiting, running []*engineCall
 	cache            map[string]cacheEntry
 	// prefilled counts the prompt tokens that were prefilled.
@@ -146,7 +150,7 @@
 		if c.canceled {
 			continue
 		}
-		if c.missing > 0 {
+		if c.missing > 0 || e.silent {
 			running = append(running, c)
 			continue
 		}
@@ -190,6 +194,10 @@
 	if !e.enqueue(c) {
 		return fault.Refuse(fault.Overloaded, "the engine's queue is full")
 	}
+	if e.breaks() {
+		e.cancel(c)
+		return fault.Fail(fault.TargetFailed, "the engine broke the answer off")
+	}
 	select {
 	case e.wake <- struct{}{}:
 	default:
@@ -220,6 +228,20 @@
 	e.stepFactor = factor
 }
 
+// fail makes the engine silent, or break off each call.
+func (e *engine) fail(silent bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silent, e.breaking = silent, !silent
+}
+
+// breaks reports whether the engine breaks off each call.
+func (e *engine) breaks() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.breaking
+}
+
 // enqueue queues the call, unless the queue is full.
 func (e *engine) enqueue(c *engineCall) bool {
 	e.mu.Lock()
@@ -227,6 +249,9 @@
 	if len(e.waiting) >= e.queue {
 		return false
 	}
+	if e.silent || e.breaking {
+		e.taken++
+	}
 	c.first, c.done = make(chan struct{}), make(chan struct{})
 	e.waiting = append(e.waiting, c)
 	return true
--- a/gate/replay/fleet_test.go
+++ b/gate/replay/fleet_test.go
@@ -103,6 +103,16 @@
 		t.Configure(conf)
 		t.SetBoxCount(size.boxes)
 		t.SetPlacerCount(size.placerCount())
+		t.OnFailing(func(rep work.Replica, share float64) {
+			go func() {
+				time.Sleep(transitTime / 2)
+				for _, other := range f.boxes {
+					if other != t {
+						other.UpdateFailureRate(rep.ID, share)
+					}
+				}
+			}()
+		})
 		for _, e := range f.ordered {
 			t.Put(e.rep)
 		}
--- a/gate/replay/programs_test.go
+++ b/gate/replay/programs_test.go
@@ -257,6 +257,9 @@
 		if fault.From(err).NotRun {
 			outcome = target.Refused
 		}
+		if fault.Is(err, fault.TargetFailed) {
+			outcome = target.Incomplete
+		}
 		lease.Done(outcome, 0)
 		return err
 	}
--- a/gate/replay/replay_test.go
+++ b/gate/replay/replay_test.go
@@ -94,6 +94,8 @@
 	limit float64
 	// prefilled is the number of prompt tokens that all engines prefilled.
 	prefilled int
+	// taken is the number of calls that engines got while they were silent or broke all calls off.
+	taken int
 }
 
 // value returns the share of all value that was earned.
@@ -148,6 +150,7 @@
 		res.limit = min(1, float64(p.engines)*p.duration.Seconds()/work)
 		for _, e := range f.ordered {
 			res.prefilled += e.prefilled
+			res.taken += e.taken
 		}
 		stop()
 		f.loops.Wait()
--- a/gate/target/choose.go
+++ b/gate/target/choose.go
@@ -81,13 +81,13 @@
 			continue
 		}
 		t.candidates = append(t.candidates, s)
-		t.costs = append(t.costs, estimates.Cost(call, t.estimate(now, ask, s, utilization)))
+		t.costs = append(t.costs, estimates.Cost(call, t.estimate(now, ask, s, utilization, lastResort)))
 	}
 	pick := sched.PickNearCheapest(t.costs, t.rng)
 	if pick < 0 {
 		return choice{}, 0
 	}
-	return choice{state: t.candidates[pick], estimate: t.estimate(now, ask, t.candidates[pick], utilization), cost: t.costs[pick]}, len(t.candidates)
+	return choice{state: t.candidates[pick], estimate: t.estimate(now, ask, t.candidates[pick], utilization, lastResort), cost: t.costs[pick]}, len(t.candidates)
 }
 
 // allows reports whether the replica is among those to choose from.
@@ -121,15 +121,18 @@
 }
 
 // estimate returns the input of the cost model for the call at the replica. utilization is the share of
-// slots in use at those replicas of its service that report.
-func (t *Targets) estimate(now time.Time, ask CallRequest, s *state, utilization float64) sched.ReplicaState {
+// slots in use at those replicas of its service that report. With trusted, calls without a response say nothing about
+// what the replica caches: if they wait at all replicas, they need not be the reason.
+func (t *Targets) estimate(now time.Time, ask CallRequest, s *state, utilization float64, trusted bool) sched.ReplicaState {
 	age := now.Sub(s.loadAt)
 	est := sched.ReplicaState{
 		InFlight: s.inFlight, InFlightAtReport: s.inFlightAtReport, Slots: s.Slots, Reported: age <= loadMaxAge, ReportAge: age,
 		Placers: 1 + (t.placers-1)>>s.level, AverageUtilization: utilization, Running: s.load.Running, Waiting: s.load.Waiting, Slowdown: s.slowdown, FailureRate: s.failureRate(now), OtherZone: s.Zone != t.zone,
 	}
 	if ask.Prompt != nil {
-		est.CachedTokens = t.cachedTokens(now, ask, s)
+		if trusted || !s.doubtsCache(now) {
+			est.CachedTokens = t.cachedTokens(now, ask, s)
+		}
 		return est
 	}
 	est.Connected = s.pool != nil && s.pool.HasIdle()
--- a/gate/target/prefix.go
+++ b/gate/target/prefix.go
@@ -86,7 +86,7 @@
 		}
 		cached.shared += parts[leading].Tokens
 		cached.lastShared, cached.rank = parts[leading].ID, rank
-		if rank.Preferred {
+		if rank.Preferred && !s.doubtsPart(parts[leading].ID) {
 			cached.claimed = cached.shared
 		}
 	}
--- a/gate/target/silence.go
+++ b/gate/target/silence.go
@@ -6,6 +6,9 @@
 	"mulleingate.dev/gate/sched"
 )
 
+// minDoubtedCalls is the least number of calls without a response from which a replica's cache does not count.
+const minDoubtedCalls = 8
+
 // responseTime returns the response time of the kind of work, which it creates if needed.
 func (t *Targets) responseTime(kind string) *sched.ResponseTime {
 	known, ok := t.responseTimes[kind]
@@ -36,6 +39,9 @@
 	s.awaited--
 	s.silence.Responded(now, s.awaited)
 	l.targets.responseTime(l.ask.WorkKind).Observe(now.Sub(l.startedAt))
+	if l.ask.Prompt != nil {
+		s.confirmParts(l.ask.Prompt.Parts)
+	}
 }
 
 // endResponse records whether the call got a response at all.
@@ -57,7 +63,17 @@
 	case Abandoned, GivenUp:
 		if now.Before(l.responseDue) {
 			s.silence.Withdrawn()
+			return
 		}
 	case Answered, Incomplete, Unresponsive:
 	}
+	if l.ask.Prompt != nil {
+		s.dropParts(l.ask.Prompt.Parts)
+	}
+}
+
+// doubtsCache reports whether what the replica is believed to cache must not count: a response is overdue, or as many
+// calls wait for one as the replica runs at once.
+func (s *state) doubtsCache(now time.Time) bool {
+	return s.silence.Overdue(now) || s.silence.Unanswered() >= max(s.Slots, minDoubtedCalls)
 }
--- /dev/null
+++ b/gate/target/unconfirmed_test.go
@@ -0,0 +1,144 @@
+package target
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mulleingate.dev/gate/sched"
+)
+
+// TestBadReplicaDrawsTurnsOfOnePrefix guards against a replica that answers nothing and gets all turns of a prompt prefix
+// because the first one went there, while others are idle.
+func TestBadReplicaDrawsTurnsOfOnePrefix(t *testing.T) {
+	for how, kind := range map[behavior]string{silent: "silent", impatient: "silent, callers leave early", breaking: "breaks answers off", invalid: "sends no valid answer"} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newSilenceWorld(1, 3, true)
+				bad := w.firstChoice(t, how, sharingPrefix(0))
+				w.burst(t, callsBefore-1, sharingPrefix(0))
+				if got := w.takenBy(bad); got > 5 {
+					t.Errorf("the bad replica took %d of %d calls, want at most 5: %v", got, callsBefore, w.taken)
+				}
+				w.calls.Wait()
+			})
+		})
+	}
+}
+
+// TestOnePrefixAndTwoOfThreeReplicasBad guards against turns that go to bad replicas although one is sound.
+func TestOnePrefixAndTwoOfThreeReplicasBad(t *testing.T) {
+	for how, kind := range map[behavior]string{silent: "silent", breaking: "breaks answers off"} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newSilenceWorld(1, 3, true)
+				good := "r0"
+				if w.firstChoice(t, how, sharingPrefix(0)) == good {
+					good = "r1"
+				}
+				for _, id := range []string{"r0", "r1", "r2"} {
+					w.set(id, how)
+				}
+				w.set(good, sound)
+				w.burst(t, 2*callsBefore-1, sharingPrefix(0))
+				if bad := 2*callsBefore - w.takenBy(good); bad > 10 {
+					t.Errorf("the bad replicas took %d of %d calls, want at most 10: %v", bad, 2*callsBefore, w.taken)
+				}
+				w.calls.Wait()
+			})
+		})
+	}
+}
+
+// TestBurstOfTurnsOnSilentReplica guards against a burst on a prefix that goes to one replica before anything has come
+// back from it.
+func TestBurstOfTurnsOnSilentReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newSilenceWorld(1, 3, true)
+		bad := w.firstChoice(t, silent, sharingPrefix(0))
+		const turns = 30
+		for i := range turns {
+			w.send(t, 0, sharingPrefix(0)(i))
+			time.Sleep(5 * time.Millisecond)
+		}
+		if got := w.takenBy(bad); got > 5 {
+			t.Errorf("the silent replica took %d of %d turns, want at most %d: %v", got, turns+1, 5, w.taken)
+		}
+		w.calls.Wait()
+	})
+}
+
+// TestReplicaFallsSilent guards against programs that stay at a replica which holds their prompts but has stopped to
+// answer.
+func TestReplicaFallsSilent(t *testing.T) {
+	for _, name := range []string{"shared prefix", "history"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newSilenceWorld(1, 3, true)
+				w.burst(t, 40, sharingPrefix(0))
+				home := "r0"
+				for _, id := range []string{"r1", "r2"} {
+					if w.takenBy(id) > w.takenBy(home) {
+						home = id
+					}
+				}
+				w.set(home, silent)
+				w.drop()
+				ask := sharingPrefix(0)
+				w.burst(t, callsBefore, func(i int) CallRequest {
+					req := ask(i)
+					if name == "history" {
+						req.CachedTokens = map[string]int{replica(0, "a").RunID(): 0}
+						for n := range 3 {
+							if rep := replica(n, "a"); rep.ID == home {
+								req.CachedTokens = map[string]int{rep.RunID(): 5000}
+							}
+						}
+					}
+					return req
+				})
+				if got := w.takenBy(home); got > 5 {
+					t.Errorf("the silent replica took %d of %d turns, want at most 5: %v", got, callsBefore, w.taken)
+				}
+				w.calls.Wait()
+			})
+		})
+	}
+}
+
+// TestPreferredReplicaFallsSilent guards against boxes that all send the turns of a prefix to the replica that is assigned
+// to it although none of them has got a response from it.
+func TestPreferredReplicaFallsSilent(t *testing.T) {
+	const boxes = 6
+	synctest.Test(t, func(t *testing.T) {
+		w := newSilenceWorld(boxes, 8, true)
+		demand := sched.PrefixDemand{Service: "s", Calls: 160}
+		for i := range 16 {
+			demand.Parts = append(demand.Parts, sched.PartDemand{ID: fmt.Sprintf("prefix%d", i), Tokens: testPrefix, Calls: 10, Programs: 8})
+		}
+		for _, box := range w.boxes {
+			configureMemory(box, testMemory)
+			take(t, box, prefixAsk(99, "own")).Done(Answered, 0)
+			box.UpdatePrefixDemand("other", demand)
+		}
+		time.Sleep(time.Second)
+		for _, box := range w.boxes {
+			box.updatePrefixes(time.Now(), "s")
+		}
+		preferred := preferredFor(w.boxes[0], 0, "a")
+		for _, id := range preferred {
+			w.set(id, silent)
+		}
+		const turns = callsBefore * boxes
+		for i := range turns {
+			w.send(t, i%boxes, prefixAsk(0, fmt.Sprintf("p%d", i)))
+			time.Sleep(callsEvery / boxes)
+		}
+		if got := w.takenBy(preferred...); got > 5*boxes*len(preferred) {
+			t.Errorf("%v took %d of %d turns of %d boxes, want at most 5 of each box: %v", preferred, got, turns, boxes, w.taken)
+		}
+		t.Logf("%v took %d of %d turns: %v", preferred, w.takenBy(preferred...), turns, w.taken)
+		w.calls.Wait()
+	})
+}
