target, sched: an answer that the box itself does not read is not overdue

While the log is away, the box holds back the answers of turns whose start must be logged first, and reads no event of them.

Lease.HoldResponse takes the turn out of the calls that wait for a response, until the function that it returns is called. The time until the first event of such a turn is not observed either. Package turns has to call it around its wait for the log (turn.awaitStart); this commit does not touch turns, so nothing calls it yet.

--- a/gate/target/lease.go
+++ b/gate/target/lease.go
@@ -29,9 +29,11 @@
 	attempt   *crash.Attempt
 	ask       CallRequest
 	startedAt time.Time
-	// responseDue is when the response should have come, and responded is set once it has.
-	responseDue time.Time
-	responded   bool
+	// expected is how long the response may take, and responded is set once it has come.
+	expected  time.Duration
+	responded bool
+	// held is set while this box does not read the answer, and delayed once it has not.
+	held, delayed bool
 	// firstEventAfter is the time from the lease to the answer's first event, zero before it.
 	firstEventAfter time.Duration
 	// lightLoad is set if the replica was lightly loaded when the call was placed.
--- a/gate/target/place.go
+++ b/gate/target/place.go
@@ -132,7 +132,7 @@
 	}
 	l := &Lease{
 		Replica: s.Replica, CachedTokens: best.estimate.CachedTokens, ExpectedCost: best.cost, Candidates: candidates,
-		targets: t, state: s, ask: ask, startedAt: now, responseDue: now.Add(expected), lightLoad: best.estimate.LightlyLoaded(),
+		targets: t, state: s, ask: ask, startedAt: now, expected: expected, lightLoad: best.estimate.LightlyLoaded(),
 	}
 	if ask.Prompt != nil {
 		t.recordPrefixUse(now, l, best.estimate)
--- a/gate/target/silence.go
+++ b/gate/target/silence.go
@@ -29,6 +29,29 @@
 	return expected + t.admissionFor(service).Estimates.ResponseDelay(ask.Prompt.Tokens, est)
 }
 
+// HoldResponse must be called before this box stops to read an answer whose head has arrived, for example until the log
+// holds a record. That no event comes does not count against the replica until the returned function is called.
+func (l *Lease) HoldResponse() (resume func()) {
+	t, s := l.targets, l.state
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l.responded || l.held {
+		return func() {}
+	}
+	l.held, l.delayed = true, true
+	s.awaited--
+	s.silence.Responded(time.Now(), s.awaited)
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if l.held {
+			l.held = false
+			s.awaited++
+			s.silence.Sent(time.Now(), l.expected)
+		}
+	}
+}
+
 // recordResponse records the first sign that the replica processes the call.
 func (l *Lease) recordResponse(now time.Time) {
 	if l.responded {
@@ -36,9 +59,14 @@
 	}
 	l.responded = true
 	s := l.state
-	s.awaited--
+	if !l.held {
+		s.awaited--
+	}
+	l.held = false
+	if !l.delayed {
+		l.targets.responseTime(l.ask.WorkKind).Observe(now.Sub(l.startedAt))
+	}
 	s.silence.Responded(now, s.awaited)
-	l.targets.responseTime(l.ask.WorkKind).Observe(now.Sub(l.startedAt))
 	if l.ask.Prompt != nil {
 		s.confirmParts(l.ask.Prompt.Parts)
 	}
@@ -54,6 +82,10 @@
 		return
 	}
 	s := l.state
+	if l.held {
+		l.held = false
+		return
+	}
 	s.awaited--
 	switch out {
 	case Refused, Failed:
@@ -61,7 +93,7 @@
 	case Unreached, PoolFull:
 		s.silence.Withdrawn()
 	case Abandoned, GivenUp:
-		if now.Before(l.responseDue) {
+		if l.delayed || now.Sub(l.startedAt) < l.expected {
 			s.silence.Withdrawn()
 			return
 		}
--- a/gate/target/unconfirmed_test.go
+++ b/gate/target/unconfirmed_test.go
@@ -142,3 +142,39 @@
 		w.calls.Wait()
 	})
 }
+
+// TestLogOutageMovesPrograms guards against programs that leave the replica which holds their prompts because this box
+// delays first events until the log is back.
+func TestLogOutageMovesPrograms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets, _ := newTargets(3, true)
+		ask := sharingPrefix(0)(0)
+		first := take(t, targets, ask)
+		first.RecordFirstEvent(soundTime)
+		first.Done(Answered, soundTime)
+		home := first.Replica.ID
+		var held []*Lease
+		for i := range 5 {
+			lease := take(t, targets, sharingPrefix(0)(i))
+			if lease.Replica.ID != home {
+				t.Errorf("turn %d went to %s, want %s", i, lease.Replica.ID, home)
+			}
+			resume := lease.HoldResponse()
+			time.AfterFunc(5*time.Second, resume)
+			held = append(held, lease)
+			time.Sleep(time.Second)
+		}
+		for i, lease := range held {
+			if i > 0 {
+				lease.RecordFirstEvent(5 * time.Second)
+			}
+			lease.Done(Answered, soundTime)
+		}
+		time.Sleep(5 * time.Second)
+		for _, s := range targets.services["s"] {
+			if s.inFlight != 0 || s.awaited != 0 || s.silence.Unanswered() != 0 {
+				t.Errorf("%s: %d calls in flight, %d awaited, %d unanswered in the end", s.ID, s.inFlight, s.awaited, s.silence.Unanswered())
+			}
+		}
+	})
+}
