parts, front: a request that becomes whole late in a stop is refused

The box of `gate run` has the fault of the one of the platform: a request whose body ended late in a planned stop was taken, however little time was left until limits.stop_wait, and its connection was closed without an answer. front.Stop refuses callers' requests, but the kernel calls it only after it has stopped the callers' listener, which waits for these requests. The box now calls it when the drain delay is over, and a request is checked again when its body has been read; callers get 503 with not_run and take it to another box.

--- a/gate/front/front.go
+++ b/gate/front/front.go
@@ -171,11 +171,8 @@
 // prepare fails while the box cannot serve requests; otherwise it authenticates the caller and
 // reads the body.
 func (f *Front) prepare(c *call) error {
-	f.mu.Lock()
-	stopping := f.stopping && !c.peer
-	f.mu.Unlock()
-	if stopping {
-		return fault.Refuse(fault.Stopping, "box is stopping").WithRetryAfter(time.Second)
+	if err := f.checkStopping(c); err != nil {
+		return err
 	}
 	if err := f.policies.Ready(); err != nil {
 		return err
@@ -185,8 +182,20 @@
 		return err
 	}
 	c.workspace = workspace.Name
-	c.body, err = readBody(c.w, c.r, f.opts)
-	return err
+	if c.body, err = readBody(c.w, c.r, f.opts); err != nil {
+		return err
+	}
+	return f.checkStopping(c) // the body may have taken long
+}
+
+// checkStopping refuses a caller's request if Stop has been called.
+func (f *Front) checkStopping(c *call) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.stopping || c.peer {
+		return nil
+	}
+	return fault.Refuse(fault.Stopping, "box is stopping").WithRetryAfter(time.Second)
 }
 
 // writeError reports the failure to the caller. It cuts the connection if the response has
--- a/gate/parts/box.go
+++ b/gate/parts/box.go
@@ -10,6 +10,7 @@
 	"mulleingate.dev/base/logc"
 	"mulleingate.dev/base/types"
 	"mulleingate.dev/gate/conf"
+	"mulleingate.dev/gate/front"
 	"mulleingate.dev/gate/kernel"
 	"mulleingate.dev/gate/member"
 	"mulleingate.dev/gate/slots"
@@ -90,6 +91,10 @@
 	case <-time.After(drainDelay):
 	case <-ctx.Done():
 	}
+	// A request that becomes whole later could be cut at the end of the stop. Another box can take it.
+	if entrance, ok := b.kernel.Find("front").(*front.Front); ok {
+		_ = entrance.Stop(ctx) // never fails
+	}
 	if owners, ok := b.kernel.Find("slots").(*slots.Slots); ok {
 		owners.Release(ctx)
 	}
