--- a/gate/memory/budget.go
+++ b/gate/memory/budget.go
@@ -1,11 +1,18 @@
 package memory
 
-import "sync/atomic"
+import (
+	"sync"
+	"sync/atomic"
+)
 
 // Budget is a number of bytes that several holders share. Its methods may be called concurrently.
 type Budget struct {
 	limit int64
 	used  atomic.Int64
+	// pieces holds unused pieces of bodies.
+	pieces sync.Pool
+	// joining is locked while a body is joined.
+	joining sync.Mutex
 }
 
 // New returns a budget of limit bytes.
