remote: requests of other boxes are bounded in bytes and time

What a box in trouble sends to another had no bound on all of it together: forwarded turns of any length, records and calls of the log of 32 MB each, request heads of 1 MB. A slow request stayed open for as long as its sender liked, and so did a response that was not read. The box that got it ran out of memory (112 MB on small boxes) and ended with all its calls.

A request's head is bounded to 64 KB and 3 s; turns must arrive by their deadline, other bodies within 5 s, and responses other than turns' must be taken within 5 s. Bodies take their memory from the box's budget for bodies (memory.Budgets) as they arrive, but for their first 16 KB. A turn beyond the budget is refused as not run, with a Retry-After delay, before anything is done with it; a single request may have 18 MB if no other holds any, so that chains of 16 MB still travel. Bodies are read in pieces, which take twice their size and not several times. Announced times are converted by work.Millis, which does not overflow. The announced header of a turn is bounded to 8 MB.

--- a/gate/node/cold_test.go
+++ b/gate/node/cold_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"mulleingate.dev/gate/crash"
+	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/meter"
 	"mulleingate.dev/gate/spool"
 	"mulleingate.dev/gate/target"
@@ -102,7 +103,7 @@
 	n := New(Deps{
 		Self: self, Slots: 2, RecordBytes: 1 << 16, Log: quietLog{self.Member()}, Decoder: coldDecoder{}, Replicas: okReplicas{},
 		Logger: logger, Meter: counts, Timing: view.DefaultTiming(),
-		Zones: []string{"a"}, Regions: work.Regions{"a": "r"}, Spool: spool.New(spool.Limits{}.Fill(0), counts, logger),
+		Zones: []string{"a"}, Regions: work.Regions{"a": "r"}, Spool: spool.New(spool.Limits{}.Fill(0), counts, logger), Memory: memory.NewBudgets(0),
 	})
 	if err := n.Start(context.Background(), noFront{}); err != nil {
 		t.Fatal(err)
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -128,7 +128,7 @@
 	n.entry = entry.New(deps.Self, layout, deps.Regions, n.feed, access.New(deps.Access), quotas, n.failover, n.detector, n.shards, runner, n.peers, forwarder, crashes, deps.Meter, log)
 	n.entry.SetMemoryCheck(deps.Spool)
 	n.entry.SetDrain(n.drain)
-	n.server = remote.NewServer(deps.Self, forwardedTurns{Entry: n.entry, drain: n.drain}, n.shards, n.failover, n.counter, n.mirror, deps.Log, deps.Meter, log)
+	n.server = remote.NewServer(deps.Self, forwardedTurns{Entry: n.entry, drain: n.drain}, n.shards, n.failover, n.counter, n.mirror, deps.Log, deps.Memory.Bodies, deps.Meter, log)
 	for _, name := range []string{serve.PanicsMetric, crash.FoundMetric, crash.BlockedMetric} {
 		deps.Meter.Count(name, 0) // exists from the start, so that alerts see its first increase
 	}
--- a/gate/remote/chain_test.go
+++ b/gate/remote/chain_test.go
@@ -15,6 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/work"
 )
 
@@ -43,7 +44,7 @@
 // startOwner starts the server of a box that runs turns, without its handlers in missing.
 func startOwner(t *testing.T, turns Turns, missing ...string) work.Box {
 	t.Helper()
-	owner := NewServer(work.Box{}, turns, nil, nil, nil, nil, nil, &panicCounts{}, slog.New(slog.DiscardHandler))
+	owner := NewServer(work.Box{}, turns, nil, nil, nil, nil, nil, memory.NewBudgets(0).Bodies, &panicCounts{}, slog.New(slog.DiscardHandler))
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		for _, path := range missing {
 			if r.URL.Path == path {
--- a/gate/remote/frame.go
+++ b/gate/remote/frame.go
@@ -1,12 +1,12 @@
 package remote
 
 import (
-	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"io"
 
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/work"
 )
 
@@ -14,7 +14,7 @@
 	// maxHeader bounds a short message, in bytes, and maxTurnHeader the JSON header of a turn. That holds the headers of
 	// the caller, which the configuration bounds.
 	maxHeader     = 256 << 10
-	maxTurnHeader = 16 << 20
+	maxTurnHeader = 8 << 20
 	// maxInlineBase is the size in bytes up to which a chain travels in the header of a turn, where boxes of earlier
 	// versions look for it.
 	maxInlineBase = 64 << 10
@@ -85,9 +85,9 @@
 
 // readFull reads n bytes. It takes memory only for what arrives.
 func readFull(in io.Reader, n int) ([]byte, error) {
-	var raw bytes.Buffer
-	if _, err := io.CopyN(&raw, in, int64(n)); err != nil {
-		return nil, err
+	raw, err := memory.ReadAll(io.LimitReader(in, int64(n)))
+	if err == nil && len(raw) < n {
+		err = io.ErrUnexpectedEOF
 	}
-	return raw.Bytes(), nil
+	return raw, err
 }
--- a/gate/remote/log.go
+++ b/gate/remote/log.go
@@ -20,6 +20,9 @@
 	opMembers = "members"
 )
 
+// maxLogTime bounds an operation of the log for another box. No box waits longer for one.
+const maxLogTime = 10 * time.Second
+
 // logRequest is a request to perform an operation of the log. Its fields hold the arguments of the operation.
 type logRequest struct {
 	Op      string        `json:"op"`
@@ -111,11 +114,12 @@
 // log performs an operation of the log on behalf of another box.
 func (s *Server) log(w http.ResponseWriter, r *http.Request) {
 	var msg logRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&msg); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	release, ok := s.decode(w, r, maxBody, &msg)
+	if !ok {
 		return
 	}
-	ctx, stop := context.WithTimeout(r.Context(), time.Duration(msg.LimitMS)*time.Millisecond)
+	defer release()
+	ctx, stop := context.WithTimeout(r.Context(), min(work.Millis(msg.LimitMS), maxLogTime))
 	defer stop()
 	var out logResponse
 	var err error
@@ -125,9 +129,9 @@
 	case opNewest:
 		out.Batch, err = s.directLog.Newest(ctx, msg.Shard, msg.After)
 	case opRead:
-		out.Page, err = s.directLog.Read(ctx, msg.Shard, msg.From, time.Duration(msg.WaitMS)*time.Millisecond)
+		out.Page, err = s.directLog.Read(ctx, msg.Shard, msg.From, work.Millis(msg.WaitMS))
 	case opJoin:
-		out.Generation, err = s.directLog.Join(ctx, msg.Member, msg.Generation, time.Duration(msg.TTLMS)*time.Millisecond)
+		out.Generation, err = s.directLog.Join(ctx, msg.Member, msg.Generation, work.Millis(msg.TTLMS))
 	case opLeave:
 		err = s.directLog.Leave(ctx, msg.Member)
 	case opMembers:
--- a/gate/remote/mirror.go
+++ b/gate/remote/mirror.go
@@ -54,18 +54,22 @@
 
 func (s *Server) copy(w http.ResponseWriter, r *http.Request) {
 	var req mirror.CopyRequest
-	if !decode(w, r, &req) {
+	release, ok := s.decode(w, r, maxHeader, &req)
+	if !ok {
 		return
 	}
+	defer release()
 	answer, err := s.sources.Copy(r.Context(), req)
 	s.sendSourceResponse(w, sourceResponse{Copy: &answer}, err)
 }
 
 func (s *Server) roster(w http.ResponseWriter, r *http.Request) {
 	var req mirror.RosterRequest
-	if !decode(w, r, &req) {
+	release, ok := s.decode(w, r, maxHeader, &req)
+	if !ok {
 		return
 	}
+	defer release()
 	answer, err := s.sources.Roster(r.Context(), req)
 	s.sendSourceResponse(w, sourceResponse{Roster: &answer}, err)
 }
--- a/gate/remote/reach_test.go
+++ b/gate/remote/reach_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/view"
 	"mulleingate.dev/gate/work"
 )
@@ -54,7 +55,7 @@
 // startBox starts the server of a box that answers pings, and lets delay pass before each response.
 func startBox(t *testing.T, incarnation string, delay time.Duration) work.Box {
 	t.Helper()
-	s := NewServer(work.Box{Incarnation: incarnation}, nil, nil, nil, nil, nil, nil, nil, slog.New(slog.DiscardHandler))
+	s := NewServer(work.Box{Incarnation: incarnation}, nil, nil, nil, nil, nil, nil, memory.NewBudgets(0).Bodies, nil, slog.New(slog.DiscardHandler))
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(delay)
 		s.http.Handler.ServeHTTP(w, r)
@@ -227,7 +228,7 @@
 			return
 		}
 		time.Sleep(4 * suspectAfter)
-		msg, err := readTurn(r.Body) // asks for the body
+		msg, err := (&turnWriter{flush: http.NewResponseController(w)}).readTurn(r.Body) // asks for the body
 		if err != nil {
 			t.Error(err)
 			return
@@ -369,7 +370,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			var conns atomic.Int64
 			srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				if _, err := readTurn(r.Body); err != nil {
+				if _, err := (&turnWriter{flush: http.NewResponseController(w)}).readTurn(r.Body); err != nil {
 					return
 				}
 				out := &turnWriter{w: w, flush: http.NewResponseController(w), deadline: time.Now().Add(time.Minute)}
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -12,14 +12,19 @@
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/base/serve"
+	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/mirror"
 	"mulleingate.dev/gate/quota"
 	"mulleingate.dev/gate/view"
 	"mulleingate.dev/gate/work"
 )
 
-// maxBody bounds the body of a large request or response, in bytes.
-const maxBody = 32 << 20
+// maxBody bounds the body of a large request or response, in bytes, and maxTurn that of a forwarded turn with its header and
+// the chain that it continues.
+const (
+	maxBody = 32 << 20
+	maxTurn = maxTurnHeader + 2*maxBody
+)
 
 // idleTimeout is longer than clients keep idle connections, so that the clients close them.
 const idleTimeout = 30 * time.Second
@@ -73,32 +78,34 @@
 	quotas    Quotas
 	sources   Sources
 	directLog work.Log
-	counts    serve.Counts
-	logger    *slog.Logger
-	http      *http.Server
+	// bodies bounds the memory of the requests that are read or served.
+	bodies *memory.Budget
+	counts serve.Counts
+	logger *slog.Logger
+	http   *http.Server
 	// running is nil before Start.
 	running *serve.Server
 }
 
 // NewServer returns the server of the box self, which does not listen yet. It performs operations on direct, the log, for boxes
 // that can't reach the log themselves.
-func NewServer(self work.Box, turns Turns, slots Slots, boxes Boxes, quotas Quotas, sources Sources, direct work.Log, counts serve.Counts, logger *slog.Logger) *Server {
-	s := &Server{self: self, turns: turns, slots: slots, boxes: boxes, quotas: quotas, sources: sources, directLog: direct, counts: counts, logger: logger}
+func NewServer(self work.Box, turns Turns, slots Slots, boxes Boxes, quotas Quotas, sources Sources, direct work.Log, bodies *memory.Budget, counts serve.Counts, logger *slog.Logger) *Server {
+	s := &Server{self: self, turns: turns, slots: slots, boxes: boxes, quotas: quotas, sources: sources, directLog: direct, bodies: bodies, counts: counts, logger: logger}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+turnPath, s.turn)
 	mux.HandleFunc("POST "+chainTurnPath, s.turn)
-	mux.HandleFunc("POST "+handoverPath, s.handover)
-	mux.HandleFunc("POST "+takenPath, s.taken)
-	mux.HandleFunc("GET "+findPath, s.find)
-	mux.HandleFunc("POST "+logPath, s.log)
-	mux.HandleFunc("POST "+deliverPath, s.deliver)
-	mux.HandleFunc("POST "+leavingPath, s.leaving)
-	mux.HandleFunc("POST "+quotaPath, s.quota)
-	mux.HandleFunc("POST "+copyPath, s.copy)
-	mux.HandleFunc("POST "+rosterPath, s.roster)
-	mux.HandleFunc("GET "+reachPath, s.reach)
-	mux.HandleFunc("GET "+pingPath, s.ping)
-	s.http = &http.Server{Handler: mux, IdleTimeout: idleTimeout}
+	mux.HandleFunc("POST "+handoverPath, short(s.handover))
+	mux.HandleFunc("POST "+takenPath, short(s.taken))
+	mux.HandleFunc("GET "+findPath, short(s.find))
+	mux.HandleFunc("POST "+logPath, short(s.log))
+	mux.HandleFunc("POST "+deliverPath, short(s.deliver))
+	mux.HandleFunc("POST "+leavingPath, short(s.leaving))
+	mux.HandleFunc("POST "+quotaPath, short(s.quota))
+	mux.HandleFunc("POST "+copyPath, short(s.copy))
+	mux.HandleFunc("POST "+rosterPath, short(s.roster))
+	mux.HandleFunc("GET "+reachPath, short(s.reach))
+	mux.HandleFunc("GET "+pingPath, short(s.ping))
+	s.http = &http.Server{Handler: bounded(mux), IdleTimeout: idleTimeout, ReadHeaderTimeout: headTimeout, MaxHeaderBytes: maxRequestHead}
 	return s
 }
 
@@ -139,14 +146,16 @@
 
 func (s *Server) deliver(w http.ResponseWriter, r *http.Request) {
 	slot, err := strconv.Atoi(r.URL.Query().Get(slotParam))
-	var recs []work.Record
-	if err == nil {
-		err = json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&recs)
-	}
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	var recs []work.Record
+	release, ok := s.decode(w, r, maxBody, &recs)
+	if !ok {
+		return
+	}
+	defer release()
 	if err := s.slots.Deliver(r.Context(), slot, recs); err != nil {
 		s.logger.Info("remote: cannot write records delivered by another box", "slot", slot, "cause", err)
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -164,23 +173,16 @@
 
 func (s *Server) quota(w http.ResponseWriter, r *http.Request) {
 	var msg quota.GrantRequest
-	if !decode(w, r, &msg) {
+	release, ok := s.decode(w, r, maxHeader, &msg)
+	if !ok {
 		return
 	}
+	defer release()
 	if err := json.NewEncoder(w).Encode(s.quotas.Grant(time.Now(), msg)); err != nil {
 		s.logger.Debug("remote: cannot send quota grant", "cause", err)
 	}
 }
 
-// decode reads a short JSON request. It responds with status 400 and returns false if that fails.
-func decode(w http.ResponseWriter, r *http.Request, req any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxHeader)).Decode(req); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
 func (s *Server) find(w http.ResponseWriter, r *http.Request) {
 	var out findResponse
 	confirm, err := strconv.ParseBool(cmp.Or(r.URL.Query().Get(confirmParam), "true"))
@@ -197,7 +199,9 @@
 func (s *Server) turn(w http.ResponseWriter, r *http.Request) {
 	out := &turnWriter{w: w, flush: http.NewResponseController(w)}
 	defer s.answerPanic(out)
-	msg, err := readTurn(r.Body)
+	body := &reservingReader{in: http.MaxBytesReader(w, r.Body, maxTurn), budget: s.bodies}
+	defer body.release()
+	msg, err := out.readTurn(body)
 	if err == nil {
 		out.deadline = msg.Call.Deadline
 		err = s.turns.RunHere(r.Context(), msg.Slot, msg.Unreached, msg.Call, msg.Route, out)
@@ -234,9 +238,9 @@
 	s.sendFault(out, fault.Fail(fault.Internal, "the owner of the slot failed the turn"))
 }
 
-// readTurn reads a forwarded turn. Its faults have NotRun set, since nothing has been done with the turn. The sender bounds the
-// turn's length.
-func readTurn(body io.Reader) (turnRequest, error) {
+// readTurn reads a forwarded turn, which must arrive by its deadline. Its faults have NotRun set, since nothing has been done
+// with the turn.
+func (t *turnWriter) readTurn(body io.Reader) (turnRequest, error) {
 	var msg turnRequest
 	if err := unframe(body, &msg); err != nil {
 		return msg, unreadable(err)
@@ -250,23 +254,28 @@
 		msg.Call = call
 	}
 	now := time.Now()
-	call.Deadline = now.Add(time.Duration(msg.LeftMillis) * time.Millisecond)
-	call.Arrived = now.Add(-time.Duration(msg.WaitedMillis) * time.Millisecond)
+	call.Deadline = now.Add(work.Millis(msg.LeftMillis))
+	call.Arrived = now.Add(-work.Millis(msg.WaitedMillis))
+	_ = t.flush.SetReadDeadline(call.Deadline.Add(writeGrace)) // on a closed connection, the next read fails
 	var err error
 	if msg.BaseBytes > 0 {
 		if call.Turn.Base, err = readFull(body, msg.BaseBytes); err != nil {
 			return msg, unreadable(err)
 		}
 	}
-	if call.Body, err = io.ReadAll(body); err != nil {
+	if call.Body, err = memory.ReadAll(body); err != nil {
 		return msg, unreadable(err)
 	}
+	_ = t.flush.SetReadDeadline(time.Time{}) // its end would end the request's context
 	return msg, nil
 }
 
 // unreadable returns the fault of a forwarded turn that this box can't read. Its owner can't be reached by way of the box
 // that sent it, so that the caller may come again.
 func unreadable(cause error) error {
+	if fault.Is(cause, fault.Overloaded) {
+		return cause
+	}
 	return fault.Refuse(fault.OwnerUnavailable, "the forwarded turn can't be read").WithCause(cause)
 }
 
--- a/gate/remote/server_test.go
+++ b/gate/remote/server_test.go
@@ -15,6 +15,7 @@
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/base/serve"
+	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/work"
 )
 
@@ -45,7 +46,7 @@
 func TestPanicIsNotPeerUnreachable(t *testing.T) {
 	var counts panicCounts
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
-	owner := NewServer(work.Box{}, panickingTurns{}, nil, nil, nil, nil, nil, &counts, quiet)
+	owner := NewServer(work.Box{}, panickingTurns{}, nil, nil, nil, nil, nil, memory.NewBudgets(0).Bodies, &counts, quiet)
 	srv := httptest.NewServer(owner.http.Handler)
 	defer srv.Close()
 	client := NewClient(func(work.Box) bool { return true }, func(int, work.Box) []work.Box { return nil })
@@ -98,7 +99,7 @@
 // replica's place, lasted for as long as the connection was open.
 func TestUnreadResponseEndsAtDeadline(t *testing.T) {
 	turns := unreadTurns{ended: make(chan error, 1)}
-	owner := NewServer(work.Box{}, turns, nil, nil, nil, nil, nil, &panicCounts{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	owner := NewServer(work.Box{}, turns, nil, nil, nil, nil, nil, memory.NewBudgets(0).Bodies, &panicCounts{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	srv := httptest.NewServer(owner.http.Handler)
 	defer srv.Close()
 	client := NewClient(func(work.Box) bool { return true }, func(int, work.Box) []work.Box { return nil })
