front: bodies end within the time of their call, the rest of refused ones is not read

Callers that send one byte per 20 ms, or announce a body and stay silent, held their connection, and with the budget their memory, for as long as they liked: net/http sets no read deadline after the headers, since ReadTimeout is 0. After a refusal net/http read on, up to 256 KB and without a deadline, before (with keep-alive) or after the answer, so that a caller with too long headers and a slow body waited for its 431, and a refused one kept a stopping box waiting.

--- a/base/serve/timeouts.go
+++ b/base/serve/timeouts.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,15 @@
 	return &timedListener{Listener: ln, current: current}
 }
 
+// socket is a TCP connection, or a wrapper of one, with the methods of it that servers use.
+type socket interface {
+	net.Conn
+	syscall.Conn
+	CloseWrite() error
+	SetLinger(sec int) error
+	SetWriteBuffer(bytes int) error
+}
+
 type timedListener struct {
 	net.Listener
 	current func() Timeouts
@@ -35,17 +45,16 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := conn.(*net.TCPConn)
+	inner, ok := conn.(socket)
 	if !ok {
 		return conn, nil
 	}
-	return &timedConn{TCPConn: tcp, current: l.current, awaitsIdle: true}, nil
+	return &timedConn{socket: inner, current: l.current, awaitsIdle: true}, nil
 }
 
 // timedConn replaces the deadlines that http.Server sets for an idle connection and for the header of a request.
-// It embeds the TCP connection since the server also uses methods that net.Conn lacks.
 type timedConn struct {
-	*net.TCPConn
+	socket
 	current func() Timeouts
 
 	mu sync.Mutex
@@ -54,37 +63,48 @@
 	// idle is set while the server waits for the first byte of a request; idleSince is the time since when.
 	idle      bool
 	idleSince time.Time
+	// inRequest is set from the end of the header of a request to the end of the response.
+	inRequest bool
+	// abandoned is set once the rest of the current request is not read, and discarding once the connection is closed
+	// after that.
+	abandoned, discarding bool
 }
 
 // Responded implements Responder.
 func (c *timedConn) Responded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.awaitsIdle = true
+	c.awaitsIdle, c.inRequest = true, false
 }
 
-// SetReadDeadline implements net.Conn. A zero deadline, and one that has passed and interrupts a read, is set as
-// it is. Of the others, the server sets the first one after the accept or after a response for the idle
-// connection, and the next one for the header of a request.
+// SetReadDeadline implements net.Conn. A zero deadline, one that has passed and interrupts a read, and those that the
+// handler sets for the body are set as they are. Of the others, the server sets the first one after the accept or after
+// a response for the idle connection, the next ones for the header of a request, and a zero one once that has arrived.
 func (c *timedConn) SetReadDeadline(deadline time.Time) error {
 	now := time.Now()
-	if !deadline.After(now) {
-		return c.TCPConn.SetReadDeadline(deadline)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.abandoned {
+		return nil
+	}
+	if deadline.IsZero() && !c.awaitsIdle && !c.idle {
+		c.inRequest = true
+	}
+	if c.inRequest || !deadline.After(now) {
+		return c.socket.SetReadDeadline(deadline)
+	}
 	c.idle, c.awaitsIdle = c.awaitsIdle, false
 	if !c.idle {
-		return c.TCPConn.SetReadDeadline(now.Add(c.current().Header))
+		return c.socket.SetReadDeadline(now.Add(c.current().Header))
 	}
 	c.idleSince = now
-	return c.TCPConn.SetReadDeadline(now.Add(c.current().Idle))
+	return c.socket.SetReadDeadline(now.Add(c.current().Idle))
 }
 
 // Read implements net.Conn.
 func (c *timedConn) Read(buf []byte) (int, error) {
 	for {
-		n, err := c.TCPConn.Read(buf)
+		n, err := c.socket.Read(buf)
 		if !c.extendIdle(n, err) {
 			return n, err
 		}
@@ -103,12 +123,12 @@
 	now, timeouts := time.Now(), c.current()
 	if n > 0 {
 		c.idle = false
-		_ = c.TCPConn.SetReadDeadline(now.Add(timeouts.Header)) // the next read fails if the connection is closed
+		_ = c.socket.SetReadDeadline(now.Add(timeouts.Header)) // the next read fails if the connection is closed
 		return false
 	}
 	until := c.idleSince.Add(timeouts.Idle)
 	if !errors.Is(err, os.ErrDeadlineExceeded) || !until.After(now) {
 		return false
 	}
-	return c.TCPConn.SetReadDeadline(until) == nil
+	return c.socket.SetReadDeadline(until) == nil
 }
--- a/gate/spool/conn.go
+++ b/gate/spool/conn.go
@@ -108,6 +108,13 @@
 	}
 }
 
+// Abandon implements serve.Abandoner for the connection that it wraps.
+func (c *Conn) Abandon() {
+	if a, ok := c.inner.(serve.Abandoner); ok {
+		a.Abandon()
+	}
+}
+
 // BeginAnswer says to which answer the bytes belong that are written from now on. A zero deadline bounds nothing.
 func (c *Conn) BeginAnswer(id, workspace string, deadline time.Time) {
 	c.mu.Lock()
