turns: a turn that may have run is not refused when its next attempt is not sent

Callers could be told 503, which promises that the turn has not run and never will, although a replica had it: the first attempt of a resumable turn broke off before its first event, and the time of the caller or of a planned stop ended while the second one connected. The fault of the second attempt has NotRun, and run returned it as that of the turn. A non-idempotent turn could run twice.

--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -217,10 +217,16 @@
 		t.lease = lease
 		avoid = append(avoid, lease.Replica.ID)
 		err = t.attempt(ctx)
-		if err == nil || (t.mayHaveRun && !t.canResume(ctx, err)) {
-			return err
+		if err == nil {
+			return nil
 		}
 		last = err
+		if t.mayHaveRun && !t.canResume(ctx, err) {
+			if !fault.From(err).NotRun {
+				return err
+			}
+			break // an earlier replica may have run the turn
+		}
 		if ctx.Err() != nil {
 			break
 		}
