sched: quick answers do not shorten the wait for slow calls

Callers saw, or would see, their calls avoid a sound replica and pile on others: a replica that works on two calls which take seconds, and answers a quick one meanwhile, counted as silent a quarter of a second later, and its prefixes were assigned anew. After a response, the time allowed for the calls that still waited was that of the latest call sent, of whatever kind.

TestQuickAnswerDoesNotShortenWaitForSlowCalls on: "the replica is silent half a second after its latest answer, with two calls in progress that take four". The time allowed is now the longest of the calls sent since the replica had last answered all. It is longer than necessary where a slow call has ended meanwhile.

--- a/gate/sched/silence.go
+++ b/gate/sched/silence.go
@@ -13,9 +13,10 @@
 	unanswered int
 	// since is when the first of them was sent or, if later, when the last response came.
 	since time.Time
-	// sentAt is when the latest of them was sent, and latestExpected how long the response to it may take.
-	sentAt         time.Time
-	latestExpected time.Duration
+	// sentAt is when the latest of them was sent, and longestExpected how long the response to any call may take that was
+	// sent since the replica had last answered all: quick answers say nothing about slow calls.
+	sentAt          time.Time
+	longestExpected time.Duration
 	// expected is how long after since a response may come.
 	expected time.Duration
 }
@@ -32,15 +33,15 @@
 // Sent records a call whose response is expected within the given time.
 func (s *Silence) Sent(now time.Time, expected time.Duration) {
 	if s.unanswered == 0 {
-		s.since, s.expected = now, expected
+		s.since, s.expected, s.longestExpected = now, expected, 0
 	}
 	s.unanswered++
-	s.sentAt, s.latestExpected = now, expected
+	s.sentAt, s.longestExpected = now, max(s.longestExpected, expected)
 }
 
 // Responded records a response. awaited is the number of calls that still wait for one.
 func (s *Silence) Responded(now time.Time, awaited int) {
-	s.unanswered, s.since, s.expected = awaited, now, s.latestExpected
+	s.unanswered, s.since, s.expected = awaited, now, s.longestExpected
 }
 
 // Withdrawn records that a call ended too early for its missing response to count.
