target: a request that makes replicas hang is not sent to one after the other

With other calls in progress, one request that makes each replica hang was sent to ever more of them while its attempts were in progress: other calls at these replicas got no answers either, so that the replicas, not the request, seemed to be the reason.

--- a/gate/target/place.go
+++ b/gate/target/place.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"slices"
 	"time"
 
 	"mulleingate.dev/base/fault"
@@ -70,7 +71,9 @@
 }
 
 // chooseTogether chooses among the replicas at which other attempts of the request are in progress. It returns no choice
-// if these don't respond, so that the request is sent to one more replica, unless the request may be the reason.
+// if these don't respond, so that the request is sent to one more replica, unless the request may be the reason. A request
+// that makes replicas hang leaves other calls there unanswered too, so that it is never sent to more than one replica beyond
+// crash.MaxTogether. runs is sorted.
 func (t *Targets) chooseTogether(now time.Time, ask CallRequest, service string, runs []string) (choice, int) {
 	together := ask
 	together.only = runs
@@ -85,7 +88,7 @@
 			return best, candidates
 		}
 	}
-	if t.awaitOnly(runs) >= crash.MaxTogether {
+	if t.awaitOnly(runs) >= crash.MaxTogether || len(slices.Compact(runs)) > crash.MaxTogether {
 		return t.choose(now, together, service)
 	}
 	return choice{}, 0
