relay: the first event of a stream counts as a response

Streams without a program kept going to a replica from which nothing came back, for as long as whole streams take: the lease learned of a response only at the end of an answer, and so expected one only then.

--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -220,7 +220,7 @@
 		return answer{}, fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
 	}
 	if a.route.Kind == work.Stream {
-		return a.streamed(lease, reply, stop), nil
+		return a.streamed(lease, reply, stop, start), nil
 	}
 	return a.read(ctx, tryCtx, lease, reply, stop, start)
 }
@@ -280,14 +280,33 @@
 	return answer{head: reply.Head, body: body}, nil
 }
 
-// streamed returns an answer that is forwarded as it arrives.
-func (a *attempts) streamed(lease *target.Lease, reply work.Reply, stop func()) answer {
+// streamed returns an answer that is forwarded as it arrives. start is when the call was sent.
+func (a *attempts) streamed(lease *target.Lease, reply work.Reply, stop func(), start time.Time) answer {
 	end := func(out target.Outcome, _ time.Duration) {
 		reply.Body.Close()
 		stop()
 		lease.Done(out, 0)
 	}
-	return answer{head: reply.Head, rest: reply.Body, end: end}
+	return answer{head: reply.Head, rest: &watchedBody{Reader: reply.Body, lease: lease, sentAt: start}, end: end}
+}
+
+// watchedBody is the body of an answer. It tells the lease of the first bytes.
+type watchedBody struct {
+	io.Reader
+	lease *target.Lease
+	// sentAt is when the call was sent.
+	sentAt time.Time
+	begun  bool
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(data []byte) (int, error) {
+	n, err := b.Reader.Read(data)
+	if n > 0 && !b.begun {
+		b.begun = true
+		b.lease.RecordFirstEvent(time.Since(b.sentAt))
+	}
+	return n, err
 }
 
 // replyOutcome returns Failed for a status of 500 or above, and Answered for others.
