entry, mutant: the check of a planned stop in its own file; three mutants

Applied one by one to a scratch copy, each fails the tests of its package (./drain, ./node, ./drain).

--- a/bench/mutant/list.go
+++ b/bench/mutant/list.go
@@ -18,7 +18,7 @@
 
 // All returns all mutants.
 func All() []Mutant {
-	return slices.Concat(ownership(), budgets(), configuration(), slotsAndGrants(), accessAndTargets(), highLoad(), truncation(), crashes())
+	return slices.Concat(ownership(), budgets(), configuration(), slotsAndGrants(), accessAndTargets(), highLoad(), truncation(), crashes(), plannedStops())
 }
 
 // highLoad returns the mutants of failover, prefix-aware placement, retries and slow readers.
@@ -362,3 +362,22 @@
 		},
 	}
 }
+
+// plannedStops returns the mutants of the planned stop of a box.
+func plannedStops() []Mutant {
+	const property = "what a stop takes in, it can finish, or it refuses at once"
+	return []Mutant{
+		{
+			Name: "late_calls_taken", Property: property, File: "gate/drain/sched.go", TestPackage: "./drain",
+			Old: "if until <= s.Cut {", New: "if true {",
+		},
+		{
+			Name: "waiting_calls_sent_late", Property: property, File: "gate/node/stop.go", TestPackage: "./node",
+			Old: "s.drain.Check(call.Deadline); err != nil {", New: "s.drain.Check(call.Deadline); false {",
+		},
+		{
+			Name: "cut_calls_unanswered", Property: property, File: "gate/drain/state.go", TestPackage: "./drain",
+			Old: "limited.Err() == nil || !fault.Is(err, fault.CallerGone) {", New: "limited.Err() == nil || err != nil {",
+		},
+	}
+}
--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -115,21 +115,6 @@
 	Admit(priority int) error
 }
 
-// Drain decides which calls a stopping box still takes.
-type Drain interface {
-	// Check returns a fault with NotRun if the box stops and must refuse a call with the given deadline that has not
-	// been passed on to a replica yet.
-	Check(deadline time.Time) error
-	// IsCut reports whether the calls in progress have been ended.
-	IsCut() bool
-}
-
-// neverStops is the Drain of a box that does not stop.
-type neverStops struct{}
-
-func (neverStops) Check(time.Time) error { return nil }
-func (neverStops) IsCut() bool           { return false }
-
 // Counts records metrics.
 type Counts interface {
 	Count(name string, n int64)
@@ -173,34 +158,6 @@
 	e.memory = memory
 }
 
-// SetDrain makes calls pass the check of a box that stops, when they arrive and after each wait. It must be called before
-// the first call.
-func (e *Entry) SetDrain(drain Drain) {
-	e.drain = drain
-}
-
-// Deadline returns the time at which a call must end: that of its route's timeout, unless the caller waits for less.
-// left is how long the caller waits, zero if it is not known. The zero time stands for a call that has no route.
-func (e *Entry) Deadline(call *work.Call, left time.Duration) time.Time {
-	known := e.feed.Current()
-	if known.Config == nil {
-		return time.Time{}
-	}
-	path, _, _ := strings.Cut(call.Target, "?")
-	route := known.Config.FindRoute(call.Host, path)
-	if route == nil {
-		return time.Time{}
-	}
-	return deadline(call, route, left)
-}
-
-func deadline(call *work.Call, route *work.Route, left time.Duration) time.Time {
-	if left <= 0 || left > route.Timeout {
-		left = route.Timeout
-	}
-	return call.Arrived.Add(left)
-}
-
 // Handle serves one call. left is how long the caller waits, zero if it is not known. Handle returns nil
 // after a complete answer. A fault with NotRun means that no replica has run the call or will; after any
 // other fault, a replica may have run it.
@@ -250,16 +207,6 @@
 	return err
 }
 
-// checkDrain refuses a call that could not end before this box stops.
-func (e *Entry) checkDrain(call *work.Call, route *work.Route) error {
-	err := e.drain.Check(call.Deadline)
-	if err != nil {
-		e.counts.Count("entry.stopping", 1)
-		e.log.Info("entry: refused, this box stops", "id", call.ID, "route", route.Name, "workspace", call.Workspace, "after", time.Since(call.Arrived), "left", time.Until(call.Deadline))
-	}
-	return err
-}
-
 // checkMemory refuses a call while too many answers are unread.
 func (e *Entry) checkMemory(call *work.Call, route *work.Route) error {
 	if e.memory == nil {
