remote: responses of other boxes are bounded in bytes, each and together

A box kept up to 32 MB of any response of another box, also of a ping or a grant that holds a few bytes, on all connections at once, and took one that was cut off there for a whole one. A box in trouble that sends without end used up the memory of all that asked it, which ended with their calls.

Responses have a bound by their kind: 4 KB without content, 64 KB for grants and checks, 5 MB for records and members, and 22 MB for the text of a chain, so that chains of 16 MB are still found. Of those beyond 64 KB, two are read at once, and one text; others wait for them until their request's deadline.

--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -73,6 +73,9 @@
 
 	mu    sync.Mutex
 	pools map[netip.AddrPort]*dial.Pool
+	// longResponses and longTexts are semaphores of maxLongResponses and maxLongTexts, held while a response longer than
+	// maxShort is read.
+	longResponses, longTexts chan struct{}
 	// checks holds the newest check of each box, by address.
 	checks map[netip.AddrPort]*livenessCheck
 }
@@ -80,7 +83,10 @@
 // NewClient returns a client without connections. near reports whether a box is in the region of this one;
 // successors returns the boxes of the given one's availability zone that are asked for the slot after it.
 func NewClient(near func(box work.Box) bool, successors func(slot int, box work.Box) []work.Box) *Client {
-	return &Client{near: near, successors: successors, pools: map[netip.AddrPort]*dial.Pool{}, checks: map[netip.AddrPort]*livenessCheck{}}
+	return &Client{
+		near: near, successors: successors, pools: map[netip.AddrPort]*dial.Pool{}, checks: map[netip.AddrPort]*livenessCheck{},
+		longResponses: make(chan struct{}, maxLongResponses), longTexts: make(chan struct{}, maxLongTexts),
+	}
 }
 
 func (c *Client) pool(addr netip.AddrPort) *dial.Pool {
@@ -139,7 +145,7 @@
 		return err
 	}
 	if head.Problem != nil {
-		_, _ = io.Copy(io.Discard, in) // lets the connection be reused
+		_, _ = io.CopyN(io.Discard, in, maxHeader) // lets the connection be reused
 		return head.Problem.Fault()
 	}
 	if head.Head == nil {
@@ -275,11 +281,8 @@
 		return 0, nil, err
 	}
 	defer resp.Close()
-	raw, err = io.ReadAll(io.LimitReader(resp, maxBody))
-	if err != nil {
-		return 0, nil, fault.Fail(fault.PeerUnreachable, "another box's response is truncated").WithCause(err)
-	}
-	return resp.Status, raw, nil
+	raw, err = c.readResponse(ctx, resp, path)
+	return resp.Status, raw, err
 }
 
 // command sends a request whose response is only a status. Any status but 200 is an error.
