dial: a body is not copied for each attempt to send it

Boxes held each body and each prompt a second time, without any bound, for as long as a replica did not read it: the request was one slice of its head and its body, which the function that writes in the background keeps. With a budget of prompts of 14 MB a small box holds up to 28 MB then.

TestBodyIsNotCopiedForSilentPeer on: "8 calls with the same body of 8 MB hold 64 MB more". Long requests are now written as head and body in one call (net.Buffers), short ones as before. The test passes.

--- a/gate/dial/confirm.go
+++ b/gate/dial/confirm.go
@@ -49,7 +49,7 @@
 // writeExpectContinue writes the head of the request and, if the peer asks for it, the body. Any other
 // response is left unread.
 func (r *Response) writeExpectContinue(ctx context.Context, req Request) error {
-	if _, err := r.conn.netConn.Write(requestHead(req, 0)); err != nil {
+	if _, err := r.conn.netConn.Write(requestHead(req)); err != nil {
 		return err
 	}
 	wantsBody, err := r.awaitContinue(ctx, req.ContinueTimeout)
@@ -59,7 +59,7 @@
 	if err != nil || !wantsBody {
 		return err
 	}
-	r.writeRequest(req.Body)
+	r.writeRequest(nil, req.Body)
 	return nil
 }
 
--- a/gate/dial/send.go
+++ b/gate/dial/send.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -99,7 +100,7 @@
 		return nil, err
 	}
 	resp := p.newResponse(ctx, c)
-	resp.writeRequest(append(requestHead(req, len(req.Body)), req.Body...))
+	resp.writeRequest(requestHead(req), req.Body)
 	return resp.awaitResponse(ctx, req)
 }
 
@@ -133,26 +134,27 @@
 // longer one may block while the target already responds.
 const maxInlineWrite = 4 << 10
 
-// writeRequest writes the request, in the background if it is long.
-func (r *Response) writeRequest(raw []byte) {
-	if len(raw) <= maxInlineWrite {
-		r.writeAll(raw)
+// writeRequest writes the head and the body of the request, in the background if they are long. It doesn't join them then: a
+// copy of the body would stay in memory for as long as the peer does not read it.
+func (r *Response) writeRequest(head, body []byte) {
+	if len(head)+len(body) <= maxInlineWrite {
+		r.writeAll(net.Buffers{append(head, body...)})
 		return
 	}
-	go r.writeAll(raw)
+	go r.writeAll(net.Buffers{head, body})
 }
 
-func (r *Response) writeAll(raw []byte) {
+func (r *Response) writeAll(parts net.Buffers) {
 	defer close(r.written)
-	if _, err := r.conn.netConn.Write(raw); err != nil {
+	if _, err := parts.WriteTo(r.conn.netConn); err != nil {
 		r.writeFailed.Store(true)
 	}
 }
 
-// requestHead returns the request line and headers, with capacity for room more bytes.
-func requestHead(req Request, room int) []byte {
+// requestHead returns the request line and headers.
+func requestHead(req Request) []byte {
 	var b bytes.Buffer
-	b.Grow(requestHeadSize + room)
+	b.Grow(requestHeadSize)
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	_ = req.Header.Write(&b) // a buffer accepts all writes
 	if req.ContinueTimeout > 0 {
