node: a call that a replica may have run goes on in a stop

Found by review: a repeatable call that was taken one second after SIGTERM was given up when its replica broke off at 3 s, with 3.6 s left until calls are cut, since each send was checked as if nothing had been sent yet. The answer was 502, no refusal: after the first send a call can't be refused as not run. work.Call.MayHaveRun tells that, and the check passes such calls.

Turns now also say while they wait for the log's record of their start that they do not read (Lease.HoldResponse), so that an outage of the log makes no replica look silent.

After: go test -race ./node ./relay ./turns pass.

--- a/gate/node/stop.go
+++ b/gate/node/stop.go
@@ -60,7 +60,7 @@
 	return err
 }
 
-// drainSender refuses calls that have waited too long to be passed on in a planned stop.
+// drainSender refuses calls that have waited too long to be passed on in a planned stop, unless a replica may have run them.
 type drainSender struct {
 	relay.Sender
 	drain *drain.State
@@ -68,7 +68,7 @@
 
 // Send implements relay.Sender. The kind of its fault says nothing about the replica.
 func (s drainSender) Send(ctx context.Context, lease *target.Lease, call *work.Call, left time.Duration) (work.Reply, error) {
-	if err := s.drain.Check(call.Deadline); err != nil {
+	if err := s.drain.Check(call.Deadline); err != nil && !call.MayHaveRun {
 		return work.Reply{}, fault.Refuse(fault.Overloaded, "the call has waited too long to be passed on").WithCause(err)
 	}
 	return s.Sender.Send(ctx, lease, call, left)
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -187,6 +187,7 @@
 		stopReplicaCtx()
 	}
 	start := time.Now()
+	a.call.MayHaveRun = a.runs > 0
 	reply, err := a.sender.Send(tryCtx, lease, a.call, limit)
 	if err != nil {
 		lease.Unbroken = isTimedOut(tryCtx)
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -293,7 +293,7 @@
 func (t *turn) send(ctx, replicaCtx context.Context) (work.Reply, error) {
 	t.sent++
 	call := *t.call
-	call.Body = t.prompt
+	call.Body, call.MayHaveRun = t.prompt, t.mayHaveRun
 	if t.answer.begun {
 		call.Header = t.resumeHeader(call.Header)
 	}
@@ -356,6 +356,8 @@
 	if t.started == nil {
 		return nil
 	}
+	resume := t.lease.HoldResponse()
+	defer resume()
 	if err := t.started.Wait(ctx); err != nil {
 		return fault.Fail(fault.LogUnavailable, "the log did not confirm the turn's start").WithCause(err)
 	}
--- a/gate/work/call.go
+++ b/gate/work/call.go
@@ -68,6 +68,8 @@
 	Prompt *Prompt
 	// Turn is the call's turn in a program; nil for calls outside programs.
 	Turn *Turn
+	// MayHaveRun is set once a replica may have run the call, so that it can't be refused as not run any more.
+	MayHaveRun bool `json:"-"`
 }
 
 // Prompt is what is known of a model call's prompt before the call runs.
