turns, relay: what is kept of answers and prompts has a budget

Callers of a small box, of 112 MB, lost all that it held when replicas sent without end: a turn kept up to 16 MiB of its answer, what was held back of an event on a resumable route had no bound, and the bytes held back were searched anew with each piece. Long prompts had 64 MB on any box. Error answers of turns were cut at 1 MB and passed on as if they were whole.

Each turn may keep 16 kB, several times the usual, outside of the budget for answers; beyond that it has a memory.Share, which it gives back whatever its outcome. Where that has no room, the turn fails with a fault of kind Protocol, which counts against the replica, and is not taken for a broken connection; if only an event was held back, another replica may resume it. Long prompts share the budget for prompts; a single one always has room. Answers of other calls are read whole before they are forwarded up to 64 kB, as before, but beyond 8 kB only while the budget has room; else they are forwarded as they arrive. IDs of events have 1 kB, since they are sent to the next replica. Too long a head is no broken connection either.

A discarded line in pieces of more than the buffer lost its event; its beginning is kept now. The test of long prompts took the constant of 64 MB for the bound; it now takes the budget, that this is at most a quarter of a small box, and that all is given back.

--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -121,8 +121,8 @@
 	crashes.OnCrash(n.watch.SendCrash)
 	crashes.SetArbiter(n.watch)
 	sender := drainSender{Sender: deps.Replicas, drain: n.drain}
-	runner := turns.New(n.targets, sender, deps.RecordBytes, deps.Meter, log)
-	forwarder := relay.New(n.targets, sender, deps.Meter, log)
+	runner := turns.New(n.targets, sender, deps.RecordBytes, deps.Memory, deps.Meter, log)
+	forwarder := relay.New(n.targets, sender, deps.Memory.Answers, deps.Meter, log)
 	n.counter = quota.NewCounter(deps.Self, deps.Zones, deps.Quota, n.view)
 	quotas := quota.New(deps.Self, deps.Zones, deps.Quota, n.view, n.counter, n.peers, deps.Meter)
 	n.entry = entry.New(deps.Self, layout, deps.Regions, n.feed, access.New(deps.Access), quotas, n.failover, n.detector, n.shards, runner, n.peers, forwarder, crashes, deps.Meter, log)
--- a/gate/node/taken_test.go
+++ b/gate/node/taken_test.go
@@ -14,6 +14,7 @@
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/crash"
 	"mulleingate.dev/gate/drain"
+	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/relay"
 	"mulleingate.dev/gate/target"
 	"mulleingate.dev/gate/work"
@@ -68,7 +69,7 @@
 			targets.Put(work.Replica{ID: addr, Service: "tool", Zone: "z", Addr: netip.MustParseAddrPort(addr)})
 		}
 		state := drain.New(drain.NewSchedule(8 * time.Second))
-		forwarder := relay.New(targets, drainSender{Sender: replicas, drain: state}, noMetrics{}, slog.New(slog.DiscardHandler))
+		forwarder := relay.New(targets, drainSender{Sender: replicas, drain: state}, memory.New(1<<20), noMetrics{}, slog.New(slog.DiscardHandler))
 		state.Begin()
 		time.Sleep(time.Second)
 		call := &work.Call{ID: "i", Arrived: time.Now(), Deadline: time.Now().Add(9 * time.Second)}
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/target"
 	"mulleingate.dev/gate/work"
 )
@@ -33,6 +34,9 @@
 	silenceThreshold = 1500 * time.Millisecond
 	// maxBuffered is the size, in bytes, below which an answer is read completely before it is forwarded.
 	maxBuffered = 64 << 10
+	// freeBuffer is the size in bytes up to which an answer is read in any case. A longer one is forwarded as it arrives
+	// if many others are held.
+	freeBuffer = 8 << 10
 )
 
 // Sender sends a call to a replica.
@@ -59,13 +63,15 @@
 type Relay struct {
 	targets Targets
 	sender  Sender
+	// buffers bounds the answers that are being read completely before they are forwarded.
+	buffers *memory.Budget
 	counts  Counts
 	log     *slog.Logger
 }
 
-// New returns a Relay.
-func New(targets Targets, sender Sender, counts Counts, log *slog.Logger) *Relay {
-	return &Relay{targets: targets, sender: sender, counts: counts, log: log}
+// New returns a Relay. buffers is the memory for answers.
+func New(targets Targets, sender Sender, buffers *memory.Budget, counts Counts, log *slog.Logger) *Relay {
+	return &Relay{targets: targets, sender: sender, buffers: buffers, counts: counts, log: log}
 }
 
 // attempts is the state of one call across its attempts.
@@ -74,6 +80,8 @@
 	call  *work.Call
 	route *work.Route
 	avoid []string
+	// share is the memory that the answer takes.
+	share *memory.Share
 	// sent counts the replicas that the call was sent to, runs those that may have run it.
 	sent, runs int
 	// last is the error of the latest attempt.
@@ -113,7 +121,8 @@
 func (r *Relay) Forward(ctx context.Context, call *work.Call, route *work.Route, out work.Answer) error {
 	ctx, stop := context.WithDeadline(ctx, call.Deadline)
 	defer stop()
-	a := &attempts{Relay: r, call: call, route: route}
+	a := &attempts{Relay: r, call: call, route: route, share: memory.NewShare(r.buffers, freeBuffer)}
+	defer a.share.Release()
 	for {
 		got, err := a.try(ctx)
 		if err == nil {
@@ -190,7 +199,7 @@
 	a.call.MayHaveRun = a.runs > 0
 	reply, err := a.sender.Send(tryCtx, lease, a.call, limit)
 	if err != nil {
-		lease.Unbroken = isTimedOut(tryCtx)
+		lease.Unbroken = isTimedOut(tryCtx) || fault.Is(err, fault.Protocol)
 		stop()
 		return answer{}, a.endFailed(ctx, lease, start, err)
 	}
@@ -252,15 +261,15 @@
 }
 
 // read reads a short answer completely, so that an incomplete one is never forwarded, and only the beginning
-// of a long one.
+// of one that is long or for which there is no memory.
 func (a *attempts) read(ctx, tryCtx context.Context, lease *target.Lease, reply work.Reply, stop func(), start time.Time) (answer, error) {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBuffered))
+	body, whole, err := a.share.ReadAll(reply.Body, maxBuffered)
 	end := func(out target.Outcome, writeTime time.Duration) {
 		reply.Body.Close()
 		stop()
 		lease.Done(out, time.Since(start)-writeTime)
 	}
-	if err == nil && len(body) == maxBuffered {
+	if err == nil && !whole {
 		return answer{head: reply.Head, body: body, rest: reply.Body, end: end}, nil
 	}
 	if err != nil {
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -15,6 +15,7 @@
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/crash"
+	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/target"
 	"mulleingate.dev/gate/work"
 )
@@ -85,7 +86,7 @@
 			for i, id := range []string{"a", "b"} {
 				targets.Put(work.Replica{ID: id, Service: "tool", Zone: "z", Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+i))})
 			}
-			r := New(targets, replicas, noCounts{}, quiet)
+			r := New(targets, replicas, memory.NewBudgets(0).Answers, noCounts{}, quiet)
 			forward := func() {
 				t.Helper()
 				call := &work.Call{ID: "i", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
@@ -131,7 +132,7 @@
 			out := &countingAnswer{}
 			route := &work.Route{Name: "r", Kind: kind, Splits: []work.Split{{Service: "s", Weight: 1}}, Attempts: 1}
 			call := &work.Call{ID: "i", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
-			err := New(targets, replicas, noCounts{}, quiet).Forward(context.Background(), call, route, out)
+			err := New(targets, replicas, memory.NewBudgets(0).Answers, noCounts{}, quiet).Forward(context.Background(), call, route, out)
 			if !fault.Is(err, fault.Protocol) || fault.From(err).NotRun || out.begun != 0 {
 				t.Errorf("%v, %d answers begun", err, out.begun)
 			}
@@ -164,7 +165,7 @@
 	for i, id := range []string{"a", "b"} {
 		targets.Put(work.Replica{ID: id, Service: "model", Zone: "z", Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+i))})
 	}
-	r := New(targets, replicas, noCounts{}, quiet)
+	r := New(targets, replicas, memory.NewBudgets(0).Answers, noCounts{}, quiet)
 	forward := func(out work.Answer) error {
 		return r.Forward(context.Background(), &work.Call{ID: "i", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}, route, out)
 	}
--- a/gate/relay/stream_silence_test.go
+++ b/gate/relay/stream_silence_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mulleingate.dev/gate/crash"
+	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/target"
 	"mulleingate.dev/gate/work"
 )
@@ -67,7 +68,7 @@
 		for _, addr := range []string{"10.0.0.1:1000", "10.0.0.2:1000", "10.0.0.3:1000"} {
 			targets.Put(work.Replica{ID: addr, Service: "s", Zone: "z", Addr: netip.MustParseAddrPort(addr)})
 		}
-		r := New(targets, replicas, noCounts{}, slog.New(slog.DiscardHandler))
+		r := New(targets, replicas, memory.New(1<<20), noCounts{}, slog.New(slog.DiscardHandler))
 		route := &work.Route{Name: "r", Kind: work.Stream, Splits: []work.Split{{Service: "s", Weight: 1}}, Attempts: 1}
 		var calls sync.WaitGroup
 		burst := func(n int) {
--- a/gate/turns/answer.go
+++ b/gate/turns/answer.go
@@ -3,17 +3,22 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/target"
 	"mulleingate.dev/gate/work"
 )
 
-// maxErrorBody bounds the body of an error answer, in bytes.
-const maxErrorBody = 1 << 20
+const (
+	// maxErrorBody bounds the body of an error answer, in bytes.
+	maxErrorBody = 1 << 20
+	// freeAnswer is the size in bytes up to which an answer is kept in any case. It is several times the usual size, so
+	// that answers which go on without end do no harm to others.
+	freeAnswer = 16 << 10
+)
 
 // forwardReply streams the answer to the caller and records the end of the turn in the ledger.
 func (t *turn) forwardReply(ctx context.Context, reply work.Reply) error {
@@ -44,6 +49,7 @@
 	begun := time.Now()
 	before, written := t.answer.collected.count, t.answer.writeTime
 	if err := t.stream(ctx, reply); err != nil {
+		t.lease.Unbroken = fault.Is(err, fault.Protocol)
 		t.lease.Done(t.errorOutcome(ctx, err), 0)
 		return false, err
 	}
@@ -74,11 +80,16 @@
 		t.lease.Done(target.Incomplete, 0)
 		return fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxErrorBody))
+	body, whole, err := t.answer.share.ReadAll(reply.Body, maxErrorBody)
 	if err != nil {
 		t.lease.Done(target.Incomplete, 0)
 		return fault.Fail(fault.TargetFailed, "the answer broke off").WithCause(err)
 	}
+	if !whole {
+		t.lease.Unbroken = true
+		t.lease.Done(target.Incomplete, 0)
+		return fault.Fail(fault.Protocol, "the error answer is too long")
+	}
 	t.lease.Done(statusOutcome(reply.Head.Status), 0)
 	t.log.Info("turns: replica answered with an error status", "id", t.call.ID, "replica", t.lease.Replica.ID, "status", reply.Head.Status)
 	if t.answer.begun {
@@ -140,6 +151,9 @@
 	// collected holds the events sent to the caller, and maxText bounds what it keeps of them, in bytes.
 	collected events
 	maxText   int
+	// share is the memory for what is kept of the answer. full is set once it had no room for the collected events.
+	share *memory.Share
+	full  bool
 	// partial buffers an incomplete event on a resumable route. Only complete events are sent to the caller,
 	// so that a resumed answer repeats no part of an event.
 	partial []byte
@@ -149,6 +163,12 @@
 	writeTime time.Duration
 }
 
+func newAnswerWriter(t *turn, out work.Answer) *answerWriter {
+	w := &answerWriter{turn: t, Answer: out, maxText: maxHistoryBytes, share: memory.NewShare(t.memory.Answers, freeAnswer)}
+	w.collected.discard = !t.route.Stateful
+	return w
+}
+
 // Write implements work.Answer.
 func (w *answerWriter) Write(data []byte) error {
 	start := time.Now()
@@ -163,28 +183,40 @@
 	if !w.turn.route.Resumable {
 		return w.send(data)
 	}
+	held := len(w.partial)
 	w.partial = append(w.partial, data...)
-	end := completeEvents(w.partial)
+	end := completeEvents(w.partial, held)
 	if end == 0 {
-		return nil
+		return w.makeRoom()
 	}
 	err := w.send(w.partial[:end])
 	w.partial = append(w.partial[:0], w.partial[end:]...)
 	return err
 }
 
-// completeEvents returns the length of raw up to the end of its last complete event.
-func completeEvents(raw []byte) int {
+// completeEvents returns the length of raw up to the end of its last complete event. There is none in the first held
+// bytes, which are not searched again, so that the time for a long event is not quadratic.
+func completeEvents(raw []byte, held int) int {
+	from := max(0, held-len("\n\r"))
 	end := 0
-	if at := bytes.LastIndex(raw, []byte("\n\n")); at >= 0 {
-		end = at + len("\n\n")
+	if at := bytes.LastIndex(raw[from:], []byte("\n\n")); at >= 0 {
+		end = from + at + len("\n\n")
 	}
-	if at := bytes.LastIndex(raw, []byte("\n\r\n")); at >= 0 {
-		end = max(end, at+len("\n\r\n"))
+	if at := bytes.LastIndex(raw[from:], []byte("\n\r\n")); at >= 0 {
+		end = max(end, from+at+len("\n\r\n"))
 	}
 	return end
 }
 
+// makeRoom returns a fault if there is no memory for what is kept of the answer.
+func (w *answerWriter) makeRoom() error {
+	if w.share.Grow(cap(w.partial) + w.collected.memory()) {
+		return nil
+	}
+	w.turn.counts.Count("turns.answer_too_long", 1)
+	return fault.Fail(fault.Protocol, "the answer is too long for the memory of the box")
+}
+
 // flush sends what has been held back, once the answer has ended: the bytes after the last event, and the head if
 // there was no event.
 func (w *answerWriter) flush() error {
@@ -203,6 +235,10 @@
 	if w.collected.size() > w.maxText {
 		return fault.Fail(fault.TooLarge, "the program's history is too long with this answer")
 	}
+	if err := w.makeRoom(); err != nil {
+		w.full = true
+		return err
+	}
 	if !w.begun {
 		w.turn.lease.RecordFirstEvent(time.Since(w.turn.sentAt))
 	}
--- a/gate/turns/events.go
+++ b/gate/turns/events.go
@@ -2,8 +2,12 @@
 
 import "bytes"
 
-// maxLine bounds a buffered line of events that are not kept, in bytes.
-const maxLine = 1 << 20
+const (
+	// maxLine bounds a buffered line of events that are not kept, in bytes, and the buffers that are used again.
+	maxLine = 4 << 10
+	// maxID bounds the ID of an event, in bytes. A longer one is ignored, so that it is not sent to another replica.
+	maxID = 1 << 10
+)
 
 // events parses a stream of server-sent events and collects their data.
 type events struct {
@@ -34,22 +38,36 @@
 	return len(e.text) + len(e.data) + len(e.line)
 }
 
+// memory returns the size of the buffers in bytes.
+func (e *events) memory() int {
+	return cap(e.text) + cap(e.data) + cap(e.line)
+}
+
+// emptied returns the buffer for further use, without its content.
+func emptied(buf []byte) []byte {
+	if cap(buf) > maxLine {
+		return nil
+	}
+	return buf[:0]
+}
+
 // write parses the next bytes of the stream.
 func (e *events) write(raw []byte) {
 	for len(raw) > 0 {
 		end := bytes.IndexByte(raw, '\n')
 		if end < 0 {
-			if !e.discard || len(e.line)+len(raw) <= maxLine {
-				e.line = append(e.line, raw...)
+			if e.discard {
+				raw = raw[:min(len(raw), max(0, maxLine-len(e.line)))]
 			}
+			e.line = append(e.line, raw...)
 			return
 		}
 		line := raw[:end]
 		if len(e.line) > 0 {
 			line = append(e.line, line...)
-			e.line = e.line[:0]
 		}
 		e.parseLine(bytes.TrimSuffix(line, []byte("\r")))
+		e.line = emptied(e.line)
 		raw = raw[end+1:]
 	}
 }
@@ -61,7 +79,7 @@
 		return
 	}
 	if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-		e.id = string(bytes.TrimSpace(id))
+		e.setID(bytes.TrimSpace(id))
 		return
 	}
 	data, ok := bytes.CutPrefix(line, []byte("data:"))
@@ -77,6 +95,13 @@
 	e.hasData = true
 }
 
+func (e *events) setID(id []byte) {
+	if len(id) > maxID {
+		id = nil
+	}
+	e.id = string(id)
+}
+
 // dispatch completes the current event at an empty line.
 func (e *events) dispatch() {
 	if !e.hasData {
@@ -88,6 +113,6 @@
 	}
 	e.count++
 	e.lastID = e.id
-	e.data = e.data[:0]
+	e.data = emptied(e.data)
 	e.hasData = false
 }
--- a/gate/turns/ledger.go
+++ b/gate/turns/ledger.go
@@ -86,10 +86,8 @@
 }
 
 const (
-	// longPrompt is the length in bytes from which prompts count against maxLongPrompts, which bounds the memory of those in
-	// progress at a box.
-	longPrompt     = 64 << 10
-	maxLongPrompts = 64 << 20
+	// longPrompt is the length in bytes from which prompts count against the memory for prompts.
+	longPrompt = 64 << 10
 	// memoryRetryDelay is the Retry-After delay of a turn for which there is no memory.
 	memoryRetryDelay = 400 * time.Millisecond
 )
@@ -99,15 +97,22 @@
 	if size < longPrompt {
 		return nil
 	}
-	if sum := t.longPrompts.Add(int64(size)); sum > maxLongPrompts && sum > int64(size) {
-		t.longPrompts.Add(-int64(size))
+	taken := min(int64(size), t.memory.Prompts.Limit())
+	if !t.memory.Prompts.Reserve(taken) {
 		t.counts.Count("turns.no_memory", 1)
 		return fault.Refuse(fault.Overloaded, "too many long prompts are in progress").WithRetryAfter(memoryRetryDelay)
 	}
-	t.reservedBytes = size
+	t.reservedBytes = taken
 	return nil
 }
 
+// releaseMemory releases the memory of the turn's prompt and answer.
+func (t *turn) releaseMemory() {
+	t.memory.Prompts.Release(t.reservedBytes)
+	t.reservedBytes = 0
+	t.answer.share.Release()
+}
+
 // buildPrompt assembles the prompt, of size bytes, from the history and the input.
 func (l *statefulLedger) buildPrompt(history []*chain.Turn, size int) {
 	l.prompt = make([]byte, 0, size)
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -5,11 +5,11 @@
 	"log/slog"
 	"maps"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/chain"
+	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/gate/shard"
 	"mulleingate.dev/gate/target"
@@ -68,13 +68,13 @@
 	log     *slog.Logger
 	// maxTextBytes is the number of bytes of a turn's text that fit into one log record.
 	maxTextBytes int
-	// longPrompts is the size of the long prompts in progress, in bytes.
-	longPrompts atomic.Int64
+	// memory bounds the long prompts in progress, and what is kept of answers until they end.
+	memory *memory.Budgets
 }
 
 // New returns a Runner. recordBytes is the largest record that the log accepts.
-func New(targets Targets, sender Sender, recordBytes int, counts Counts, log *slog.Logger) *Runner {
-	return &Runner{targets: targets, sender: sender, counts: counts, log: log, maxTextBytes: recordBytes - recordSpare}
+func New(targets Targets, sender Sender, recordBytes int, budgets *memory.Budgets, counts Counts, log *slog.Logger) *Runner {
+	return &Runner{targets: targets, sender: sender, counts: counts, log: log, maxTextBytes: recordBytes - recordSpare, memory: budgets}
 }
 
 // turn is the state of one turn in progress.
@@ -87,8 +87,8 @@
 	ledger ledger
 	// input is what the caller sent; prompt is the program's history followed by input.
 	input, prompt []byte
-	// reservedBytes is the part of Runner.longPrompts that this turn takes.
-	reservedBytes int
+	// reservedBytes is what the prompt takes of the memory for prompts.
+	reservedBytes int64
 	// cachedTokens is how many tokens of the history each replica holds, by work.Replica.RunID.
 	cachedTokens map[string]int
 	// started is the pending write of the record that reserves the turn's tokens, which must be in the log
@@ -128,10 +128,9 @@
 	t.open = chain.OpenTurn{
 		ID: call.QualifiedName(call.ID), Program: call.QualifiedName(call.Turn.Program), Previous: call.QualifiedName(call.Turn.Previous), MaxTokens: maxAnswerTokens(call), Retention: route.Retention, MaxText: r.maxTextBytes,
 	}
-	t.answer = &answerWriter{turn: t, Answer: out, maxText: maxHistoryBytes}
-	t.answer.collected.discard = !route.Stateful
+	t.answer = newAnswerWriter(t, out)
 	t.ledger = newLedger(t)
-	defer func() { r.longPrompts.Add(-int64(t.reservedBytes)) }()
+	defer t.releaseMemory()
 	if err := slot.BeginTurn(t.enter); err != nil {
 		return err
 	}
@@ -266,7 +265,7 @@
 
 // canResume reports whether another replica may continue the turn after err.
 func (t *turn) canResume(ctx context.Context, err error) bool {
-	if !t.route.Resumable || t.ended || t.runs >= t.route.Attempts {
+	if !t.route.Resumable || t.ended || t.answer.full || t.runs >= t.route.Attempts {
 		return false
 	}
 	if ctx.Err() != nil || time.Until(t.call.Deadline) < minRetryTime {
@@ -302,6 +301,7 @@
 	reply, err := t.sender.Send(replicaCtx, t.lease, &call, time.Until(call.Deadline))
 	if err != nil {
 		t.countRun(!fault.From(err).NotRun)
+		t.lease.Unbroken = fault.Is(err, fault.Protocol)
 		t.lease.Done(t.errorOutcome(ctx, err), 0)
 		return reply, err
 	}
--- a/gate/turns/turns_test.go
+++ b/gate/turns/turns_test.go
@@ -16,6 +16,7 @@
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/chain"
 	"mulleingate.dev/gate/crash"
+	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/sched"
 	"mulleingate.dev/gate/target"
 	"mulleingate.dev/gate/work"
@@ -144,10 +145,10 @@
 		t.Fatal(err)
 	}
 	tr := &turn{
-		Runner: &Runner{log: quiet}, route: &work.Route{Name: "pick", Resumable: true}, mayHaveRun: true, lease: lease, ledger: ledger,
+		Runner: &Runner{log: quiet, counts: noCounts{}, memory: memory.NewBudgets(0)}, route: &work.Route{Name: "pick", Resumable: true, Stateful: true}, mayHaveRun: true, lease: lease, ledger: ledger,
 		call: &work.Call{ID: "i", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}, lastReceived: time.Now(),
 	}
-	tr.answer = &answerWriter{turn: tr, Answer: out, maxText: maxHistoryBytes}
+	tr.answer = newAnswerWriter(tr, out)
 	return tr
 }
 
@@ -269,13 +270,22 @@
 }
 
 // TestMemoryOfLongPromptsIsBounded checks that long prompts are refused, with when to come again, while too many are in
-// progress, and that short ones are not.
+// progress, that short ones are not, and that a single prompt has room in any box.
 func TestMemoryOfLongPromptsIsBounded(t *testing.T) {
-	r := &Runner{counts: noCounts{}}
-	const size = 8 << 20
+	const size = 2 << 20
+	r := &Runner{counts: noCounts{}, memory: memory.NewBudgets(0)}
+	limit := int(r.memory.Prompts.Limit())
+	if limit > smallBox/4 {
+		t.Errorf("the prompts of a small box may take %d bytes", limit)
+	}
+	newTurn := func() *turn {
+		tr := &turn{Runner: r, route: &work.Route{}}
+		tr.answer = newAnswerWriter(tr, nil)
+		return tr
+	}
 	var begun []*turn
 	for {
-		tr := &turn{Runner: r}
+		tr := newTurn()
 		err := tr.reserveMemory(size)
 		if err == nil {
 			begun = append(begun, tr)
@@ -286,16 +296,24 @@
 		}
 		break
 	}
-	if diff := cmp.Diff(maxLongPrompts/size, len(begun)); diff != "" {
+	if diff := cmp.Diff(limit/size, len(begun)); diff != "" {
 		t.Errorf("long prompts in progress (-want +got):\n%s", diff)
 	}
-	if err := (&turn{Runner: r}).reserveMemory(longPrompt - 1); err != nil {
+	if err := newTurn().reserveMemory(longPrompt - 1); err != nil {
 		t.Errorf("a short prompt is refused: %v", err)
 	}
 	for _, tr := range begun {
-		r.longPrompts.Add(-int64(tr.reservedBytes))
+		tr.releaseMemory()
 	}
-	if err := (&turn{Runner: r}).reserveMemory(2 * maxLongPrompts); err != nil {
+	single := newTurn()
+	if err := single.reserveMemory(2 * limit); err != nil {
 		t.Errorf("a single prompt is refused: %v", err)
 	}
+	if err := newTurn().reserveMemory(size); !fault.Is(err, fault.Overloaded) {
+		t.Errorf("beside one that takes all the memory: %v", err)
+	}
+	single.releaseMemory()
+	if diff := cmp.Diff(int64(0), r.memory.Prompts.Used()); diff != "" {
+		t.Errorf("reserved after the end of all turns (-want +got):\n%s", diff)
+	}
 }
