work: a stream that goes on without the end of an event fails

Callers of a stream whose replica sent one event, lines of one event, comments or empty lines without end waited until the time of the call was over, and the next ones too: data had come lately, so that the failure did not count against the replica. Routes that keep nothing of their answers had no other bound.

--- a/gate/work/events_test.go
+++ b/gate/work/events_test.go
@@ -107,3 +107,29 @@
 		})
 	}
 }
+
+// TestStreamWithoutEndOfEventFails checks that a stream which goes on without the end of an event fails, after less than a
+// megabyte more, and that one of any length with events, or with few comments, does not. Such a stream went on until the
+// time of its call was over, and did not count against its replica.
+func TestStreamWithoutEndOfEventFails(t *testing.T) {
+	filler := strings.Repeat("x", 1000)
+	for _, c := range []struct {
+		name, start, more string
+		endless           bool
+	}{
+		{"one line", "data: a\n\ndata: ", filler, true},
+		{"lines of one event", "data: a\n\n", "data: " + filler + "\n", true},
+		{"comments", "data: a\n\n", ": " + filler + "\n\n", true},
+		{"empty lines", "data: a\n\n", "\r\n\n", true},
+		{"events", "", "id: 1\ndata: " + filler + "\n\n", false},
+		{"events and comments", "", ": " + filler + "\r\n\r\ndata: x\r\n\r\n", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			whole := c.start + strings.Repeat(c.more, 3*maxEventBytes/len(c.more))
+			text, err := io.ReadAll(checkedReply("text/event-stream", http.StatusOK, strings.NewReader(whole)).Body)
+			if diff := cmp.Diff([]bool{c.endless, c.endless}, []bool{fault.Is(err, fault.Protocol), len(text) < 2*maxEventBytes}); diff != "" {
+				t.Errorf("fails, before its end (-want +got):\n%s\n%d bytes of %d, error %v", diff, len(text), len(whole), err)
+			}
+		})
+	}
+}
