--- a/base/serve/serve_test.go
+++ b/base/serve/serve_test.go
@@ -120,3 +120,33 @@
 		t.Errorf("connection not closed within %v: read returned %v", within, err)
 	}
 }
+
+// TestStopSeesRequestEndBeforeDeadline checks that a stop succeeds if the last request ends shortly before its deadline.
+// It failed, and closed connections, since the pauses between its checks had grown to half a second.
+func TestStopSeesRequestEndBeforeDeadline(t *testing.T) {
+	ln, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	begun := make(chan struct{})
+	handler := func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		time.Sleep(1250 * time.Millisecond)
+		_, _ = io.WriteString(w, "whole") // the caller checks
+	}
+	srv := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(handler)}
+	running := Run(srv, ln, slog.New(slog.NewTextHandler(io.Discard, nil)), func(cause error) { t.Errorf("server ended before Stop: %v", cause) })
+	conn := dial(t, ln.Addr().String())
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		expectAnswer(t, conn)
+	}()
+	<-begun
+	ctx, stop := context.WithTimeout(context.Background(), 1450*time.Millisecond)
+	defer stop()
+	if err := running.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+	<-answered
+}
