front: headers of callers are bounded by the box's memory together

Callers that send long headers slowly could end a small box, and all calls that it holds with it: each held up to 64 KB of headers, of which net/http keeps up to three times as much while a long line grows, until header_timeout_ms. One connection was bounded, all of them were not.

The timed connection counts the bytes that it reads outside of bodies. Beyond 8 KB it reserves three times their size in the budget for bodies until the end of the response or of the connection. Without room the connection is closed before the request is handled, which callers may repeat; usual headers need no reservation.

--- a/base/serve/conns_test.go
+++ b/base/serve/conns_test.go
@@ -22,7 +22,7 @@
 	}
 	var refused atomic.Int64
 	handler := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") } // the caller checks
-	wrapped := WithTimeouts(WithMaxConns(ln, limit, func() { refused.Add(1) }), func() Timeouts { return Timeouts{Header: time.Minute, Idle: time.Minute} })
+	wrapped := WithTimeouts(WithMaxConns(ln, limit, func() { refused.Add(1) }), func() Timeouts { return Timeouts{Header: time.Minute, Idle: time.Minute} }, nil)
 	running := Run(&http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(handler)}, wrapped, slog.New(slog.NewTextHandler(io.Discard, nil)), func(error) {})
 	t.Cleanup(func() { _ = running.Stop(context.Background()) }) // the test is over
 	var conns []net.Conn
--- a/base/serve/discard.go
+++ b/base/serve/discard.go
@@ -31,6 +31,8 @@
 func (c *timedConn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
+	c.releaseHeader()
 	if c.discarding {
 		return nil
 	}
--- a/base/serve/timeouts.go
+++ b/base/serve/timeouts.go
@@ -20,9 +20,10 @@
 
 // WithTimeouts returns a listener whose connections apply the timeouts that current returns, in place of
 // ReadHeaderTimeout and IdleTimeout of the http.Server that serves it. These can't change once the server runs;
-// they must be positive. current is called for each request and must not block.
-func WithTimeouts(ln net.Listener, current func() Timeouts) net.Listener {
-	return &timedListener{Listener: ln, current: current}
+// they must be positive. current is called for each request and must not block. Long headers are reserved in memory, unless
+// that is nil.
+func WithTimeouts(ln net.Listener, current func() Timeouts, memory Memory) net.Listener {
+	return &timedListener{Listener: ln, current: current, memory: memory}
 }
 
 // socket is a TCP connection, or a wrapper of one, with the methods of it that servers use.
@@ -37,6 +38,7 @@
 type timedListener struct {
 	net.Listener
 	current func() Timeouts
+	memory  Memory
 }
 
 // Accept implements net.Listener.
@@ -49,13 +51,15 @@
 	if !ok {
 		return conn, nil
 	}
-	return &timedConn{socket: inner, current: l.current, awaitsIdle: true}, nil
+	return &timedConn{socket: inner, current: l.current, memory: l.memory, awaitsIdle: true}, nil
 }
 
 // timedConn replaces the deadlines that http.Server sets for an idle connection and for the header of a request.
 type timedConn struct {
 	socket
 	current func() Timeouts
+	// memory is nil if headers need no reservation.
+	memory Memory
 
 	mu sync.Mutex
 	// awaitsIdle is set from the accept, or from the end of a response, until the server sets the next deadline.
@@ -68,6 +72,10 @@
 	// abandoned is set once the rest of the current request is not read, and discarding once the connection is closed
 	// after that.
 	abandoned, discarding bool
+	// headerBytes is the number of bytes read since the last response, without those of bodies, and reserved the memory
+	// reserved for them. Nothing is reserved once closed is set.
+	headerBytes, reserved int64
+	closed                bool
 }
 
 // Responded implements Responder.
@@ -75,6 +83,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaitsIdle, c.inRequest = true, false
+	c.releaseHeader()
 }
 
 // SetReadDeadline implements net.Conn. A zero deadline, one that has passed and interrupts a read, and those that the
@@ -105,6 +114,9 @@
 func (c *timedConn) Read(buf []byte) (int, error) {
 	for {
 		n, err := c.socket.Read(buf)
+		if full := c.reserveHeader(n); full != nil {
+			return 0, full
+		}
 		if !c.extendIdle(n, err) {
 			return n, err
 		}
