shard: odd records do not keep a slot from being claimed

An owner record with an epoch out of range, such as 2^63-1 or a negative one, kept its slot from being claimed: the next epoch overflowed, or stayed below the one that the log had seen in all 12 attempts, so that all turns of the slot's programs were refused. A request of another box for a slot that does not exist panicked in its handler.

Owner records out of range are rejected as malformed ones are, without changing the owner that is known; the attempts to get above the log's epoch reach any valid one, since their steps double. Lookups check the number of the slot. Counts of tokens in records are bounded, as a negative one lifted a program's budget.

Before: TestOddRecordsDoNotKeepSlots: 4 of 12 owner records: the slot is not claimed, within 20 s; TestSlotsThatDoNotExist: panic: index out of range [-1]. After: pass (-race). 72 other odd records among the slot's own hid no turn before or after.

--- a/gate/chain/codec.go
+++ b/gate/chain/codec.go
@@ -70,6 +70,18 @@
 	return n
 }
 
+// maxCount bounds the counts in records, so that sums of them don't overflow.
+const maxCount = 1 << 40
+
+func (r *reader) count() int {
+	n := r.uvarint()
+	if n > maxCount {
+		r.malformed = true
+		return 0
+	}
+	return int(n)
+}
+
 func (r *reader) text() string {
 	n := r.uvarint()
 	if n > uint64(len(r.raw)) {
@@ -88,7 +100,7 @@
 
 func decodeTurn(id string, raw []byte) (*Turn, error) {
 	r := &reader{raw: raw}
-	t := &Turn{id: id, program: r.text(), previous: r.text(), expires: r.timestamp(), tokens: int(r.uvarint())}
+	t := &Turn{id: id, program: r.text(), previous: r.text(), expires: r.timestamp(), tokens: r.count()}
 	if r.malformed || t.program == "" {
 		return nil, fault.Fail(fault.Protocol, "malformed turn in the log")
 	}
@@ -98,7 +110,7 @@
 
 func decodeStart(raw []byte) (program string, expires time.Time, maxTokens int, err error) {
 	r := &reader{raw: raw}
-	program, expires, maxTokens = r.text(), r.timestamp(), int(r.uvarint())
+	program, expires, maxTokens = r.text(), r.timestamp(), r.count()
 	if r.malformed || program == "" {
 		return "", time.Time{}, 0, fault.Fail(fault.Protocol, "malformed start record in the log")
 	}
@@ -115,7 +127,7 @@
 
 func decodeGrant(raw []byte) (expires time.Time, tokens int, err error) {
 	r := &reader{raw: raw}
-	expires, tokens = r.timestamp(), int(r.uvarint())
+	expires, tokens = r.timestamp(), r.count()
 	if r.malformed {
 		return time.Time{}, 0, fault.Fail(fault.Protocol, "malformed grant in the log")
 	}
--- a/gate/shard/claim.go
+++ b/gate/shard/claim.go
@@ -28,8 +28,11 @@
 // An epoch is a counter whose low claimantBits bits are a hash of the claimant, so that two boxes that
 // claim a slot concurrently do not share an epoch.
 const (
-	claimantBits     = 20
-	maxFenceAttempts = 12
+	claimantBits = 20
+	// maxCount is the largest count that leaves room for the steps of fence. A slot does not get near it by claims.
+	maxCount = 1 << 42
+	// maxFenceAttempts is enough to get above any count from 0, since each step is twice the one before.
+	maxFenceAttempts = 42
 )
 
 // newEpoch returns the epoch of this box with the given count.
@@ -210,12 +213,25 @@
 
 func (l *slotLoader) apply(rec work.Record) {
 	if rec.Key == ownerKey {
-		if err := json.Unmarshal(rec.Value, &l.owner); err != nil {
-			l.manager.logger.Error("shard: malformed owner record in the log", "cause", err)
-		}
+		l.applyOwner(rec.Value)
 		return
 	}
 	if err := l.state.Apply(rec); err != nil {
 		l.manager.logger.Error("shard: malformed record in the log", "key", rec.Key, "cause", err)
 	}
 }
+
+// applyOwner applies the value of an owner record. A malformed one leaves the owner as it was: an epoch that no claim can
+// have would keep all further claims from getting above it.
+func (l *slotLoader) applyOwner(raw []byte) {
+	var owner ownerRecord
+	err := json.Unmarshal(raw, &owner)
+	if count := owner.Epoch >> claimantBits; err == nil && (count < 0 || count >= maxCount) {
+		err = fault.Fail(fault.Protocol, "the epoch is out of range")
+	}
+	if err != nil {
+		l.manager.logger.Error("shard: malformed owner record in the log", "cause", err)
+		return
+	}
+	l.owner = owner
+}
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -245,6 +245,9 @@
 func (m *Manager) lookup(number int) (*Slot, chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if number < 0 || number >= len(m.slots) {
+		return nil, nil
+	}
 	return m.slots[number], m.claiming[number]
 }
 
