work: numbers of other programs are converted within their range

Go leaves the result of converting a float that is out of range to the processor: arm64 returns the nearest whole number, x86-64 the most negative one, so that a warm-up, a timeout or a limit that is too large would become negative there. Whole milliseconds overflow in the same way on all processors.

work.Millis, FloatMillis and Count check the range before they convert; the results leave room for sums.

--- a/gate/work/millis.go
+++ b/gate/work/millis.go
@@ -23,3 +23,15 @@
 	}
 	return time.Duration(min(max(ms, -most), most) * float64(time.Millisecond))
 }
+
+// maxCount bounds the counts that others send, so that sums of a few of them don't overflow.
+const maxCount = 1 << 60
+
+// Count converts a number that another program sent, of bytes or of calls, to a whole one. Numbers out of range count as the
+// nearest that is in range, and NaN as 0.
+func Count(n float64) int64 {
+	if math.IsNaN(n) {
+		return 0
+	}
+	return int64(min(max(n, -maxCount), maxCount))
+}
