quota: replies of other counters are limited to what a counter may say

A reply of another box with a delay of years had the calls of its workspace refused for as long; one with a count without bound suspended the quota. Rates were converted to whole numbers without a check of their range, with a result that depends on the processor.

Grants are limited to the calls that were asked for, delays to a minute, and floats are converted by work.Count.

Before: TestOddRepliesOfCounters: retry after 1281023h; 100 calls were served, want at most 3; TestOddQuotas: after -1m0s. After: pass (-race).

--- a/gate/quota/counter.go
+++ b/gate/quota/counter.go
@@ -32,6 +32,16 @@
 	AfterMillis int64 `json:"after_ms,omitempty"`
 }
 
+// maxAfter bounds the delay after which an exhausted counter is asked again.
+const maxAfter = time.Minute
+
+// limitTo returns the reply of another box to a request for want calls, with its numbers limited to what a counter may say.
+func (r GrantReply) limitTo(want int) GrantReply {
+	r.Granted = min(max(r.Granted, 0), want)
+	r.AfterMillis = min(max(r.AfterMillis, 0), maxAfter.Milliseconds())
+	return r
+}
+
 // CounterLocator finds the counters of workspaces.
 type CounterLocator interface {
 	// QuotaCounter returns the box that counts the workspace's quota in an availability zone.
--- a/gate/quota/part.go
+++ b/gate/quota/part.go
@@ -54,7 +54,7 @@
 // countingZones returns the availability zones that count parts of the workspace's quota: all zones, or fewer
 // if the parts would be too small.
 func (b Bounds) countingZones(space work.Workspace, zones []string) []string {
-	n := min(len(zones), max(1, int(b.windowLimit(space)/minPartCalls)))
+	n := min(len(zones), max(1, int(work.Count(b.windowLimit(space)/minPartCalls))))
 	var counting []string
 	for _, i := range ident.RendezvousTop(space.Name, len(zones), func(i int) string { return zones[i] }, n) {
 		counting = append(counting, zones[i])
@@ -79,7 +79,7 @@
 
 // timeUntil returns how long it takes until the bucket holds the given number of tokens.
 func (b *tokenBucket) timeUntil(tokens, perSecond float64) time.Duration {
-	return time.Duration((tokens - b.tokens) / perSecond * float64(time.Second))
+	return max(0, work.FloatMillis((tokens-b.tokens)/perSecond*1000))
 }
 
 // partLimits limits one part of a quota: rate calls per second and burst calls at once, which together allow
@@ -125,7 +125,7 @@
 	if debt := -planOverdraft * p.callsPerProgram(); begins && p.plan.tokens <= debt {
 		return 0, p.plan.timeUntil(debt, planShare*limits.rate)
 	}
-	granted = min(want, int(p.calls.tokens))
+	granted = min(want, int(work.Count(p.calls.tokens)))
 	if granted < 1 {
 		return 0, p.calls.timeUntil(1, limits.rate)
 	}
--- a/gate/quota/quota.go
+++ b/gate/quota/quota.go
@@ -279,7 +279,8 @@
 		return q.counter.Grant(time.Now(), msg), nil
 	}
 	q.counts.Count("quota.asked", 1)
-	return q.peers.Quota(ctx, box, msg)
+	reply, err := q.peers.Quota(ctx, box, msg)
+	return reply.limitTo(msg.Want), err
 }
 
 // recordAnswer remembers an exhausted or lost counter, so that it is not asked again for a while.
