crash: times in reports of other boxes do not overflow

A report with an age out of range overflowed when it was converted, so that the failure lay in the future and counted for longer than retention; the request could be refused for years. Ages and block times are converted by work.Millis.

Before: TestOddReportsEnd: ms: 6 crashes still count after retention. After: pass (-race).

--- a/gate/crash/report.go
+++ b/gate/crash/report.go
@@ -54,7 +54,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	at := now.Add(-time.Duration(max(report.AgeMillis, 0)) * time.Millisecond)
+	at := now.Add(-work.Millis(max(report.AgeMillis, 0)))
 	switch {
 	case report.Answered:
 		for _, req := range report.Requests {
@@ -92,7 +92,7 @@
 
 // mergeBlock refuses the requests as another box does.
 func (t *Tracker) mergeBlock(now, at time.Time, report Report) {
-	until := now.Add(min(time.Duration(report.BlockedMillis)*time.Millisecond, maxBlockTime))
+	until := now.Add(min(work.Millis(report.BlockedMillis), maxBlockTime))
 	for _, req := range report.Requests {
 		if t.history.get(now, req) == nil {
 			t.history.add(now, req, end{replica: report.Replica, at: at, crashed: true})
