work: members with cores or a link that are no amounts are rejected

ParseMember took NaN, infinities and negative numbers for the cores and the link of a box. NaN compares with nothing, so that boxes may rank the sources of a zone differently, or a box with -1 cores ranks as one with one. Such members are malformed.

Before: TestMemberRoundTrip with five more members: NaN, Inf, -1 and 1e300 were accepted (by reading; the test was not run on the code before).

--- a/gate/work/member_test.go
+++ b/gate/work/member_test.go
@@ -20,7 +20,8 @@
 	if diff := cmp.Diff(box, got, cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
 		t.Errorf("box (-want +got):\n%s", diff)
 	}
-	for _, text := range []string{"", "b|a|10.0.0.1:80|i", "b|a|nowhere|i|1|1", "b|a|10.0.0.1:80|i|x|1", "b|a|10.0.0.1:80|i|1|x"} {
+	for _, text := range []string{"", "b|a|10.0.0.1:80|i", "b|a|nowhere|i|1|1", "b|a|10.0.0.1:80|i|x|1", "b|a|10.0.0.1:80|i|1|x",
+		"b|a|10.0.0.1:80|i|NaN|1", "b|a|10.0.0.1:80|i|1|Inf", "b|a|10.0.0.1:80|i|-1|1", "b|a|10.0.0.1:80|i|1|1e300", "b|a|10.0.0.1:99999|i|1|1"} {
 		if _, err := ParseMember(text); !fault.Is(err, fault.Protocol) {
 			t.Errorf("%q: %v", text, err)
 		}
--- a/gate/work/record.go
+++ b/gate/work/record.go
@@ -113,5 +113,16 @@
 	if err != nil {
 		return Box{}, fault.Fail(fault.Protocol, "member with a malformed link").WithCause(err)
 	}
+	if !isAmount(cores) || !isAmount(link) {
+		return Box{}, fault.Fail(fault.Protocol, "member with cores or a link out of range")
+	}
 	return Box{Name: fields[0], Zone: fields[1], Peer: peer, Incarnation: fields[3], Cores: cores, Link: link}, nil
 }
+
+// maxAmount is far above the cores and the link of any machine.
+const maxAmount = 1e12
+
+// isAmount reports whether n can be an amount. It is false for NaN.
+func isAmount(n float64) bool {
+	return n >= 0 && n <= maxAmount
+}
