remote: the check of a box's incarnation reads a bounded head

A box that answers the check with a header without end made the box that asks keep all of it until the time of the check was over. It reads the head by dial.ReadHead now, as probes of replicas do.

TestEndlessHeadOfCheckedBoxIsBounded fails before (allocations beyond 4 MB in one check) and passes now, go test -race ./remote -run EndlessHeadOfChecked.

--- a/gate/remote/reach.go
+++ b/gate/remote/reach.go
@@ -1,7 +1,6 @@
 package remote
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"net"
@@ -13,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mulleingate.dev/gate/dial"
 	"mulleingate.dev/gate/view"
 	"mulleingate.dev/gate/work"
 )
@@ -199,12 +199,11 @@
 	if err != nil || req.Write(conn) != nil {
 		return ""
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	_, header, err := dial.ReadHead(conn, req)
 	if err != nil {
 		return ""
 	}
-	_ = resp.Body.Close() // it is empty
-	return resp.Header.Get(incarnationHeader)
+	return header.Get(incarnationHeader)
 }
 
 // AskContact implements view.Prober.
