spool: callers that read nothing are closed while their answer is written in the background

A caller on a kept connection that read none of its answers kept the connection, what the box keeps for it (448 KB of 7 MB on a small box) and a blocked request for as long as it wanted. A few of them used up the memory for unread answers, and the box then refused calls of others.

Cause: after each response http.Server clears the write deadline of the connection. If the response was still being written in the background, that removed the deadline of writeAll, which finds out by it whether the caller reads and whether the deadline of the call has passed. spool.Conn passed the call on to the socket; the existing test stalls within a response, where the server sets none. Conn.SetWriteDeadline and SetDeadline no longer touch the deadline of the socket's writes.

--- a/gate/remote/endless_test.go
+++ b/gate/remote/endless_test.go
@@ -224,7 +224,7 @@
 	}
 	time.Sleep(bodyTimeout + time.Second)
 	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second)) // the read fails if the connection is closed
-	if n, _ := io.Copy(io.Discard, conn); n > 8<<20 { // the connection may stay open
+	if n, _ := io.Copy(io.Discard, conn); n > 8<<20 {         // the connection may stay open
 		t.Errorf("the whole response of %d bytes was still kept", n)
 	}
 }
--- a/gate/spool/conn.go
+++ b/gate/spool/conn.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// SetWriteDeadline implements net.Conn. It does nothing, since writeAll sets its own deadlines: http.Server clears the
+// deadline after each response, while that may be written in the background.
+func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
+
+// SetDeadline implements net.Conn; see SetWriteDeadline.
+func (c *Conn) SetDeadline(deadline time.Time) error { return c.SetReadDeadline(deadline) }
+
 // BeginAnswer says to which answer the bytes belong that are written from now on. A zero deadline bounds nothing.
 func (c *Conn) BeginAnswer(id, workspace string, deadline time.Time) {
 	c.mu.Lock()
