serve: a refused connection is counted before it is closed

The caller saw its connection closed before the box had counted it. It is counted first now; go test -race -count=20 ./serve -run TestConnectionsBeyondTheLimit passes.

--- a/base/serve/conns.go
+++ b/base/serve/conns.go
@@ -7,7 +7,7 @@
 )
 
 // WithMaxConns returns a listener that has at most limit connections open at a time. It closes further ones at once,
-// without reading from them, and calls refused for each.
+// without reading from them, and calls refused before that.
 func WithMaxConns(ln net.Listener, limit int, refused func()) net.Listener {
 	return &limitedListener{Listener: ln, limit: int64(limit), refused: refused}
 }
@@ -35,8 +35,8 @@
 			return &limitedConn{TCPConn: tcp, listener: l}, nil
 		}
 		l.open.Add(-1)
-		_ = tcp.Close() // the caller may have closed it
 		l.refused()
+		_ = tcp.Close() // the caller may have closed it
 	}
 }
 
