front, relay: an answer has begun once a part of it was sent

Plain calls and turns were not affected. Cause: the front took an answer for begun as soon as its head was handed to net/http, and did not flush answers of known length, so that head and bytes were still in a buffer of 4 KB when the connection was closed. Change: each write to a caller is flushed, also a failed one. Checked event streams lose their length: their body can fail at its end, and a caller that has got all announced bytes would take it for whole. Errors of stream routes are read whole before they are passed on, as those of plain calls.

--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -229,7 +229,7 @@
 		lease.Done(target.Incomplete, 0)
 		return answer{}, fault.Fail(fault.Protocol, "the answer lacks the replica's proof of origin")
 	}
-	if a.route.Kind == work.Stream {
+	if a.route.Kind == work.Stream && reply.Succeeded() {
 		return a.streamed(lease, reply, stop, start), nil
 	}
 	return a.read(ctx, tryCtx, lease, reply, stop, start)
@@ -265,9 +265,13 @@
 func (a *attempts) read(ctx, tryCtx context.Context, lease *target.Lease, reply work.Reply, stop func(), start time.Time) (answer, error) {
 	body, whole, err := a.share.ReadAll(reply.Body, maxBuffered)
 	end := func(out target.Outcome, writeTime time.Duration) {
+		took := time.Since(start) - writeTime
+		if a.route.Kind == work.Stream {
+			took = 0 // says nothing of the time between events
+		}
 		reply.Body.Close()
 		stop()
-		lease.Done(out, time.Since(start)-writeTime)
+		lease.Done(out, took)
 	}
 	if err == nil && !whole {
 		return answer{head: reply.Head, body: body, rest: reply.Body, end: end}, nil
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -300,7 +300,7 @@
 	if err != nil {
 		return err
 	}
-	return work.WriteToCaller(t.w, nil, raw, callerGone)
+	return work.WriteToCaller(t.w, raw, callerGone)
 }
 
 // Begin implements work.Answer. The header is not flushed: it is sent with the first bytes of the body.
@@ -318,5 +318,5 @@
 
 // Write implements work.Answer.
 func (t *turnWriter) Write(data []byte) error {
-	return work.WriteToCaller(t.w, t.flush, data, callerGone)
+	return work.WriteToCaller(t.w, data, callerGone)
 }
--- a/gate/work/copy.go
+++ b/gate/work/copy.go
@@ -9,14 +9,11 @@
 	"mulleingate.dev/base/fault"
 )
 
-// WriteToCaller writes data to the client and flushes it if flush is not nil. A write error is returned as a
-// CallerGone fault with the given detail.
-func WriteToCaller(w io.Writer, flush *http.ResponseController, data []byte, detail string) error {
+// WriteToCaller writes data to the client and sends it at once, also after a failed write: an answer that breaks off must
+// not take what was written before with it. An error is returned as a CallerGone fault with the given detail.
+func WriteToCaller(w http.ResponseWriter, data []byte, detail string) error {
 	_, err := w.Write(data)
-	if err == nil && flush != nil {
-		err = flush.Flush()
-	}
-	if err != nil {
+	if err = errors.CombineErrors(err, http.NewResponseController(w).Flush()); err != nil {
 		return fault.Fail(fault.CallerGone, detail).WithCause(err)
 	}
 	return nil
--- a/gate/work/events.go
+++ b/gate/work/events.go
@@ -22,9 +22,11 @@
 
 // CheckEvents returns the reply to a call of a route of the given kind. If it is a stream of server-sent events, its
 // body fails where it would end inside an event or goes on without one, and the body of an unframed success also where it
-// would end before the first event.
+// would end before the first event. Its length is no longer known then: a caller that has got that many bytes would take
+// the body for whole although it fails.
 func (r Reply) CheckEvents(kind Kind) Reply {
 	if r.isEventStream(kind) {
+		r.Head.Length = -1
 		r.Body = &eventBody{Body: r.Body, needsEvent: r.Head.Unframed && r.Succeeded()}
 	}
 	return r
