remote: a turn that fails before its first byte gets a fault

Callers saw: 502, and a sound owner of slots was taken for unreachable, if a forwarded turn failed between the head of its answer and the first byte, as with a whole stream without events whose end the log does not confirm. Cause: the response counted as begun with its head, which was not sent yet, so that the connection was closed without a response. Change: the head is kept until the first byte of the body. Result: TestTurnThatFailsBeforeItsFirstByteIsAnswered got peer_unreachable in place of log_unavailable on, and passes.

--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -206,6 +206,9 @@
 		out.deadline = msg.Call.Deadline
 		err = s.turns.RunHere(r.Context(), msg.Slot, msg.Unreached, msg.Call, msg.Route, out)
 	}
+	if err == nil {
+		err = out.end()
+	}
 	if err == nil {
 		out.setWriteDeadline(time.Time{}) // the connection carries further requests
 		return
@@ -292,9 +295,13 @@
 	flush *http.ResponseController
 	// deadline is that of the turn.
 	deadline time.Time
-	begun    bool
+	// header is the framed head of the answer from Begin until its first byte is written; otherwise nil.
+	header []byte
+	// begun is set once a part of the answer has been sent.
+	begun bool
 }
 
+// send sends the response to a turn without an answer.
 func (t *turnWriter) send(header turnResponse) error {
 	raw, err := frame(header)
 	if err != nil {
@@ -303,12 +310,21 @@
 	return work.WriteToCaller(t.w, raw, callerGone)
 }
 
-// Begin implements work.Answer. The header is not flushed: it is sent with the first bytes of the body.
+// Begin implements work.Answer. The head is sent with the first bytes of the body, so that a turn that fails before gets a
+// fault as its response.
 func (t *turnWriter) Begin(head work.Head) error {
-	t.begun = true
-	t.setWriteDeadline(t.deadline.Add(writeGrace))
 	encoded, latin1 := encodeHead(head)
-	return t.send(turnResponse{Head: &encoded, Latin1: latin1})
+	var err error
+	t.header, err = frame(turnResponse{Head: &encoded, Latin1: latin1})
+	return err
+}
+
+// end is called after a complete answer. It sends the head of one without a body.
+func (t *turnWriter) end() error {
+	if t.begun {
+		return nil
+	}
+	return t.Write(nil)
 }
 
 // setWriteDeadline bounds the writes to the connection, until it is set again.
@@ -318,5 +334,10 @@
 
 // Write implements work.Answer.
 func (t *turnWriter) Write(data []byte) error {
+	if !t.begun {
+		t.setWriteDeadline(t.deadline.Add(writeGrace))
+		data = append(t.header, data...)
+		t.header, t.begun = nil, true
+	}
 	return work.WriteToCaller(t.w, data, callerGone)
 }
--- a/gate/remote/server_test.go
+++ b/gate/remote/server_test.go
@@ -124,3 +124,27 @@
 		t.Errorf("forwarding box: %v", err)
 	}
 }
+
+// failingTurns begins an answer to each turn and fails it before the first byte of its body.
+type failingTurns struct{ Turns }
+
+func (failingTurns) RunHere(_ context.Context, _ int, _ []work.Box, _ *work.Call, _ *work.Route, out work.Answer) error {
+	if err := out.Begin(work.Head{Status: http.StatusOK, Length: -1}); err != nil {
+		return err
+	}
+	return fault.Fail(fault.LogUnavailable, "the log did not confirm the answer")
+}
+
+// TestTurnThatFailsBeforeItsFirstByteIsAnswered guards against a turn whose owner closes the connection without a response
+// although nothing of the answer was sent, so that the forwarding box takes the owner for unreachable.
+func TestTurnThatFailsBeforeItsFirstByteIsAnswered(t *testing.T) {
+	owner := NewServer(work.Box{}, failingTurns{}, nil, nil, nil, nil, nil, memory.NewBudgets(0).Bodies, &panicCounts{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	srv := httptest.NewServer(owner.http.Handler)
+	defer srv.Close()
+	client := newNearClient()
+	defer client.CloseAllExcept(nil)
+	got := turnTo(t, client, work.Box{Name: "b", Peer: netip.MustParseAddrPort(srv.Listener.Addr().String())})
+	if diff := cmp.Diff([]any{fault.LogUnavailable, false}, []any{got.Kind, got.NotRun}); diff != "" {
+		t.Errorf("kind of fault, not run (-want +got):\n%s", diff)
+	}
+}
