serve: headers without room are refused with an answer

Cause: the connection ended the read with an error for which net/http closes it silently; nothing counted that. Ruled out: waiting for room, since slow bodies hold it until their deadline.

--- a/base/serve/timeouts.go
+++ b/base/serve/timeouts.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -51,7 +52,7 @@
 	if !ok {
 		return conn, nil
 	}
-	return &timedConn{socket: inner, current: l.current, memory: l.memory, awaitsIdle: true}, nil
+	return &timedConn{socket: inner, current: l.current, memory: l.memory, refuseTo: inner, awaitsIdle: true}, nil
 }
 
 // timedConn replaces the deadlines that http.Server sets for an idle connection and for the header of a request.
@@ -60,6 +61,9 @@
 	current func() Timeouts
 	// memory is nil if headers need no reservation.
 	memory Memory
+	// refuseTo takes the responses to requests that the connection refuses. It does not change once the connection is
+	// served.
+	refuseTo io.Writer
 
 	mu sync.Mutex
 	// awaitsIdle is set from the accept, or from the end of a response, until the server sets the next deadline.
--- a/gate/spool/conn.go
+++ b/gate/spool/conn.go
@@ -98,6 +98,9 @@
 	c := &Conn{Conn: inner, inner: inner, raw: raw, spool: spool}
 	c.drained.L = &c.mu
 	c.try = c.tryOnce
+	if r, ok := inner.(serve.Refuser); ok {
+		r.RefuseTo(c)
+	}
 	return c
 }
 
