spool: callers that read nothing get no others refused

Callers saw: in a box of 112 MB with 40 callers that read nothing, 503 "too many answers are unread" for about half of the small calls of another service, none of whose callers was slow. Cause: calls were refused by what the box keeps for all, whoever it is kept for; callers without a workspace had no limit of their own. Change: what is kept is counted by workspace, and without one by route. Near the limit of the box, only groups for which at least the average is kept are refused. One of them always has that much, so that whoever fills the memory is refused.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -111,8 +111,8 @@
 
 // Memory tells whether the box has memory for the answers of further calls.
 type Memory interface {
-	// Admit returns a fault with NotRun and a Retry-After delay if a call of the given priority must be refused.
-	Admit(priority int) error
+	// Admit returns a fault with NotRun and a Retry-After delay if a call of the given group and priority must be refused.
+	Admit(from work.CallerGroup, priority int) error
 }
 
 // Counts records metrics.
@@ -179,7 +179,7 @@
 			"proven", call.Arrived.Sub(known.ConfirmedAt), "cause", err)
 		return err
 	}
-	call.Workspace = space.Name
+	call.Workspace, call.RouteName = space.Name, route.Name
 	call.Request = work.FingerprintOf(call, route)
 	if err := e.checkCrashes(call, route); err != nil {
 		return err
@@ -212,7 +212,7 @@
 	if e.memory == nil {
 		return nil
 	}
-	err := e.memory.Admit(call.Priority)
+	err := e.memory.Admit(call.CallerGroup(), call.Priority)
 	if err != nil {
 		e.log.Info("entry: refused, too many answers are unread", "id", call.ID, "route", route.Name, "workspace", call.Workspace, "priority", call.Priority)
 	}
--- a/gate/entry/memory_test.go
+++ b/gate/entry/memory_test.go
@@ -18,7 +18,7 @@
 // urgentOnly refuses calls that are less urgent than the priority.
 type urgentOnly int
 
-func (u urgentOnly) Admit(priority int) error {
+func (u urgentOnly) Admit(_ work.CallerGroup, priority int) error {
 	if priority > int(u) {
 		return fault.Refuse(fault.Overloaded, "too many answers are unread").WithRetryAfter(time.Second)
 	}
--- a/gate/spool/conn.go
+++ b/gate/spool/conn.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mulleingate.dev/base/serve"
+	"mulleingate.dev/gate/work"
 )
 
 const (
@@ -75,9 +76,9 @@
 // answer identifies an answer on a connection.
 type answer struct {
 	// number counts the answers on the connection, from 1.
-	number    int
-	id        string
-	workspace string
+	number int
+	id     string
+	to     work.CallerGroup
 	// deadline is zero if it is not known.
 	deadline time.Time
 }
@@ -126,10 +127,10 @@
 func (c *Conn) SetDeadline(deadline time.Time) error { return c.SetReadDeadline(deadline) }
 
 // BeginAnswer says to which answer the bytes belong that are written from now on. A zero deadline bounds nothing.
-func (c *Conn) BeginAnswer(id, workspace string, deadline time.Time) {
+func (c *Conn) BeginAnswer(id string, to work.CallerGroup, deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answer = answer{number: c.answer.number + 1, id: id, workspace: workspace, deadline: deadline}
+	c.answer = answer{number: c.answer.number + 1, id: id, to: to, deadline: deadline}
 	c.answerKept = 0
 }
 
@@ -190,7 +191,7 @@
 		return true
 	}
 	size := int64(max(len(data), minChunkBytes)) + chunkOverhead
-	if !c.spool.reserve(Usage{Answer: c.answerKept, Connection: c.kept}, c.answer.workspace, size) {
+	if !c.spool.reserve(Usage{Answer: c.answerKept, Connection: c.kept}, c.answer.to, size) {
 		return false
 	}
 	next := chunk{answer: c.answer, data: append(make([]byte, 0, size-chunkOverhead), data...)}
@@ -300,7 +301,7 @@
 	if old.answer.number == c.answer.number {
 		c.answerKept -= old.size()
 	}
-	c.spool.release(old.answer.workspace, old.size())
+	c.spool.release(old.answer.to, old.size())
 }
 
 // writeAll writes data, however slowly the caller reads. It fails with os.ErrDeadlineExceeded once the caller has
@@ -358,7 +359,7 @@
 	c.failure = cause
 	if errors.Is(cause, os.ErrDeadlineExceeded) {
 		c.spool.counts.Count("spool.ended", 1)
-		c.spool.log.Info("spool: connection closed, its caller does not read the answer", "id", to.id, "workspace", to.workspace,
+		c.spool.log.Info("spool: connection closed, its caller does not read the answer", "id", to.id, "workspace", to.to.Workspace, "route", to.to.Route,
 			"kept", c.kept, "past_deadline", !to.deadline.IsZero() && !time.Now().Before(to.deadline))
 	}
 	for _, old := range c.chunks {
--- a/gate/spool/conn_test.go
+++ b/gate/spool/conn_test.go
@@ -17,6 +17,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/work"
 )
 
 // counters counts by name.
@@ -51,7 +52,7 @@
 func (s *Spool) workspaceCount() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return int64(len(s.workspaces))
+	return int64(len(s.groups))
 }
 
 // pair returns a connection of a spool and its caller's end, which has a small receive buffer.
@@ -120,7 +121,7 @@
 func TestKeptAnswerArrivesWhole(t *testing.T) {
 	spool, counts := newSpool(Limits{Answer: unlimited, Connection: unlimited, Workspace: unlimited, Box: unlimited})
 	conn, caller := pair(t, spool)
-	conn.BeginAnswer("i", "w", time.Time{})
+	conn.BeginAnswer("i", work.CallerGroup{Workspace: "w"}, time.Time{})
 	want := pattern(beyondKernel)
 	if took := writePieces(t, conn, want); took > stallTimeout/2 {
 		t.Errorf("writes took %v", took)
@@ -151,7 +152,7 @@
 			t.Run(name+"/"+size, func(t *testing.T) {
 				spool, _ := newSpool(Limits{Answer: unlimited, Connection: unlimited, Workspace: unlimited, Box: unlimited})
 				conn, caller := pair(t, spool)
-				conn.BeginAnswer("i", "w", time.Time{})
+				conn.BeginAnswer("i", work.CallerGroup{Workspace: "w"}, time.Time{})
 				conn.ResetOnClose(true)
 				writePieces(t, conn, pattern(length))
 				if completed {
@@ -177,7 +178,7 @@
 	go func() { _, _ = io.Copy(io.Discard, caller) }() // until the connection is closed
 	event := pattern(180)
 	allocations := testing.AllocsPerRun(100, func() {
-		conn.BeginAnswer("i", "w", time.Time{})
+		conn.BeginAnswer("i", work.CallerGroup{Workspace: "w"}, time.Time{})
 		if _, err := conn.Write(event); err != nil {
 			t.Error(err)
 		}
@@ -211,7 +212,7 @@
 			go func() {
 				start := time.Now()
 				for part := range slices.Chunk(want, answerBytes) {
-					conn.BeginAnswer("i", "w", time.Time{})
+					conn.BeginAnswer("i", work.CallerGroup{Workspace: "w"}, time.Time{})
 					writePieces(t, conn, part)
 				}
 				written <- time.Since(start)
@@ -245,7 +246,7 @@
 func TestOnlyTheSlowAnswerIsSlowed(t *testing.T) {
 	spool, counts := newSpool(Limits{Answer: unlimited, Connection: unlimited, Workspace: 256 * kb, Box: unlimited})
 	slow, _ := pair(t, spool)
-	slow.BeginAnswer("i", "slow", time.Time{})
+	slow.BeginAnswer("i", work.CallerGroup{Workspace: "slow"}, time.Time{})
 	go func() { _, _ = slow.Write(pattern(beyondKernel)) }() // ends with the connection
 	for end := time.Now().Add(5 * time.Second); counts.get("spool.slowed") == 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
@@ -254,7 +255,7 @@
 	}
 	for name, reads := range map[string]bool{"other": false, "slow": true} {
 		conn, caller := pair(t, spool)
-		conn.BeginAnswer("j", name, time.Time{})
+		conn.BeginAnswer("j", work.CallerGroup{Workspace: name}, time.Time{})
 		if reads {
 			go func() { _, _ = io.Copy(io.Discard, caller) }() // until the connection is closed
 		}
@@ -308,7 +309,7 @@
 			if c.deadline > 0 {
 				deadline = start.Add(c.deadline)
 			}
-			conn.BeginAnswer("i", "w", deadline)
+			conn.BeginAnswer("i", work.CallerGroup{Workspace: "w"}, deadline)
 			if _, err := conn.Write(pattern(beyondKernel)); err != nil {
 				t.Fatal(err)
 			}
@@ -319,7 +320,7 @@
 			if took := time.Since(start); took < c.want || took > c.want+2*time.Second {
 				t.Errorf("ended after %v, want %v", took, c.want)
 			}
-			conn.BeginAnswer("j", "w", time.Time{})
+			conn.BeginAnswer("j", work.CallerGroup{Workspace: "w"}, time.Time{})
 			if _, err := conn.Write([]byte("x")); !errors.Is(err, os.ErrDeadlineExceeded) {
 				t.Errorf("a later write returned %v", err)
 			}
@@ -337,7 +338,7 @@
 func TestLateAnswerIsDelivered(t *testing.T) {
 	spool, _ := newSpool(Limits{})
 	conn, caller := pair(t, spool)
-	conn.BeginAnswer("i", "w", time.Now().Add(-time.Second))
+	conn.BeginAnswer("i", work.CallerGroup{Workspace: "w"}, time.Now().Add(-time.Second))
 	if _, err := conn.Write([]byte("late")); err != nil {
 		t.Fatal(err)
 	}
@@ -350,21 +351,50 @@
 	}
 }
 
+// slowCallers and others are two groups of callers without a workspace.
+var slowCallers, others = work.CallerGroup{Route: "slow"}, work.CallerGroup{Route: "other"}
+
+// TestSlowCallersGetOthersNotRefused guards against calls that are refused since other callers don't read their answers: once the
+// box keeps too much, only the groups that have at least the average are refused.
+func TestSlowCallersGetOthersNotRefused(t *testing.T) {
+	spool, _ := newSpool(Limits{Answer: unlimited, Connection: unlimited, Box: 100})
+	keep := func(group work.CallerGroup, n int64) {
+		if !spool.reserve(Usage{}, group, n) {
+			t.Fatalf("%d bytes could not be kept", n)
+		}
+	}
+	check := func(what string, slow, other bool) {
+		t.Helper()
+		if diff := cmp.Diff([]bool{slow, other}, []bool{spool.Admit(slowCallers, 0) == nil, spool.Admit(others, 5) == nil}); diff != "" {
+			t.Errorf("%s: the slow group and the other one are admitted (-want +got):\n%s", what, diff)
+		}
+	}
+	keep(slowCallers, 50)
+	check("within the limit", true, true)
+	keep(slowCallers, 46)
+	check("one group has all", false, true)
+	keep(others, 4)
+	check("one group has most", false, true)
+	spool.release(slowCallers, 92)
+	keep(others, 92)
+	check("the other group has most", true, false)
+}
+
 // TestRefusedForMemory checks that a refusal says when to retry, that the call has not run, and that it is counted.
 func TestRefusedForMemory(t *testing.T) {
 	spool, counts := newSpool(Limits{Answer: unlimited, Connection: unlimited, Box: 100})
-	if !spool.reserve(Usage{}, "", 90) {
+	if !spool.reserve(Usage{}, slowCallers, 90) {
 		t.Fatal("nothing could be kept")
 	}
-	if err := spool.Admit(0); err != nil {
+	if err := spool.Admit(slowCallers, 0); err != nil {
 		t.Errorf("the most urgent call: %v", err)
 	}
-	err := spool.Admit(5)
+	err := spool.Admit(slowCallers, 5)
 	if !fault.Is(err, fault.Overloaded) || !fault.From(err).NotRun || fault.From(err).RetryAfter <= 0 {
 		t.Errorf("a less urgent call: %v", err)
 	}
-	spool.release("", 90)
-	if err := spool.Admit(5); err != nil {
+	spool.release(slowCallers, 90)
+	if err := spool.Admit(slowCallers, 5); err != nil {
 		t.Errorf("after the release: %v", err)
 	}
 	if diff := cmp.Diff(int64(1), counts.get("spool.refused")); diff != "" {
--- a/gate/spool/spool.go
+++ b/gate/spool/spool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/work"
 )
 
 const (
@@ -35,13 +36,13 @@
 	kept atomic.Int64
 
 	mu sync.Mutex
-	// workspaces holds the number of bytes by workspace, only those above zero.
-	workspaces map[string]int64
+	// groups holds the number of bytes by group, only those above zero.
+	groups map[work.CallerGroup]int64
 }
 
 // New returns a Spool. All limits must be above zero; see Limits.Fill.
 func New(limits Limits, counts Counts, log *slog.Logger) *Spool {
-	s := &Spool{limits: limits, counts: counts, log: log, workspaces: map[string]int64{}}
+	s := &Spool{limits: limits, counts: counts, log: log, groups: map[work.CallerGroup]int64{}}
 	for _, name := range []string{"spool.slowed", "spool.ended", "spool.refused"} {
 		counts.Count(name, 0) // exists from the start, so that alerts see its first increase
 	}
@@ -51,16 +52,24 @@
 // Kept returns the number of bytes that are kept.
 func (s *Spool) Kept() int64 { return s.kept.Load() }
 
-// Admit returns a fault with NotRun if a new call of the given priority must be refused, since the box keeps too
-// many unread answers.
-func (s *Spool) Admit(priority int) error {
-	if !s.limits.Refuses(s.kept.Load(), priority) {
+// Admit returns a fault with NotRun if a new call of the given group and priority must be refused, since the box keeps too
+// many unread answers. A group that has less than the average of those that have any is not refused: its callers read what
+// they get, and would pay for those who don't.
+func (s *Spool) Admit(from work.CallerGroup, priority int) error {
+	if !s.limits.Refuses(s.kept.Load(), priority) || s.keepsLittleFor(from) {
 		return nil
 	}
 	s.counts.Count("spool.refused", 1)
 	return fault.Refuse(fault.Overloaded, "too many answers are unread").WithRetryAfter(retryAfter)
 }
 
+// keepsLittleFor reports whether less is kept for the group than for the average of those for which anything is kept.
+func (s *Spool) keepsLittleFor(group work.CallerGroup) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.groups[group]*int64(len(s.groups)) < s.kept.Load()
+}
+
 // Drain waits until all callers have got what is kept for them, or until ctx ends.
 func (s *Spool) Drain(ctx context.Context) {
 	for s.kept.Load() > 0 {
@@ -74,30 +83,25 @@
 
 // reserve counts n more bytes as kept, if the limits allow it. used holds the numbers for the answer and the
 // connection.
-func (s *Spool) reserve(used Usage, workspace string, n int64) bool {
+func (s *Spool) reserve(used Usage, to work.CallerGroup, n int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	used.Workspace, used.Named, used.Box = s.workspaces[workspace], workspace != "", s.kept.Load()
+	used.Workspace, used.Named, used.Box = s.groups[to], to.Workspace != "", s.kept.Load()
 	if !s.limits.Allows(used, n) {
 		return false
 	}
 	s.kept.Add(n)
-	if workspace != "" {
-		s.workspaces[workspace] += n
-	}
+	s.groups[to] += n
 	return true
 }
 
 // release counts n bytes as no longer kept.
-func (s *Spool) release(workspace string, n int64) {
+func (s *Spool) release(to work.CallerGroup, n int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.kept.Add(-n)
-	if workspace == "" {
-		return
-	}
-	if s.workspaces[workspace] -= n; s.workspaces[workspace] <= 0 {
-		delete(s.workspaces, workspace)
+	if s.groups[to] -= n; s.groups[to] <= 0 {
+		delete(s.groups, to)
 	}
 }
 
--- a/gate/work/call.go
+++ b/gate/work/call.go
@@ -54,6 +54,8 @@
 	// to other boxes. Workspace is the workspace that holds the key, empty for calls without one.
 	KeyDigest string `json:"-"`
 	Workspace string `json:",omitempty"`
+	// RouteName is the name of the call's route, set at the box that received the call, together with Workspace.
+	RouteName string `json:"-"`
 	// Request is FingerprintOf the call; set together with Workspace.
 	Request Fingerprint `json:",omitempty"`
 	// Deadline is the earlier of the caller's deadline and the end of the route's timeout.
@@ -72,6 +74,18 @@
 	MayHaveRun bool `json:"-"`
 }
 
+// CallerGroup identifies callers that are treated alike when their answers take the memory of the box: those of a
+// workspace, or those without one on a route.
+type CallerGroup struct{ Workspace, Route string }
+
+// CallerGroup returns the group of the sender of the call.
+func (c *Call) CallerGroup() CallerGroup {
+	if c.Workspace != "" {
+		return CallerGroup{Workspace: c.Workspace}
+	}
+	return CallerGroup{Route: c.RouteName}
+}
+
 // Prompt is what is known of a model call's prompt before the call runs.
 type Prompt struct {
 	// Tokens is the length of the whole prompt; Most is the maximum length of the answer.
