serve: a full box closes connections that send no request

Cause: who came first kept his connection; each new one was closed. One whose request was taken is not closed for others until its answer has left the box, also from the spool; if all are such, the new one is closed.

--- a/base/serve/timeouts.go
+++ b/base/serve/timeouts.go
@@ -90,6 +90,20 @@
 	c.releaseHeader()
 }
 
+// Taken implements Taker for the connection that it wraps.
+func (c *timedConn) Taken() {
+	if t, ok := c.socket.(Taker); ok {
+		t.Taken()
+	}
+}
+
+// Released implements Taker for the connection that it wraps.
+func (c *timedConn) Released() {
+	if t, ok := c.socket.(Taker); ok {
+		t.Released()
+	}
+}
+
 // SetReadDeadline implements net.Conn. A zero deadline, one that has passed and interrupts a read, and those that the
 // handler sets for the body are set as they are. Of the others, the server sets the first one after the accept or after
 // a response for the idle connection, the next ones for the header of a request, and a zero one once that has arrived.
--- a/gate/spool/conn.go
+++ b/gate/spool/conn.go
@@ -65,6 +65,8 @@
 	kept, answerKept int64
 	// draining is set while a goroutine writes the chunks. Nothing else is written during that time.
 	draining bool
+	// releasing is set while the connection is to be released after the chunks.
+	releasing bool
 	// closing and closingWrite are set if the connection, or its write side, is to be closed after the chunks.
 	closing, closingWrite bool
 	// resetting is set while the end of the connection must be a reset, and zeroLinger once the socket is set to that.
@@ -105,11 +107,35 @@
 	return c
 }
 
-// Responded implements serve.Responder for the connection that it wraps.
+// Responded implements serve.Responder for the connection that it wraps. That is released once nothing is kept.
 func (c *Conn) Responded() {
 	if r, ok := c.inner.(serve.Responder); ok {
 		r.Responded()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releasing = c.draining
+	if !c.draining {
+		c.release()
+	}
+}
+
+// Taken says that a whole request has been read.
+func (c *Conn) Taken() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releasing = false
+	if t, ok := c.inner.(serve.Taker); ok {
+		t.Taken()
+	}
+}
+
+// release tells the connection that it wraps that no response is in progress. The caller holds mu.
+func (c *Conn) release() {
+	c.releasing = false
+	if t, ok := c.inner.(serve.Taker); ok {
+		t.Released()
+	}
 }
 
 // Abandon implements serve.Abandoner for the connection that it wraps.
@@ -269,6 +295,9 @@
 	}
 	c.chunks = nil // the memory of the slice is freed
 	c.endDraining()
+	if c.releasing {
+		c.release()
+	}
 	if c.closingWrite {
 		_ = c.inner.CloseWrite() // fails only on a connection that has ended
 	}
