serve: a connection has 20 ms to send a request before it makes room

Change: connections without a request keep half of the places before idle ones do, and 20 ms each, for which further ones wait in the listener's queue. A connection that was chosen says so when a request is taken on it, which is then refused as not run.

--- a/base/serve/evict.go
+++ b/base/serve/evict.go
@@ -4,16 +4,24 @@
 	"container/list"
 	"net"
 	"sync"
+	"time"
 )
 
-// unusedDivisor sets the part of the connections up to which those without a request are kept before idle ones. Callers that
-// have just connected must find enough room to send a request before others take it.
-const unusedDivisor = 8
+const (
+	// unusedDivisor sets the part of the connections up to which those without a request are kept before idle ones.
+	// Callers that have just connected must find enough room to send a request before others take it.
+	unusedDivisor = 2
+	// minUnusedTime is how long a connection may wait for its first request in any case. Most callers have sent it when
+	// the connection is accepted, so that it leaves the server time to read it. Further connections wait for that.
+	minUnusedTime = 20 * time.Millisecond
+)
 
 // Taker is implemented by connections, and wrappers of them, that are to be told which requests are in progress.
 type Taker interface {
-	// Taken says that a whole request has been read, and Released that the response to it has been sent.
-	Taken()
+	// Taken says that a whole request has been read. It returns false if the connection is being closed for others, so
+	// that the request must not be handled.
+	Taken() bool
+	// Released says that the response to it has been sent.
 	Released()
 }
 
@@ -60,26 +68,57 @@
 
 // makeRoom closes a connection if the limit is reached, and reports whether there is room for another one.
 func (l *evictingListener) makeRoom() bool {
+	for {
+		victim, wait := l.pickVictim()
+		switch {
+		case wait > 0:
+			time.Sleep(wait)
+		case victim != nil:
+			l.closed()
+			_ = victim.Close() // the caller may have closed it
+		default:
+			return l.hasRoom()
+		}
+	}
+}
+
+// hasRoom reports whether the limit is not reached, and counts the connection that is closed otherwise.
+func (l *evictingListener) hasRoom() bool {
 	l.mu.Lock()
+	full := l.open >= l.limit
+	l.mu.Unlock()
+	if full {
+		l.closed()
+	}
+	return !full
+}
+
+// pickVictim returns the connection to close, or how long to wait until it may be closed. It returns neither if there is
+// room, or if none may be closed.
+func (l *evictingListener) pickVictim() (victim *evictableConn, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.open < l.limit {
-		l.mu.Unlock()
-		return true
+		return nil, 0
 	}
-	victim := l.unused.Front()
+	next := l.unused.Front()
 	if idle := l.idle.Front(); idle != nil && l.unused.Len() <= l.limit/unusedDivisor {
-		victim = idle
+		next = idle
 	}
-	l.mu.Unlock()
-	l.closed()
-	if victim == nil {
-		return false
+	if next == nil {
+		return nil, 0
+	}
+	victim = next.Value.(*evictableConn)
+	if left := minUnusedTime - time.Since(victim.accepted); left > 0 {
+		return nil, left
 	}
-	_ = victim.Value.(*evictableConn).Close() // the caller may have closed it
-	return true
+	victim.evicted = true
+	victim.moveTo(nil)
+	return victim, 0
 }
 
 func (l *evictingListener) add(tcp *net.TCPConn) *evictableConn {
-	c := &evictableConn{TCPConn: tcp, listener: l}
+	c := &evictableConn{TCPConn: tcp, listener: l, accepted: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open++
@@ -91,11 +130,13 @@
 type evictableConn struct {
 	*net.TCPConn
 	listener *evictingListener
-	// in is the list of the listener that holds the connection as element; nil if none does. They, and closed, are guarded
+	accepted time.Time
+	// in is the list of the listener that holds the connection as element; nil if none does. They, evicted and closed are guarded
 	// by the listener's mu.
 	in      *list.List
 	element *list.Element
-	closed  bool
+	// evicted is set once the connection is being closed for others.
+	evicted, closed bool
 }
 
 // moveTo moves the connection to the end of a list, or to none. The caller holds the listener's mu.
@@ -110,17 +151,18 @@
 }
 
 // Taken implements Taker.
-func (c *evictableConn) Taken() {
+func (c *evictableConn) Taken() bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.moveTo(nil)
+	return !c.evicted
 }
 
 // Released implements Taker.
 func (c *evictableConn) Released() {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	if !c.closed {
+	if !c.closed && !c.evicted {
 		c.moveTo(&c.listener.idle)
 	}
 }
--- a/base/serve/timeouts.go
+++ b/base/serve/timeouts.go
@@ -91,10 +91,9 @@
 }
 
 // Taken implements Taker for the connection that it wraps.
-func (c *timedConn) Taken() {
-	if t, ok := c.socket.(Taker); ok {
-		t.Taken()
-	}
+func (c *timedConn) Taken() bool {
+	t, ok := c.socket.(Taker)
+	return !ok || t.Taken()
 }
 
 // Released implements Taker for the connection that it wraps.
--- a/gate/spool/conn.go
+++ b/gate/spool/conn.go
@@ -120,14 +120,13 @@
 	}
 }
 
-// Taken says that a whole request has been read.
-func (c *Conn) Taken() {
+// Taken says that a whole request has been read, and reports whether it may be handled; see serve.Taker.
+func (c *Conn) Taken() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.releasing = false
-	if t, ok := c.inner.(serve.Taker); ok {
-		t.Taken()
-	}
+	t, ok := c.inner.(serve.Taker)
+	return !ok || t.Taken()
 }
 
 // release tells the connection that it wraps that no response is in progress. The caller holds mu.
