crash: a planned end after an unframed answer is no crash

Cause: an unframed answer whose request comes again is checked by connecting to its replica, as if that were still listed. Change: such a replica counts as listed only if it is. A replica that is removed without notice after unframed answers is checked at that moment: gone by then, it has crashed, as for broken answers. Result: TestPlannedEndAfterUnframedAnswerIsNoCrash: a crash before, none now; one that is gone before its entry still counts.

--- a/gate/crash/crash_test.go
+++ b/gate/crash/crash_test.go
@@ -390,6 +390,39 @@
 	}
 }
 
+// TestPlannedEndAfterUnframedAnswerIsNoCrash guards against a replica that stopped as planned and is taken for a crashed one, since a
+// request that it had answered unframed came again after its end. Crashes of other replicas at that time were then not blamed on
+// the request under which they crashed. One that is gone when its entry goes has crashed.
+func TestPlannedEndAfterUnframedAnswerIsNoCrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		goneFirst bool
+		want      int
+	}{"removed, then gone": {false, 0}, "gone, then removed": {true, 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			net := fakeNet{}
+			tracker := newTracker(net)
+			listed := listedReplicas{replica(0), replica(1)}
+			tracker.SetReplicas(&listed)
+			begin(t, tracker, "a", replica(0)).End(Unframed, true)
+			time.Sleep(time.Second)
+			if c.goneFirst {
+				net[replica(0).Addr] = Refused
+			}
+			listed = listedReplicas{replica(1)}
+			tracker.ReplicaUnlisted(replica(0))
+			time.Sleep(time.Second)
+			net[replica(0).Addr] = Refused
+			begin(t, tracker, "a", replica(1)).End(Completed, true)
+			synctest.Wait()
+			tracker.mu.Lock()
+			defer tracker.mu.Unlock()
+			if diff := cmp.Diff(c.want, len(tracker.crashed)); diff != "" {
+				t.Errorf("%s: replicas that crashed (-want +got):\n%s", name, diff)
+			}
+		})
+	}
+}
+
 // TestAnswerClearsRequestAtOtherBoxes guards against the refusal of a request that many callers send, such as a GET of one
 // path, after several replicas on which it ran have crashed at once, for example those of a rack, and checks that one
 // answer clears it, also at boxes that had no attempt of it in progress.
--- a/gate/crash/undecided.go
+++ b/gate/crash/undecided.go
@@ -164,7 +164,9 @@
 	}
 	if waiting := mayHaveCrashed(now, t.takeUndecided(now, rep.RunID())); len(waiting) > 0 {
 		t.startCheck(now, rep, onRemoval, waiting, 0)
+		return
 	}
+	t.checkUnlisted(now, rep)
 }
 
 // recheckLater checks the replica, which did not refuse a connection after it broke an answer off, once it would have ended.
--- a/gate/crash/unframed.go
+++ b/gate/crash/unframed.go
@@ -40,14 +40,36 @@
 // would open too many connections; a caller that got a whole answer does not send its request again.
 func (t *Tracker) checkUnframed(req work.Fingerprint) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	answer, ok := t.unframed[req]
-	if !ok {
+	delete(t.unframed, req)
+	t.mu.Unlock()
+	if !ok || time.Since(answer.at) > unframedTTL {
 		return
 	}
-	delete(t.unframed, req)
-	now := time.Now()
-	if now.Sub(answer.at) <= unframedTTL {
-		t.check(now, answer.replica, undecided{req: req, at: answer.at, trial: answer.trial}, true)
+	listed := t.isListed(answer.replica)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.check(time.Now(), answer.replica, undecided{req: req, at: answer.at, trial: answer.trial}, listed)
+}
+
+// checkUnlisted checks a replica that is no longer listed if it has sent unframed answers lately. Once it is gone, nothing
+// tells whether it crashed or stopped as planned.
+func (t *Tracker) checkUnlisted(now time.Time, rep work.Replica) {
+	for _, answer := range t.unframed {
+		if answer.replica.RunID() == rep.RunID() && now.Sub(answer.at) <= unframedTTL {
+			go t.markIfRefused(rep)
+			return
+		}
 	}
 }
+
+// markIfRefused records that the replica has crashed if it refuses connections.
+func (t *Tracker) markIfRefused(rep work.Replica) {
+	t.counts.Count(checkMetric, 1)
+	if t.probe(rep) != Refused {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.markCrashed(time.Now(), rep.RunID(), false)
+}
