spool: the group of an answer is called group

Cause: read as a newcomer, "to.to.Workspace" and a group named from or to did not say what they hold. Change: names only.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -112,7 +112,7 @@
 // Memory tells whether the box has memory for the answers of further calls.
 type Memory interface {
 	// Admit returns a fault with NotRun and a Retry-After delay if a call of the given group and priority must be refused.
-	Admit(from work.CallerGroup, priority int) error
+	Admit(group work.CallerGroup, priority int) error
 }
 
 // Counts records metrics.
--- a/gate/spool/conn.go
+++ b/gate/spool/conn.go
@@ -80,7 +80,7 @@
 	// number counts the answers on the connection, from 1.
 	number int
 	id     string
-	to     work.CallerGroup
+	group  work.CallerGroup
 	// deadline is zero if it is not known.
 	deadline time.Time
 }
@@ -152,10 +152,10 @@
 func (c *Conn) SetDeadline(deadline time.Time) error { return c.SetReadDeadline(deadline) }
 
 // BeginAnswer says to which answer the bytes belong that are written from now on. A zero deadline bounds nothing.
-func (c *Conn) BeginAnswer(id string, to work.CallerGroup, deadline time.Time) {
+func (c *Conn) BeginAnswer(id string, group work.CallerGroup, deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answer = answer{number: c.answer.number + 1, id: id, to: to, deadline: deadline}
+	c.answer = answer{number: c.answer.number + 1, id: id, group: group, deadline: deadline}
 	c.answerKept = 0
 }
 
@@ -216,7 +216,7 @@
 		return true
 	}
 	size := int64(max(len(data), minChunkBytes)) + chunkOverhead
-	if !c.spool.reserve(Usage{Answer: c.answerKept, Connection: c.kept}, c.answer.to, size) {
+	if !c.spool.reserve(Usage{Answer: c.answerKept, Connection: c.kept}, c.answer.group, size) {
 		return false
 	}
 	next := chunk{answer: c.answer, data: append(make([]byte, 0, size-chunkOverhead), data...)}
@@ -329,7 +329,7 @@
 	if old.answer.number == c.answer.number {
 		c.answerKept -= old.size()
 	}
-	c.spool.release(old.answer.to, old.size())
+	c.spool.release(old.answer.group, old.size())
 }
 
 // writeAll writes data, however slowly the caller reads. It fails with os.ErrDeadlineExceeded once the caller has
@@ -387,7 +387,7 @@
 	c.failure = cause
 	if errors.Is(cause, os.ErrDeadlineExceeded) {
 		c.spool.counts.Count("spool.ended", 1)
-		c.spool.log.Info("spool: connection closed, its caller does not read the answer", "id", to.id, "workspace", to.to.Workspace, "route", to.to.Route,
+		c.spool.log.Info("spool: connection closed, its caller does not read the answer", "id", to.id, "workspace", to.group.Workspace, "route", to.group.Route,
 			"kept", c.kept, "past_deadline", !to.deadline.IsZero() && !time.Now().Before(to.deadline))
 	}
 	for _, old := range c.chunks {
--- a/gate/spool/spool.go
+++ b/gate/spool/spool.go
@@ -55,8 +55,8 @@
 // Admit returns a fault with NotRun if a new call of the given group and priority must be refused, since the box keeps too
 // many unread answers. A group that has less than the average of those that have any is not refused: its callers read what
 // they get, and would pay for those who don't.
-func (s *Spool) Admit(from work.CallerGroup, priority int) error {
-	if !s.limits.Refuses(s.kept.Load(), priority) || s.keepsLittleFor(from) {
+func (s *Spool) Admit(group work.CallerGroup, priority int) error {
+	if !s.limits.Refuses(s.kept.Load(), priority) || s.keepsLittleFor(group) {
 		return nil
 	}
 	s.counts.Count("spool.refused", 1)
@@ -83,25 +83,25 @@
 
 // reserve counts n more bytes as kept, if the limits allow it. used holds the numbers for the answer and the
 // connection.
-func (s *Spool) reserve(used Usage, to work.CallerGroup, n int64) bool {
+func (s *Spool) reserve(used Usage, group work.CallerGroup, n int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	used.Workspace, used.Named, used.Box = s.groups[to], to.Workspace != "", s.kept.Load()
+	used.Workspace, used.Named, used.Box = s.groups[group], group.Workspace != "", s.kept.Load()
 	if !s.limits.Allows(used, n) {
 		return false
 	}
 	s.kept.Add(n)
-	s.groups[to] += n
+	s.groups[group] += n
 	return true
 }
 
 // release counts n bytes as no longer kept.
-func (s *Spool) release(to work.CallerGroup, n int64) {
+func (s *Spool) release(group work.CallerGroup, n int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.kept.Add(-n)
-	if s.groups[to] -= n; s.groups[to] <= 0 {
-		delete(s.groups, to)
+	if s.groups[group] -= n; s.groups[group] <= 0 {
+		delete(s.groups, group)
 	}
 }
 
