--- a/test.sh
+++ b/test.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs the tests of all modules: units and processes with the race detector, the fuzz of the
 # fleet without it, for more plans (the detector itself crashes now and then under the
-# test clock; docs/VERIFICATION.md has the command to run it all the same).
+# test clock; docs/VERIFICATION.md has the command to run it all the same). The memory of a full box is
+# judged without it too, since it takes several times as much.
 # Tests that KNOWN-RED.txt names, "FOLDER TEST: cause (issue)" a line, are printed and passed over
 # in the module of their folder; those of the same name in other modules run.
 set -euo pipefail
@@ -23,5 +24,7 @@
   if [ -n "$names" ]; then skip=(-skip "^($names)\$"); fi
   (cd "$mod" && go list ./... | grep -v '/gate/proof$' | xargs go test -race -count=1 "${skip[@]}" "$@")
 done
+echo "== memory of a full box"
+(cd platform && go test -count=1 ./whole -run '^TestFullBoxAnswersAll$')
 echo "== fuzz of the fleet"
 (cd gate && go test -count=1 ./proof -rapid.checks=200)
