--- a/gate/view/view.go
+++ b/gate/view/view.go
@@ -62,7 +62,7 @@
 	// vanished holds boxes that are no longer members although they did not announce that, by name; lastSeen is when
 	// that was found.
 	vanished map[string]peerState
-	// previousIncarnations holds the incarnation that each restarted box had before its current one, by name.
+	// previousIncarnations holds the incarnation that each box seen to restart had before its current one, by name.
 	previousIncarnations map[string]string
 	// failures holds the recent failed calls to boxes, by name.
 	failures map[string]failureStreak
@@ -349,67 +349,6 @@
 	return v.membersGeneration != v.generation || time.Now().After(v.rereadAt)
 }
 
-// applyMembers updates the other boxes from the list of members that was read for the generation.
-func (v *View) applyMembers(generation int64, members []string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	now := time.Now()
-	listed := map[string]bool{}
-	for _, box := range v.parseMembers(members) {
-		if box.Name == v.self.Name {
-			continue
-		}
-		// A box that restarted is listed with both incarnations until the older one expires.
-		if have, ok := v.peers[box.Name]; ok && have.Incarnation != box.Incarnation {
-			if v.previousIncarnations[box.Name] == box.Incarnation {
-				continue
-			}
-			v.previousIncarnations[box.Name] = have.Incarnation
-		}
-		if v.departed[box.Name].Incarnation == box.Incarnation {
-			continue
-		}
-		listed[box.Name] = true
-		v.liveChanged = v.liveChanged || v.peers[box.Name].Box != box
-		v.peers[box.Name] = peerState{Box: box, member: true, lastSeen: now}
-	}
-	for name, peer := range v.peers {
-		if !listed[name] {
-			peer.member = false
-			v.peers[name] = peer
-		}
-	}
-	if v.membersGeneration != generation {
-		v.rereadsLeft = rereadsAfterChange + 1
-	}
-	v.rereadsLeft--
-	v.rereadAt = now.Add(heartbeatsPerReread*v.timing.HeartbeatInterval - v.timing.HeartbeatInterval/2)
-	if v.rereadsLeft <= 0 {
-		v.rereadAt = now.Add(v.timing.RereadInterval)
-	}
-	v.membersGeneration = generation
-}
-
-// parseMembers parses the members, reusing the results of the last list, since most members are in both.
-func (v *View) parseMembers(members []string) []work.Box {
-	parsed := make(map[string]work.Box, len(members))
-	boxes := make([]work.Box, 0, len(members))
-	for _, text := range members {
-		box, ok := v.parsedMembers[text]
-		if !ok {
-			var err error
-			if box, err = work.ParseMember(text); err != nil {
-				v.logger.Warn("view: malformed member", "cause", err)
-				continue
-			}
-		}
-		parsed[text] = box
-		boxes = append(boxes, box)
-	}
-	v.parsedMembers = parsed
-	return boxes
-}
-
 // update drops boxes that are no longer members, rebuilds the list of live boxes and runs the callbacks if it
 // or the settled state has changed.
 func (v *View) update(now time.Time) {
--- a/gate/work/record.go
+++ b/gate/work/record.go
@@ -1,13 +1,6 @@
 package work
 
-import (
-	"net/netip"
-	"strconv"
-	"strings"
-	"time"
-
-	"mulleingate.dev/base/fault"
-)
+import "time"
 
 // Topic is a log that boxes read or write.
 type Topic string
@@ -71,58 +64,3 @@
 	// Number increases by one with every append of the epoch.
 	Number int64
 }
-
-// Box describes a box to the other boxes.
-type Box struct {
-	Name string `json:"name"`
-	Zone string `json:"zone"`
-	// Peer is the address for calls from other boxes.
-	Peer netip.AddrPort `json:"peer"`
-	// Incarnation differs after every start of the box.
-	Incarnation string `json:"incarnation"`
-	// Cores is the processor time that the box may use, in cores, and Link the bandwidth of its network
-	// link, in Mbit/s; 0 if not known.
-	Cores float64 `json:"cores,omitempty"`
-	Link  float64 `json:"link,omitempty"`
-}
-
-// Member encodes the box as the name by which it is a member of the fleet.
-func (b Box) Member() string {
-	return strings.Join([]string{b.Name, b.Zone, b.Peer.String(), b.Incarnation, formatFloat(b.Cores), formatFloat(b.Link)}, "|")
-}
-
-func formatFloat(n float64) string {
-	return strconv.FormatFloat(n, 'g', -1, 64)
-}
-
-// ParseMember decodes a name that Member has encoded.
-func ParseMember(text string) (Box, error) {
-	fields := strings.Split(text, "|")
-	if len(fields) != 6 {
-		return Box{}, fault.Fail(fault.Protocol, "malformed member")
-	}
-	peer, err := netip.ParseAddrPort(fields[2])
-	if err != nil {
-		return Box{}, fault.Fail(fault.Protocol, "member with a malformed peer address").WithCause(err)
-	}
-	cores, err := strconv.ParseFloat(fields[4], 64)
-	if err != nil {
-		return Box{}, fault.Fail(fault.Protocol, "member with malformed cores").WithCause(err)
-	}
-	link, err := strconv.ParseFloat(fields[5], 64)
-	if err != nil {
-		return Box{}, fault.Fail(fault.Protocol, "member with a malformed link").WithCause(err)
-	}
-	if !isAmount(cores) || !isAmount(link) {
-		return Box{}, fault.Fail(fault.Protocol, "member with cores or a link out of range")
-	}
-	return Box{Name: fields[0], Zone: fields[1], Peer: peer, Incarnation: fields[3], Cores: cores, Link: link}, nil
-}
-
-// maxAmount is far above the cores and the link of any machine.
-const maxAmount = 1e12
-
-// isAmount reports whether n can be an amount. It is false for NaN.
-func isAmount(n float64) bool {
-	return n >= 0 && n <= maxAmount
-}
