shard, entry: find the owner of a slot when views differ

Callers saw: after many boxes had restarted, turns that go on were refused in each of several tries, although a box owned their slot; or got 502 from owners that had been fenced off in calm. Cause: the owner was derived from the view of whoever asked, and only four boxes by rank were tried. A box that had handed the slot over, or lost it, did not say to whom, and nobody asked the log. A claim relied on the claimant's view alone, and fenced off owners which that did not have. Change: refusals name the owner, the log is asked for it, and an owner that works keeps its slot from a claimant whose view lacks it (decision 0020). The same holds for records of turns that end after their slot has moved, and for searches.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -15,15 +15,6 @@
 )
 
 const (
-	// maxOwnerLookups is the number of attempts to find the owner of a slot for one call, and ownerRetryDelay
-	// the pause between them, in which a slot handover can finish. Both are small because a late refusal is
-	// of no use to the caller.
-	maxOwnerLookups = 2
-	ownerRetryDelay = 30 * time.Millisecond
-	// ownerCandidates is how many boxes are asked in one lookup: the expected owner of the slot and its
-	// successors. While the expected owner is joining, a successor still holds the slot; several boxes may
-	// join at once when an availability zone comes back.
-	ownerCandidates = 4
 	// retryOwnerUnknown is the Retry-After delay while the owner of a program cannot be reached and the
 	// duration of a takeover is not known. It is also the longest delay if that duration is known.
 	retryOwnerUnknown = 1200 * time.Millisecond
@@ -70,6 +61,13 @@
 	Holds(number int) bool
 	// Prepare begins to read the slot from the log, since this box is likely to claim it soon.
 	Prepare(number int)
+	// KnownOwner returns the box that owns the slot as far as this one has learned lately.
+	KnownOwner(number int) (work.Owner, bool)
+	// LearnOwner records which other box owns the slot, and ForgetOwner that the box does not serve it.
+	LearnOwner(number int, owner work.Owner)
+	ForgetOwner(number int, box work.Box)
+	// LookUpOwner reads from the log which box claimed the slot last.
+	LookUpOwner(ctx context.Context, number int) (work.Owner, bool)
 	// All returns the slots that this box holds.
 	All() []*shard.Slot
 }
@@ -356,82 +354,6 @@
 	return fault.Is(err, fault.NotOwner) || fault.Is(err, fault.PeerUnreachable) || fault.Is(err, fault.OwnerUnavailable)
 }
 
-// runOnSlot runs the turn on the box that holds the slot.
-func (e *Entry) runOnSlot(ctx context.Context, slot int, call *work.Call, route *work.Route, out work.Answer) error {
-	var err error
-	for try := range maxOwnerLookups {
-		if try > 0 && !waitRetry(ctx) {
-			return err
-		}
-		if err = e.tryOwners(ctx, slot, call, route, out); !ownerNotReached(err) {
-			return err
-		}
-	}
-	return err
-}
-
-// tryOwners tries the boxes that may hold the slot, the most likely one first. If none holds it, the fault of
-// the first candidate owner is returned.
-func (e *Entry) tryOwners(ctx context.Context, slot int, call *work.Call, route *work.Route, out work.Answer) error {
-	// A box that is about to lose its slots holds them until their next owner asks for them.
-	if e.slots.Holds(slot) {
-		if err := e.RunHere(ctx, slot, nil, call, route, out); !ownerNotReached(err) {
-			return err
-		}
-	}
-	var first error
-	var unreached []work.Box
-	for rank, box := range e.boxes.Owners(e.layout.Name(slot), ownerCandidates) {
-		err := e.runOnBox(ctx, box, rank, unreached, slot, call, route, out)
-		if !ownerNotReached(err) {
-			return err
-		}
-		if fault.Is(err, fault.PeerUnreachable) {
-			unreached = append(unreached, box)
-		}
-		if first == nil {
-			first = err
-		}
-	}
-	if first == nil {
-		return fault.Refuse(fault.OwnerUnavailable, "no box owns the slot")
-	}
-	return first
-}
-
-// runOnBox runs the turn on the given box if that box holds the slot or can take it over from the unreached boxes,
-// which precede it in the ranking.
-func (e *Entry) runOnBox(ctx context.Context, box work.Box, rank int, unreached []work.Box, slot int, call *work.Call, route *work.Route, out work.Answer) error {
-	if box.Name == e.self.Name {
-		return e.RunHere(ctx, slot, unreached, call, route, out)
-	}
-	if e.leavesRegions(call, box) {
-		return fault.Refuse(fault.OwnerUnavailable, "the box is outside of the allowed regions")
-	}
-	if e.boxes.RecentlyUnreachable(box) {
-		return fault.Refuse(fault.PeerUnreachable, "a recent attempt to reach the owner of the slot failed")
-	}
-	if err := e.checkDrain(call, route); err != nil {
-		return err
-	}
-	e.log.Info("entry: turn forwarded", "id", call.ID, "program", call.Turn.Program, "slot", slot, "owner", box.Name, "rank", rank, "unreached", len(unreached))
-	err := e.peers.Turn(ctx, box, slot, unreached, call, route, out)
-	if fault.Is(err, fault.PeerUnreachable) && ctx.Err() == nil {
-		e.boxes.MarkUnreachable(box)
-	}
-	return err
-}
-
-// waitRetry waits before the next lookup. It returns false if ctx ends first.
-func waitRetry(ctx context.Context) bool {
-	select {
-	case <-time.After(ownerRetryDelay):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // followsOnly reports whether the unreached boxes are the only ones that precede this one in the slot's ranking.
 func (e *Entry) followsOnly(slot int, unreached []work.Box) bool {
 	for rank, box := range e.boxes.Owners(e.layout.Name(slot), ownerCandidates) {
--- a/gate/entry/entry_test.go
+++ b/gate/entry/entry_test.go
@@ -29,7 +29,11 @@
 	recentlyUnreached bool
 	cutOff            bool
 	holds             bool
-	takeoverDelay     time.Duration
+	// turnsByBox holds the results of running the turn by box, for tests that need more than turnResults.
+	turnsByBox map[string]error
+	// known is the owner that this box has learned, logged the one that the log names.
+	known, logged work.Owner
+	takeoverDelay time.Duration
 	// turnResults are the results of running the turn, in order; the last one repeats.
 	turnResults []error
 	// findReplies are the answers to a search for a turn, by box name.
@@ -65,15 +69,28 @@
 	all := append([]work.Box{f.owner}, f.nextOwners...)
 	return all[:min(n, len(all))]
 }
-func (f *fakeBox) MarkUnreachable(work.Box)          { f.calls = append(f.calls, "unreached") }
-func (f *fakeBox) RecentlyUnreachable(work.Box) bool { return f.recentlyUnreached }
-func (f *fakeBox) TakeoverIn(work.Box) time.Duration { return f.takeoverDelay }
-func (f *fakeBox) CutOff() bool                      { return f.cutOff }
-func (f *fakeBox) RetryDelay() time.Duration         { return 100 * time.Millisecond }
-func (f *fakeBox) Holds(int) bool                    { return f.holds }
-func (f *fakeBox) Prepare(int)                       { f.calls = append(f.calls, "prepare") }
-func (f *fakeBox) All() []*shard.Slot                { return nil }
-func (f *fakeBox) Count(string, int64)               {}
+func (f *fakeBox) MarkUnreachable(work.Box)           { f.calls = append(f.calls, "unreached") }
+func (f *fakeBox) RecentlyUnreachable(work.Box) bool  { return f.recentlyUnreached }
+func (f *fakeBox) TakeoverIn(work.Box) time.Duration  { return f.takeoverDelay }
+func (f *fakeBox) CutOff() bool                       { return f.cutOff }
+func (f *fakeBox) RetryDelay() time.Duration          { return 100 * time.Millisecond }
+func (f *fakeBox) Holds(int) bool                     { return f.holds }
+func (f *fakeBox) Prepare(int)                        { f.calls = append(f.calls, "prepare") }
+func (f *fakeBox) All() []*shard.Slot                 { return nil }
+func (f *fakeBox) KnownOwner(int) (work.Owner, bool)  { return f.known, f.known.Box.Name != "" }
+func (f *fakeBox) LearnOwner(_ int, owner work.Owner) { f.known = owner }
+func (f *fakeBox) ForgetOwner(_ int, box work.Box) {
+	if f.known.Box.Name == box.Name {
+		f.known = work.Owner{}
+	}
+}
+func (f *fakeBox) LookUpOwner(context.Context, int) (work.Owner, bool) {
+	if f.logged.Box.Name != "" {
+		f.known = f.logged
+	}
+	return f.logged, f.logged.Box.Name != ""
+}
+func (f *fakeBox) Count(string, int64) {}
 func (f *fakeBox) Get(context.Context, int) (*shard.Slot, error) {
 	f.calls = append(f.calls, "here")
 	if f.holds {
@@ -88,6 +105,9 @@
 
 func (f *fakeBox) Turn(_ context.Context, box work.Box, _ int, unreached []work.Box, _ *work.Call, _ *work.Route, _ work.Answer) error {
 	f.calls = append(f.calls, "to "+box.Name+withoutBoxes(unreached))
+	if f.turnsByBox != nil {
+		return f.turnsByBox[box.Name]
+	}
 	return f.next()
 }
 
--- a/gate/entry/find.go
+++ b/gate/entry/find.go
@@ -33,6 +33,9 @@
 				break
 			}
 		}
+		if text := s.askLoggedOwners(ctx); text != nil {
+			return text, nil
+		}
 		if len(s.ruledOut) < e.layout.Slots() {
 			return nil, fault.Refuse(fault.OwnerUnavailable, "not all slot owners could be asked for the turn")
 		}
@@ -55,7 +58,36 @@
 // askOwners asks up to ranks candidate owners of each slot that is not ruled out, and returns the text of the
 // chain that ends with the turn, or nil.
 func (s *turnSearch) askOwners(ctx context.Context, ranks int) []byte {
-	boxes := s.nextBoxes(ranks)
+	return s.askBoxes(ctx, s.nextBoxes(ranks))
+}
+
+// askLoggedOwners asks the boxes that own the slots which are not ruled out yet according to the log.
+func (s *turnSearch) askLoggedOwners(ctx context.Context) []byte {
+	var left []int
+	for slot := range s.layout.Slots() {
+		if !s.ruledOut[slot] {
+			left = append(left, slot)
+		}
+	}
+	owners := make(chan work.Box, len(left))
+	for _, slot := range left {
+		go func() {
+			owner, _ := s.slots.LookUpOwner(ctx, slot)
+			owners <- owner.Box
+		}()
+	}
+	var boxes []work.Box
+	for range left {
+		if box := <-owners; box.Name != "" && !s.asked[box.Name] {
+			s.asked[box.Name] = true
+			boxes = append(boxes, box)
+		}
+	}
+	return s.askBoxes(ctx, boxes)
+}
+
+// askBoxes asks the boxes for the turn and returns the text of its chain, or nil.
+func (s *turnSearch) askBoxes(ctx context.Context, boxes []work.Box) []byte {
 	answers := make(chan findResult, len(boxes))
 	for _, box := range boxes {
 		go func() { answers <- s.askBox(ctx, box) }()
--- a/gate/node/failover_test.go
+++ b/gate/node/failover_test.go
@@ -113,18 +113,25 @@
 	return m.boxes[box.Name].entry.RunHere(ctx, slot, unreached, call, route, out)
 }
 
-func (m *fakeMember) Handover(ctx context.Context, box work.Box, slot int) error {
+func (m *fakeMember) Keeps(ctx context.Context, box work.Box, slot int, claimant work.Owner) (bool, error) {
+	if got := m.reach(ctx, box, time.Hour); got != view.Answered {
+		return false, fault.Refuse(fault.PeerUnreachable, string(got))
+	}
+	return m.boxes[box.Name].shards.Keeps(slot, claimant), nil
+}
+
+func (m *fakeMember) Handover(ctx context.Context, box work.Box, slot int, claimant work.Owner) error {
 	if got := m.reach(ctx, box, time.Hour); got != view.Answered {
 		return fault.Refuse(fault.PeerUnreachable, string(got))
 	}
-	return m.boxes[box.Name].shards.Handover(ctx, slot)
+	return m.boxes[box.Name].shards.Handover(ctx, slot, claimant)
 }
 
-func (m *fakeMember) NotifyTaken(ctx context.Context, box work.Box, slot int) error {
+func (m *fakeMember) NotifyTaken(ctx context.Context, box work.Box, slot int, owner work.Owner) error {
 	if got := m.reach(ctx, box, time.Hour); got != view.Answered {
 		return fault.Refuse(fault.PeerUnreachable, string(got))
 	}
-	return m.boxes[box.Name].shards.NotifyTaken(slot)
+	return m.boxes[box.Name].shards.NotifyTaken(slot, owner)
 }
 
 func (m *fakeMember) Deliver(context.Context, work.Box, int, []work.Record) error { return nil }
--- a/gate/remote/client.go
+++ b/gate/remote/client.go
@@ -146,7 +146,7 @@
 	}
 	if head.Problem != nil {
 		_, _ = io.CopyN(io.Discard, in, maxHeader) // lets the connection be reused
-		return head.Problem.Fault()
+		return withOwner(head.Problem.Fault(), head.Owner)
 	}
 	if head.Head == nil {
 		return fault.Fail(fault.Protocol, "another box's response has no head")
@@ -297,16 +297,6 @@
 	return nil
 }
 
-// Handover asks a box to release a slot, and returns once it has.
-func (c *Client) Handover(ctx context.Context, box work.Box, slot int) error {
-	return c.command(ctx, box, handoverPath, url.Values{slotParam: {strconv.Itoa(slot)}}, nil)
-}
-
-// NotifyTaken implements shard.Peers.
-func (c *Client) NotifyTaken(ctx context.Context, box work.Box, slot int) error {
-	return c.command(ctx, box, takenPath, url.Values{slotParam: {strconv.Itoa(slot)}}, nil)
-}
-
 // Find implements entry.Peers.
 func (c *Client) Find(ctx context.Context, box work.Box, turn string, home int, confirm bool) ([]byte, []int, error) {
 	// Boxes of earlier versions do not know confirm, but need the slot that they must confirm to own.
@@ -324,15 +314,6 @@
 	return out.Text, out.Slots, nil
 }
 
-// Deliver implements shard.Peers.
-func (c *Client) Deliver(ctx context.Context, box work.Box, slot int, recs []work.Record) error {
-	raw, err := json.Marshal(recs)
-	if err != nil {
-		return fault.Refuse(fault.Internal, "cannot encode records").WithCause(err)
-	}
-	return c.command(ctx, box, deliverPath, url.Values{slotParam: {strconv.Itoa(slot)}}, raw)
-}
-
 // AnnounceLeave tells a box that the given member leaves the fleet.
 func (c *Client) AnnounceLeave(ctx context.Context, box work.Box, member string) error {
 	return c.command(ctx, box, leavingPath, url.Values{memberParam: {member}}, nil)
--- a/gate/remote/cut_test.go
+++ b/gate/remote/cut_test.go
@@ -96,7 +96,11 @@
 		"deliver": {"", func(ctx context.Context, c *Client, box work.Box) error {
 			return c.Deliver(ctx, box, 1, []work.Record{{Key: "k"}})
 		}},
-		"handover": {"ok", func(ctx context.Context, c *Client, box work.Box) error { return c.Handover(ctx, box, 1) }},
+		"handover": {"ok", func(ctx context.Context, c *Client, box work.Box) error { return c.Handover(ctx, box, 1, work.Owner{}) }},
+		"keeps": {`{"keeps":true}`, func(ctx context.Context, c *Client, box work.Box) error {
+			_, err := c.Keeps(ctx, box, 1, work.Owner{})
+			return err
+		}},
 		"quota": {`{"granted":1}`, func(ctx context.Context, c *Client, box work.Box) error {
 			_, err := c.Quota(ctx, box, quota.GrantRequest{Want: 1})
 			return err
--- a/gate/remote/frame.go
+++ b/gate/remote/frame.go
@@ -39,10 +39,12 @@
 	Latin1 bool `json:"latin1,omitempty"`
 }
 
-// turnResponse is the header of the response to a forwarded turn. Exactly one field is set.
+// turnResponse is the header of the response to a forwarded turn. Either Head or Problem is set.
 type turnResponse struct {
 	Head    *work.Head     `json:"head,omitempty"`
 	Problem *fault.Problem `json:"problem,omitempty"`
+	// Owner is set if the turn was refused by a box that can name the owner of the slot.
+	Owner *work.Owner `json:"owner,omitempty"`
 	// Latin1 is set if the header of the head is encoded by toLatin1.
 	Latin1 bool `json:"latin1,omitempty"`
 }
--- a/gate/remote/response_test.go
+++ b/gate/remote/response_test.go
@@ -61,8 +61,10 @@
 	client := NewClient(func(work.Box) bool { return true }, func(int, work.Box) []work.Box { return nil })
 	defer client.CloseAllExcept(nil)
 	asked := map[string]func(ctx context.Context, box work.Box) bool{
-		"ping":  func(ctx context.Context, box work.Box) bool { return client.Ping(ctx, box) },
-		"taken": func(ctx context.Context, box work.Box) bool { return client.NotifyTaken(ctx, box, 1) == nil },
+		"ping": func(ctx context.Context, box work.Box) bool { return client.Ping(ctx, box) },
+		"taken": func(ctx context.Context, box work.Box) bool {
+			return client.NotifyTaken(ctx, box, 1, work.Owner{}) == nil
+		},
 		"deliver": func(ctx context.Context, box work.Box) bool {
 			return client.Deliver(ctx, box, 1, []work.Record{{Key: "k"}}) == nil
 		},
--- a/gate/remote/server.go
+++ b/gate/remote/server.go
@@ -42,12 +42,14 @@
 
 // Slots releases slots and writes records to them.
 type Slots interface {
-	// Handover releases the slot to another box.
-	Handover(ctx context.Context, slot int) error
+	// Keeps reports whether this box owns the slot and keeps it from the claimant.
+	Keeps(slot int, claimant work.Owner) bool
+	// Handover releases the slot to the claimant.
+	Handover(ctx context.Context, slot int, claimant work.Owner) error
 	// Deliver writes records of turns that began at a previous owner.
 	Deliver(ctx context.Context, slot int, recs []work.Record) error
-	// NotifyTaken handles the announcement that another box has taken the slot over.
-	NotifyTaken(slot int) error
+	// NotifyTaken handles the announcement of the owner that it has taken the slot over.
+	NotifyTaken(slot int, owner work.Owner) error
 }
 
 // Quotas grants calls from the quotas that are counted on this box.
@@ -94,6 +96,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+turnPath, s.turn)
 	mux.HandleFunc("POST "+chainTurnPath, s.turn)
+	mux.HandleFunc("GET "+keepsPath, short(s.keeps))
 	mux.HandleFunc("POST "+handoverPath, short(s.handover))
 	mux.HandleFunc("POST "+takenPath, short(s.taken))
 	mux.HandleFunc("GET "+findPath, short(s.find))
@@ -124,10 +127,21 @@
 	return s.running.Stop(ctx)
 }
 
+func (s *Server) keeps(w http.ResponseWriter, r *http.Request) {
+	slot, claimant, err := parseClaim(r.URL.Query())
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if err := json.NewEncoder(w).Encode(keepsResponse{Keeps: s.slots.Keeps(slot, claimant)}); err != nil {
+		s.logger.Debug("remote: cannot answer a claim", "slot", slot, "cause", err)
+	}
+}
+
 func (s *Server) handover(w http.ResponseWriter, r *http.Request) {
-	slot, err := strconv.Atoi(r.URL.Query().Get(slotParam))
+	slot, claimant, err := parseClaim(r.URL.Query())
 	if err == nil {
-		err = s.slots.Handover(r.Context(), slot)
+		err = s.slots.Handover(r.Context(), slot, claimant)
 	}
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -135,9 +149,9 @@
 }
 
 func (s *Server) taken(w http.ResponseWriter, r *http.Request) {
-	slot, err := strconv.Atoi(r.URL.Query().Get(slotParam))
+	slot, owner, err := parseClaim(r.URL.Query())
 	if err == nil {
-		err = s.slots.NotifyTaken(slot)
+		err = s.slots.NotifyTaken(slot, owner)
 	}
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -159,6 +173,9 @@
 	if err := s.slots.Deliver(r.Context(), slot, recs); err != nil {
 		s.logger.Info("remote: cannot write records delivered by another box", "slot", slot, "cause", err)
 		w.WriteHeader(http.StatusServiceUnavailable)
+		if err := json.NewEncoder(w).Encode(deliverResponse{Owner: namedOwner(err)}); err != nil {
+			s.logger.Debug("remote: cannot refuse records", "cause", err)
+		}
 	}
 }
 
@@ -221,7 +238,7 @@
 
 func (s *Server) sendFault(out *turnWriter, cause error) {
 	problem := fault.From(cause).Problem("")
-	if err := out.send(turnResponse{Problem: &problem}); err != nil {
+	if err := out.send(turnResponse{Problem: &problem, Owner: namedOwner(cause)}); err != nil {
 		s.logger.Debug("remote: cannot send fault of a forwarded turn", "cause", err)
 	}
 }
--- a/gate/shard/claim.go
+++ b/gate/shard/claim.go
@@ -12,8 +12,15 @@
 	"mulleingate.dev/gate/work"
 )
 
-// ownerKey is the key of the record that names the owner of a slot.
-const ownerKey = "owner"
+const (
+	// ownerKey is the key of the record that names the owner of a slot. It sorts after the keys of all other records, so
+	// that the record can be read alone, as the only one after beforeOwnerKey.
+	ownerKey       = "~owner"
+	beforeOwnerKey = "~"
+	// earlierOwnerKey is the key under which boxes of earlier versions write the same record. They do not read ownerKey, so
+	// that they claim a slot from a box of this version without asking for it; the fence makes that safe.
+	earlierOwnerKey = "owner"
+)
 
 // preloadTTL is how long after the end of its read a slot that was read ahead is kept for a claim. It exceeds the time of a confirmation.
 const preloadTTL = time.Second
@@ -23,6 +30,8 @@
 	Box         string `json:"box"`
 	Incarnation string `json:"incarnation"`
 	Epoch       int64  `json:"epoch"`
+	// Member is the member text of the box, which holds its address. Records of earlier versions have none.
+	Member string `json:"member,omitempty"`
 }
 
 // An epoch is a counter whose low claimantBits bits are a hash of the claimant, so that two boxes that
@@ -41,19 +50,30 @@
 	return count<<claimantBits | claimant
 }
 
+// isEpoch reports whether a claim can have the epoch.
+func isEpoch(epoch int64) bool {
+	return epoch >= 0 && epoch>>claimantBits < maxCount
+}
+
 // acquire makes this box the owner of a slot. It asks the previous owner to release the slot, fences it
 // off, and only then reads the records that the previous owner wrote last. A takeover ends without a fence if the box
-// it takes the slot from answers again meanwhile. fenced is called once the previous owner is fenced off.
+// it takes the slot from answers again meanwhile, and any claim if the owner keeps the slot, with errKept. fenced is called
+// once the previous owner is fenced off.
 func (m *Manager) acquire(number int, fenced func()) (*Slot, error) {
 	ranked, _ := m.boxes.Owner(m.layout.Name(number))
 	shard := work.Shard{Topic: work.Turns, Number: number}
-	loader, next, err := m.load(number)
+	loader, next, answer, err := m.load(number)
+	if answer.keeps {
+		m.logger.Info("shard: slot kept by its owner", "slot", number, "owner", answer.owner.Box.Name)
+		m.LearnOwner(number, answer.owner)
+		return nil, errKept
+	}
 	if err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithTimeout(m.ctx, callTimeout+handoverTimeout)
 	defer stop()
-	released := m.requestHandover(ctx, number, loader.owner)
+	released := m.requestHandover(ctx, number, loader.owner, answer)
 	if released {
 		// The previous owner may have written many records after the load; catchUp reads them.
 		m.logger.Info("shard: slot handed over", "slot", number, "from", loader.owner.Box)
@@ -69,17 +89,32 @@
 		return nil, err
 	}
 	fenced()
+	if !released {
+		m.notifyFenced(number, loader.owner, epoch)
+	}
+	loaded := loader.owner
 	if err := m.catchUp(shard, next, loader); err != nil {
 		return nil, err
 	}
+	if loader.owner != loaded {
+		m.notifyFenced(number, loader.owner, epoch) // another box had claimed the slot meanwhile
+	}
 	slot := newSlot(m, number, epoch, loader.state)
-	raw, err := json.Marshal(ownerRecord{Box: m.self.Name, Incarnation: m.self.Incarnation, Epoch: epoch})
+	raw, err := json.Marshal(ownerRecord{Box: m.self.Name, Incarnation: m.self.Incarnation, Epoch: epoch, Member: m.self.Member()})
 	if err != nil {
 		return nil, fault.Refuse(fault.Internal, "cannot encode the owner record").WithCause(err)
 	}
 	return slot, slot.Write(ctx, []work.Record{{Key: ownerKey, Value: raw}})
 }
 
+// notifyFenced tells the owner that a record names that this box has fenced it off with the epoch. A box that this one takes
+// for dead may run, and would go on as the owner until its next append.
+func (m *Manager) notifyFenced(number int, previous ownerRecord, epoch int64) {
+	if owner := m.boxOf(previous); owner.Box.Name != "" && owner.Box.Name != m.self.Name {
+		m.startNotifyTaken(owner.Box, number, epoch)
+	}
+}
+
 // preload is a slot that is read before it is known whether it will be claimed.
 type preload struct {
 	// done is closed once the other fields are set.
@@ -112,9 +147,9 @@
 	})
 }
 
-// load returns the records of the slot, as read by Prepare or read now, and the offset from which catchUp reads
-// the rest.
-func (m *Manager) load(number int) (*slotLoader, int64, error) {
+// load returns the records of the slot, as read by Prepare or read now, the offset from which catchUp reads
+// the rest, and the answer of the slot's owner.
+func (m *Manager) load(number int) (*slotLoader, int64, keepsAnswer, error) {
 	m.mu.Lock()
 	p := m.preloads[number]
 	delete(m.preloads, number)
@@ -122,10 +157,16 @@
 	if p != nil {
 		<-p.done
 		if p.err == nil {
-			return p.loader, p.next, nil
+			return p.loader, p.next, m.askOwner(number, m.boxOf(p.loader.owner)), nil
 		}
 	}
-	return m.read(number)
+	asked := make(chan keepsAnswer, 1)
+	go func() {
+		owner, _ := m.LookUpOwner(m.ctx, number)
+		asked <- m.askOwner(number, owner)
+	}()
+	loader, next, err := m.read(number)
+	return loader, next, <-asked, err
 }
 
 // read reads all records of the slot. Only single calls to the log have a timeout. With a limit on the whole, a
@@ -138,14 +179,17 @@
 
 // requestHandover asks the previous owner to release the slot, if it is alive. The claim continues
 // without an answer, since the fence prevents further writes by the previous owner.
-func (m *Manager) requestHandover(ctx context.Context, number int, previous ownerRecord) bool {
+func (m *Manager) requestHandover(ctx context.Context, number int, previous ownerRecord, answer keepsAnswer) bool {
 	box, ok := m.boxes.Find(previous.Box, previous.Incarnation)
+	if !ok && answer.alive && answer.owner.Epoch == previous.Epoch {
+		box, ok = answer.owner.Box, true
+	}
 	if !ok || box.Name == m.self.Name {
 		return false
 	}
 	ctx, stop := context.WithTimeout(ctx, handoverTimeout)
 	defer stop()
-	if err := m.peers.Handover(ctx, box, number); err != nil {
+	if err := m.peers.Handover(ctx, box, number, work.Owner{Box: m.self, Epoch: previous.Epoch}); err != nil {
 		m.logger.Warn("shard: slot not handed over", "slot", number, "from", box.Name, "cause", err)
 		return false
 	}
@@ -212,7 +256,7 @@
 }
 
 func (l *slotLoader) apply(rec work.Record) {
-	if rec.Key == ownerKey {
+	if rec.Key == ownerKey || rec.Key == earlierOwnerKey {
 		l.applyOwner(rec.Value)
 		return
 	}
@@ -226,12 +270,15 @@
 func (l *slotLoader) applyOwner(raw []byte) {
 	var owner ownerRecord
 	err := json.Unmarshal(raw, &owner)
-	if count := owner.Epoch >> claimantBits; err == nil && (count < 0 || count >= maxCount) {
+	if err == nil && !isEpoch(owner.Epoch) {
 		err = fault.Fail(fault.Protocol, "the epoch is out of range")
 	}
 	if err != nil {
 		l.manager.logger.Error("shard: malformed owner record in the log", "cause", err)
 		return
 	}
-	l.owner = owner
+	// Boxes of earlier versions write only the record with the earlier key.
+	if owner.Epoch >= l.owner.Epoch {
+		l.owner = owner
+	}
 }
--- a/gate/shard/fakes_test.go
+++ b/gate/shard/fakes_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -75,6 +76,13 @@
 	return l.claims
 }
 
+// appendCount returns the number of calls of Append so far.
+func (l *memLog) appendCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
 // fence returns the newest epoch of the only shard.
 func (l *memLog) fence() int64 {
 	l.mu.Lock()
@@ -279,20 +287,28 @@
 	return v.fleet.failedByBox[v.self] == box.Name
 }
 
-func (v boxView) Handover(ctx context.Context, box work.Box, slot int) error {
+func (v boxView) Keeps(_ context.Context, box work.Box, slot int, claimant work.Owner) (bool, error) {
+	to, err := v.connect(box)
+	if err != nil {
+		return false, err
+	}
+	return to.Keeps(slot, claimant), nil
+}
+
+func (v boxView) Handover(ctx context.Context, box work.Box, slot int, claimant work.Owner) error {
 	to, err := v.connect(box)
 	if err != nil {
 		return err
 	}
-	return to.Handover(ctx, slot)
+	return to.Handover(ctx, slot, claimant)
 }
 
-func (v boxView) NotifyTaken(_ context.Context, box work.Box, slot int) error {
+func (v boxView) NotifyTaken(_ context.Context, box work.Box, slot int, owner work.Owner) error {
 	to, err := v.connect(box)
 	if err != nil {
 		return err
 	}
-	return to.NotifyTaken(slot)
+	return to.NotifyTaken(slot, owner)
 }
 
 func (v boxView) Deliver(ctx context.Context, box work.Box, slot int, recs []work.Record) error {
@@ -331,7 +347,7 @@
 	for _, name := range names {
 		f.ownerByBox[name] = names[0]
 		view := boxView{fleet: f, self: name}
-		self := work.Box{Name: name, Incarnation: name + "-1"}
+		self := work.Box{Name: name, Incarnation: name + "-1", Peer: netip.MustParseAddrPort("10.0.0.1:80")}
 		f.managers[name] = New(self, NewLayout(1), log, view, view, noCounts{}, quiet)
 	}
 	return f
--- a/gate/shard/forward.go
+++ b/gate/shard/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"mulleingate.dev/base/fault"
@@ -36,6 +37,7 @@
 			return fault.Fail(fault.LogUnavailable, "no owner accepted the records").WithCause(f.lastErr)
 		}
 		m.logger.Info("shard: failed to forward records to the slot's owner", "slot", number, "cause", f.lastErr)
+		m.LookUpOwner(ctx, number) // it learns the owner, whom the next attempt asks first
 	}
 }
 
@@ -60,7 +62,7 @@
 // tryCandidates asks the boxes that may hold the slot, the most likely first, and reports whether one
 // has written the records. A failed attempt ends with a delay of forwardRetryDelay.
 func (f *forwarder) tryCandidates(ctx context.Context) bool {
-	boxes := f.manager.boxes.Owners(f.manager.layout.Name(f.number), maxCandidates)
+	boxes := f.candidates()
 	if len(boxes) == 0 {
 		f.lastErr = fault.Refuse(fault.OwnerUnavailable, "no box owns the slot")
 	}
@@ -77,6 +79,16 @@
 	return f.waitForResult(ctx, "", forwardRetryDelay)
 }
 
+// candidates returns the owner of the slot, if it is known, and the boxes that may hold it by their rank.
+func (f *forwarder) candidates() []work.Box {
+	boxes := f.manager.boxes.Owners(f.manager.layout.Name(f.number), maxCandidates)
+	if owner, ok := f.manager.KnownOwner(f.number); ok {
+		others := slices.DeleteFunc(slices.Clone(boxes), func(box work.Box) bool { return box.Name == owner.Box.Name })
+		boxes = slices.Insert(others, 0, owner.Box)
+	}
+	return boxes
+}
+
 // waitForResult waits at most limit for the outcome at the given box. It returns true as soon as any
 // box has written the records.
 func (f *forwarder) waitForResult(ctx context.Context, box string, limit time.Duration) bool {
@@ -90,6 +102,7 @@
 				return true
 			}
 			f.lastErr = got.err
+			f.manager.learnFrom(f.number, got.err)
 			if got.box == box {
 				return false
 			}
--- a/gate/shard/odd_test.go
+++ b/gate/shard/odd_test.go
@@ -94,7 +94,7 @@
 			if err := m.Deliver(t.Context(), number, nil); err == nil {
 				t.Errorf("records of slot %d were accepted", number)
 			}
-			if m.Handover(t.Context(), number) == nil || m.NotifyTaken(number) == nil {
+			if m.Handover(t.Context(), number, work.Owner{}) == nil || m.NotifyTaken(number, work.Owner{}) == nil || m.Keeps(number, work.Owner{}) {
 				t.Errorf("slot %d was handed over or taken", number)
 			}
 		}
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/gate/kernel"
 	"mulleingate.dev/gate/work"
@@ -24,6 +26,9 @@
 	drainTimeout = time.Second
 	// handoverTimeout bounds the handover request to the previous owner; it exceeds drainTimeout.
 	handoverTimeout = 1500 * time.Millisecond
+	// keptDelay is how long a box does not ask again for a slot that its owner keeps. The owner's view is then likely to
+	// have changed: it spans two heartbeats.
+	keptDelay = 600 * time.Millisecond
 	// reclaimDelay is how long a box does not claim a slot again after handing it over, so that the
 	// views of both boxes can converge.
 	reclaimDelay = 1500 * time.Millisecond
@@ -72,12 +77,15 @@
 
 // Peers sends requests to other boxes.
 type Peers interface {
-	// Handover returns once the box has released the slot.
-	Handover(ctx context.Context, box work.Box, slot int) error
+	// Keeps reports whether the box owns the slot and keeps it from the claimant, whose epoch is that of the newest claim
+	// that it knows.
+	Keeps(ctx context.Context, box work.Box, slot int, claimant work.Owner) (bool, error)
+	// Handover returns once the box has released the slot to the claimant.
+	Handover(ctx context.Context, box work.Box, slot int, claimant work.Owner) error
 	// Deliver returns once the box, as the owner of the slot, has written the records.
 	Deliver(ctx context.Context, box work.Box, slot int, recs []work.Record) error
-	// NotifyTaken tells the box that this one has taken the slot over from it.
-	NotifyTaken(ctx context.Context, box work.Box, slot int) error
+	// NotifyTaken tells the box that the owner, this one, has taken the slot over from it.
+	NotifyTaken(ctx context.Context, box work.Box, slot int, owner work.Owner) error
 }
 
 // Counts records metrics.
@@ -103,8 +111,13 @@
 	slots []*Slot
 	// claiming holds a channel for each claim in progress, which is closed when the claim ends.
 	claiming map[int]chan struct{}
-	// handedOverAt holds the time at which each slot was handed over to a box that asked for it.
-	handedOverAt map[int]time.Time
+	// handedOverAt holds the time at which each slot was handed over to a box that asked for it, and keptAt the time at
+	// which its owner last kept it from this box.
+	handedOverAt, keptAt map[int]time.Time
+	// known holds the owner of each slot that another box owns, as far as this one knows.
+	known map[int]knownOwner
+	// lookups holds the newest read of each slot's owner from the log.
+	lookups map[int]*ownerLookup
 	// takeovers holds the recent takeovers of slots from boxes that were still listed.
 	takeovers map[takeover]takeoverStreak
 	// preloads holds the slots that are read ahead of a likely claim.
@@ -120,7 +133,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Manager{
 		self: self, layout: layout, log: log, boxes: boxes, peers: peers, counts: counts, logger: logger,
-		ctx: ctx, cancel: cancel, slots: make([]*Slot, layout.Slots()), claiming: map[int]chan struct{}{}, handedOverAt: map[int]time.Time{},
+		ctx: ctx, cancel: cancel, slots: make([]*Slot, layout.Slots()), claiming: map[int]chan struct{}{},
+		handedOverAt: map[int]time.Time{}, keptAt: map[int]time.Time{}, known: map[int]knownOwner{}, lookups: map[int]*ownerLookup{},
 		takeovers: map[takeover]takeoverStreak{}, preloads: map[int]*preload{},
 	}
 }
@@ -236,7 +250,7 @@
 		slot, _ = m.lookup(number)
 	}
 	if slot == nil {
-		return nil, fault.Refuse(fault.NotOwner, "this box does not own the slot").WithRetryAfter(retryAfter)
+		return nil, m.notOwner(number, "this box does not own the slot")
 	}
 	return slot, nil
 }
@@ -274,7 +288,7 @@
 // startClaimLocked is startClaim for callers that hold mu. fenced is called without mu, once the claim has first
 // fenced the previous owner off.
 func (m *Manager) startClaimLocked(number int, fenced func()) chan struct{} {
-	if m.slots[number] != nil || m.stopping || m.ctx.Err() != nil || time.Since(m.handedOverAt[number]) < reclaimDelay {
+	if m.slots[number] != nil || m.stopping || m.ctx.Err() != nil || time.Since(m.handedOverAt[number]) < reclaimDelay || time.Since(m.keptAt[number]) < keptDelay {
 		return nil
 	}
 	if wait := m.claiming[number]; wait != nil {
@@ -297,6 +311,10 @@
 			slot = got
 			break
 		}
+		if errors.Is(err, errKept) {
+			m.claimLater(number)
+			break
+		}
 		m.logger.Info("shard: claim failed", "slot", number, "cause", err)
 		if !m.mayTakeOver(number) {
 			break
@@ -318,7 +336,7 @@
 	m.logger.Info("shard: claimed slot", "slot", number, "epoch", slot.epoch, "programs", programs, "took", time.Since(start))
 	// A box that answered again during the claim was not told by NotifyRecovered, as this box did not hold the slot then.
 	if owner, ok := m.boxes.Owner(m.layout.Name(number)); ok && owner.Name != m.self.Name && !m.boxes.Failed(owner) {
-		m.startNotifyTaken(owner, number)
+		m.startNotifyTaken(owner, number, slot.epoch)
 	}
 }
 
@@ -330,6 +348,7 @@
 	stopping := m.stopping
 	if slot != nil && !stopping {
 		m.slots[number] = slot
+		delete(m.known, number)
 	}
 	m.mu.Unlock()
 	if slot != nil && stopping {
@@ -345,14 +364,18 @@
 	return m.stopping
 }
 
-// Handover releases the slot to a box that asks for it.
-func (m *Manager) Handover(ctx context.Context, number int) error {
+// Handover releases the slot to the claimant. Boxes of earlier versions do not name themselves.
+func (m *Manager) Handover(ctx context.Context, number int, claimant work.Owner) error {
 	if number < 0 || number >= len(m.slots) {
 		return fault.Refuse(fault.BadRequest, "no such slot")
 	}
 	m.mu.Lock()
 	m.handedOverAt[number] = time.Now()
+	if slot := m.slots[number]; slot != nil {
+		claimant.Epoch = max(claimant.Epoch, slot.epoch)
+	}
 	m.mu.Unlock()
+	m.LearnOwner(number, claimant)
 	m.Release(ctx, number)
 	return nil
 }
--- a/gate/shard/shard_test.go
+++ b/gate/shard/shard_test.go
@@ -15,6 +15,7 @@
 	"mulleingate.dev/base/fault"
 	"mulleingate.dev/base/fixed"
 	"mulleingate.dev/gate/chain"
+	"mulleingate.dev/gate/work"
 )
 
 func TestMain(m *testing.M) {
@@ -523,7 +524,7 @@
 	}
 	ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
 	defer stop()
-	if err := f.managers["c"].Handover(ctx, 0); err != nil {
+	if err := f.managers["c"].Handover(ctx, 0, work.Owner{}); err != nil {
 		return []string{err.Error()}
 	}
 	time.Sleep(2 * reclaimDelay)
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -66,10 +66,11 @@
 // returns NotOwner if this box is releasing the slot or has lost it.
 func (s *Slot) BeginTurn(do func(state *chain.State) error) error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.closing || s.lost {
-		return fault.Refuse(fault.NotOwner, "this box is releasing the slot").WithRetryAfter(retryAfter)
+		s.mu.Unlock()
+		return s.manager.notOwner(s.number, "this box is releasing the slot")
 	}
+	defer s.mu.Unlock()
 	return do(s.state)
 }
 
@@ -220,7 +221,7 @@
 	s.mu.Lock()
 	if s.closing || s.lost {
 		s.mu.Unlock()
-		return fault.Refuse(fault.NotOwner, "this box is releasing the slot").WithRetryAfter(retryAfter)
+		return s.manager.notOwner(s.number, "this box is releasing the slot")
 	}
 	for _, rec := range recs {
 		if err := s.state.Apply(rec); err != nil {
--- a/gate/shard/takeover.go
+++ b/gate/shard/takeover.go
@@ -79,11 +79,13 @@
 	m.takeovers[key] = takeoverStreak{last: time.Now(), count: m.takeovers[key].count + 1}
 }
 
-// NotifyTaken verifies that this box still owns the slot, after another box has announced that it took it over.
-func (m *Manager) NotifyTaken(number int) error {
+// NotifyTaken verifies that this box still owns the slot, after the given one has announced that it took it over. Boxes
+// of earlier versions do not name themselves.
+func (m *Manager) NotifyTaken(number int, owner work.Owner) error {
 	if number < 0 || number >= len(m.slots) {
 		return fault.Refuse(fault.BadRequest, "no such slot")
 	}
+	m.LearnOwner(number, owner)
 	m.startVerifying(number)
 	return nil
 }
@@ -112,22 +114,22 @@
 		if !ok || owner.Name != box.Name {
 			continue
 		}
-		m.startNotifyTaken(box, slot.Number())
+		m.startNotifyTaken(box, slot.Number(), slot.epoch)
 	}
 }
 
-func (m *Manager) startNotifyTaken(box work.Box, number int) {
+func (m *Manager) startNotifyTaken(box work.Box, number int, epoch int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.stopping {
-		m.background.Go(func() { m.notifyTaken(box, number) })
+		m.background.Go(func() { m.notifyTaken(box, number, epoch) })
 	}
 }
 
-func (m *Manager) notifyTaken(box work.Box, number int) {
+func (m *Manager) notifyTaken(box work.Box, number int, epoch int64) {
 	ctx, stop := context.WithTimeout(m.ctx, handoverTimeout)
 	defer stop()
-	if err := m.peers.NotifyTaken(ctx, box, number); err != nil {
+	if err := m.peers.NotifyTaken(ctx, box, number, work.Owner{Box: m.self, Epoch: epoch}); err != nil {
 		m.logger.Info("shard: cannot tell a box that its slot was taken over", "slot", number, "to", box.Name, "cause", err)
 	}
 }
