shard, turns: run turns only on slots whose ownership is proven

Callers saw: 502 in calm, from a box that had lost the slot long ago; the turn had run at a replica, in vain. Cause: an owner learned that it had been fenced off only from its next append. Turns that reuse a reservation append nothing before they end, so that such an owner ran them to their end; an idle one took itself for the owner for good. Change: unless an append has lately been confirmed, a turn waits for one before it is sent to a replica, for 150 ms at most: while the log does not answer, nobody can claim the slot. Whoever fences an owner off tells it at once, by the address in the owner record, even if its own view lacks that box; from then on all turns wait for proof. Evidence: TestFencedOwnerRunsNothing fails without either part. A busy slot needs no further appends (TestOwnershipIsProvenOnce).

--- a/gate/shard/keep.go
+++ b/gate/shard/keep.go
@@ -42,6 +42,7 @@
 		return false
 	}
 	if slot.epoch < claimant.Epoch {
+		slot.doubtOwnership()
 		m.startVerifying(number)
 		return false
 	}
--- a/gate/shard/keep_test.go
+++ b/gate/shard/keep_test.go
@@ -66,6 +66,70 @@
 	})
 }
 
+// TestFencedOwnerRunsNothing guards against an owner that was fenced off without being asked, and ran turns until its next
+// append, which failed: at once if it is told, and later if it can't be.
+func TestFencedOwnerRunsNothing(t *testing.T) {
+	for name, cut := range map[string]bool{"told": false, "not reached by the next owner": true} {
+		t.Run(name, func(t *testing.T) {
+			runDisputed(t, func(ctx context.Context, f *fleet, _ *memLog) {
+				fenced, err := f.managers["a"].Get(ctx, 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				f.setUnreachable("a", cut)
+				f.setOwner("b", "b")
+				f.setFailed("b", "a")
+				if _, err := f.managers["b"].claim(ctx); err != nil {
+					t.Fatal(err)
+				}
+				f.setUnreachable("a", false)
+				if cut {
+					time.Sleep(ownershipTTL + 100*time.Millisecond)
+				}
+				if err := fenced.AwaitOwnership(ctx); !fault.Is(err, fault.NotOwner) || !fault.From(err).NotRun {
+					t.Errorf("a turn may begin: %v", err)
+				}
+				if owner, ok := f.managers["a"].LookUpOwner(ctx, 0); !ok || owner.Box.Name != "b" {
+					t.Errorf("the log names %q", owner.Box.Name)
+				}
+			})
+		})
+	}
+}
+
+// TestOwnershipIsProvenOnce checks that turns on a busy slot don't each wait for an append, and that none waits long for a
+// log that does not answer.
+func TestOwnershipIsProvenOnce(t *testing.T) {
+	runDisputed(t, func(ctx context.Context, f *fleet, log *memLog) {
+		slot, err := f.managers["a"].Get(ctx, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(maxOwnershipTTL)
+		before := log.appendCount()
+		for range 10 {
+			if err := slot.AwaitOwnership(ctx); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := log.appendCount() - before; got != 1 {
+			t.Errorf("%d appends", got)
+		}
+		log.setMode(modeUnavailable)
+		time.Sleep(maxOwnershipTTL)
+		start := time.Now()
+		for range 10 {
+			if err := slot.AwaitOwnership(ctx); err != nil {
+				t.Error(err)
+			}
+		}
+		if took := time.Since(start); took > 2*ownershipTimeout {
+			t.Errorf("ten turns waited %v for the log", took)
+		}
+		log.setMode(modeUp)
+	})
+}
+
 // TestHandoverNamesNextOwner guards against a box that handed its slot over and refused turns without naming the next
 // owner, whom other views did not have.
 func TestHandoverNamesNextOwner(t *testing.T) {
@@ -75,6 +139,7 @@
 		if _, err := f.managers["b"].claim(ctx); err != nil {
 			t.Fatal(err)
 		}
+		f.setOwner("a", "c")
 		_, err := f.managers["a"].Get(ctx, 0)
 		if got := namedOwner(err); got != "b" {
 			t.Errorf("the previous owner names %q", got)
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -51,6 +51,10 @@
 	// the append in progress started; zero if there is none.
 	appendNumber  int64
 	appendStarted time.Time
+	// provenAt is when the newest append started that the log has confirmed: this box owned the slot then. appendTime is
+	// how long that append took. doubtedAt is when another box last claimed to own the slot.
+	provenAt, doubtedAt time.Time
+	appendTime          time.Duration
 }
 
 func newSlot(m *Manager, number int, epoch int64, state *chain.State) *Slot {
@@ -89,6 +93,54 @@
 	return nil
 }
 
+const (
+	// ownershipTTL is how long after a confirmed append turns begin without another one, so that busy slots need no
+	// appends only to prove their ownership. A multiple of the append's time is added, since a slow log is seldom written to.
+	ownershipTTL     = 500 * time.Millisecond
+	ttlAppends       = 4
+	maxOwnershipTTL  = 2 * time.Second
+	ownershipTimeout = 150 * time.Millisecond
+)
+
+// AwaitOwnership returns NotOwner if another box owns the slot. Unless an append has lately proved that this one does, it
+// waits for one. If the log does not answer within ownershipTimeout, it returns nil: while the log can't be reached, no box
+// can claim the slot.
+func (s *Slot) AwaitOwnership(ctx context.Context) error {
+	proof := s.startProof()
+	if proof == nil {
+		return nil
+	}
+	ctx, stop := context.WithTimeout(ctx, ownershipTimeout)
+	defer stop()
+	if err := proof.Wait(ctx); fault.Is(err, fault.NotOwner) {
+		return s.manager.notOwner(s.number, "another box owns the slot")
+	}
+	return nil
+}
+
+// startProof returns a write that shows whether this box owns the slot, or nil if that is known or the log is slow.
+func (s *Slot) startProof() *PendingWrite {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ttl := min(ownershipTTL+ttlAppends*s.appendTime, maxOwnershipTTL)
+	proven := time.Since(s.provenAt) < ttl && s.provenAt.After(s.doubtedAt)
+	logSlow := !s.appendStarted.IsZero() && time.Since(s.appendStarted) > ownershipTimeout
+	if !s.lost && (proven || logSlow) {
+		return nil
+	}
+	if len(s.queue) > 0 {
+		return &PendingWrite{batches: s.queue[len(s.queue)-1:]}
+	}
+	return s.QueueLocked([]work.Record{{Key: confirmKey}})
+}
+
+// doubtOwnership makes turns wait for the next append, since another box may own the slot.
+func (s *Slot) doubtOwnership() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doubtedAt = time.Now()
+}
+
 // isLost reports whether this box can no longer write to the slot.
 func (s *Slot) isLost() bool {
 	s.mu.Lock()
@@ -302,6 +354,7 @@
 		err := s.manager.log.Append(ctx, shard, writer, recs)
 		stop()
 		if err == nil {
+			s.recordProof(start)
 			s.manager.counts.Time("shard.append_time", time.Since(start))
 			return nil
 		}
@@ -318,6 +371,13 @@
 	}
 }
 
+// recordProof records that the log has confirmed an append that started at the given time.
+func (s *Slot) recordProof(start time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.provenAt, s.appendTime = start, time.Since(start)
+}
+
 // markLost gives up the slot after an append that cannot succeed, and fails all queued batches.
 func (s *Slot) markLost(err error) {
 	s.manager.logger.Warn("shard: lost slot", "slot", s.number, "epoch", s.epoch, "cause", err)
--- a/gate/shard/takeover.go
+++ b/gate/shard/takeover.go
@@ -86,6 +86,9 @@
 		return fault.Refuse(fault.BadRequest, "no such slot")
 	}
 	m.LearnOwner(number, owner)
+	if slot, _ := m.lookup(number); slot != nil {
+		slot.doubtOwnership()
+	}
 	m.startVerifying(number)
 	return nil
 }
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -134,7 +134,10 @@
 	if err := slot.BeginTurn(t.enter); err != nil {
 		return err
 	}
-	err := t.run(ctx)
+	err := slot.AwaitOwnership(ctx)
+	if err == nil {
+		err = t.run(ctx)
+	}
 	if err != nil && !t.ended {
 		t.abandon(ctx, err)
 	}
