shard, turns: a record that the log rejects fails alone

Callers saw: turns of a slot that ran and failed for 20 s, 3 s each, and a stream that was cut. Cause: an append that the store answered with 413 was repeated for good, as one without an answer is, in front of all other records of the slot. The writes of such an append are appended apart, so that only the one fails that the store does not take; the slot stays. The end of a turn is then split into shorter parts, which later turns use at once. A rejection after an attempt without an answer gives the slot up, since the number of the append may be taken.

--- a/base/fault/fault.go
+++ b/base/fault/fault.go
@@ -28,6 +28,8 @@
 	DeadlineTooNear  Kind = "deadline_too_near"
 	Overloaded       Kind = "overloaded"
 	LogUnavailable   Kind = "log_unavailable"
+	// LogRejected is the refusal of records that the log will never take.
+	LogRejected      Kind = "log_rejected"
 	OwnerUnavailable Kind = "owner_unavailable"
 	NotOwner         Kind = "not_owner"
 	PeerUnreachable  Kind = "peer_unreachable"
@@ -75,6 +77,7 @@
 	DeadlineTooNear:  http.StatusServiceUnavailable,
 	Overloaded:       http.StatusTooManyRequests,
 	LogUnavailable:   http.StatusServiceUnavailable,
+	LogRejected:      http.StatusServiceUnavailable,
 	OwnerUnavailable: http.StatusServiceUnavailable,
 	NotOwner:         http.StatusMisdirectedRequest,
 	PeerUnreachable:  http.StatusBadGateway,
--- a/gate/chain/chain.go
+++ b/gate/chain/chain.go
@@ -395,10 +395,7 @@
 // Finish ends a turn with a complete answer and returns the records to write, in their order. The reservation is kept for a
 // later turn, unless a free one of at least its size exists; FreeReservation makes it available.
 func (s *State) Finish(now time.Time, o OpenTurn, tokens int, text []byte) (*Turn, []work.Record) {
-	t := &Turn{
-		id: o.ID, program: o.Program, previous: o.Previous,
-		expires: now.Add(o.Retention), tokens: tokens, Text: text,
-	}
+	t := newTurn(now, o, tokens, text)
 	prog := s.ensureProgram(o.Program)
 	prog.running--
 	recs := s.storeParts(t, o.MaxText)
@@ -415,6 +412,14 @@
 	return t, recs
 }
 
+// newTurn returns the answered turn.
+func newTurn(now time.Time, o OpenTurn, tokens int, text []byte) *Turn {
+	return &Turn{
+		id: o.ID, program: o.Program, previous: o.Previous,
+		expires: now.Add(o.Retention), tokens: tokens, Text: text,
+	}
+}
+
 // FreeReservation makes the reservation of a finished turn available to the program's next turn. It must only
 // be called once this owner has written the turn's end to the log: until then another owner may count the
 // reservation instead of the tokens that the turn has spent.
--- a/gate/chain/parts.go
+++ b/gate/chain/parts.go
@@ -15,6 +15,13 @@
 	return s.storeParts(t, o.MaxText)
 }
 
+// StoreAgain stores a turn that Finish has stored, with parts of at most o.MaxText bytes, and returns the records to write in
+// their order. It is for a log that has rejected the records of Finish.
+func (s *State) StoreAgain(now time.Time, o OpenTurn, tokens int, text []byte) (*Turn, []work.Record) {
+	t := newTurn(now, o, tokens, text)
+	return t, s.storeParts(t, o.MaxText)
+}
+
 // partSeparator separates the ID of a turn from the number of a part in the ID of that part. Names that callers send can't
 // contain it.
 const partSeparator = "\x00"
--- a/gate/shard/fakes_test.go
+++ b/gate/shard/fakes_test.go
@@ -49,6 +49,8 @@
 	// appendDelay is added to each append; appends counts the calls of Append.
 	appendDelay time.Duration
 	appends     int
+	// rejects says which records the log never takes; nil if it takes all.
+	rejects func(rec work.Record) bool
 	// claims counts the owner records.
 	claims int
 	// batchSize is the number of records that Newest returns at once, 0 for all, and batchDelay the
@@ -117,6 +119,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.appends++
+	if l.rejects != nil && slices.ContainsFunc(recs, l.rejects) {
+		return fault.Refuse(fault.LogRejected, "rejected")
+	}
 	switch l.mode {
 	case modeUnavailable:
 		return fault.Refuse(fault.LogUnavailable, "unavailable")
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -47,8 +47,8 @@
 	// queue holds the batches to append, in order. writing reports whether the writer goroutine runs.
 	queue   []*batch
 	writing bool
-	// appendNumber is the number of the newest append of this epoch. appendStarted is the time at which
-	// the append in progress started; zero if there is none.
+	// appendNumber is the number of the newest append of this epoch that the log has taken; only the writer uses it.
+	// appendStarted is the time at which the append in progress started; zero if there is none.
 	appendNumber  int64
 	appendStarted time.Time
 	// provenAt is when the newest append started that the log has confirmed: this box owned the slot then. appendTime is
@@ -226,11 +226,7 @@
 
 // records returns the records of the write.
 func (p *PendingWrite) records() []work.Record {
-	var recs []work.Record
-	for _, b := range p.batches {
-		recs = append(recs, b.recs...)
-	}
-	return recs
+	return recordsOf(p.batches)
 }
 
 // Wait returns nil once the records are written, or a fault if they can't be written or ctx ends first.
@@ -298,22 +294,47 @@
 		if len(batches) == 0 {
 			return
 		}
-		var recs []work.Record
-		for _, b := range batches {
-			recs = append(recs, b.recs...)
-		}
-		err := s.append(recs)
-		if err != nil {
-			err = slotLostFault().WithCause(err)
-			s.markLost(err) // before the writes end, so that a retry finds the slot dropped
-		}
-		for _, b := range batches {
-			b.err = err
-			close(b.done)
+		s.finishAppend(batches, s.append(recordsOf(batches)))
+	}
+}
+
+// finishAppend ends the writes of an append that had the given result. If the log has rejected it, the batches are
+// appended apart, so that only those fail that the log does not take.
+func (s *Slot) finishAppend(batches []*batch, err error) {
+	if fault.Is(err, fault.LogRejected) && len(batches) > 1 {
+		for _, half := range [][]*batch{batches[:len(batches)/2], batches[len(batches)/2:]} {
+			if s.isLost() {
+				err = slotLostFault()
+			} else {
+				err = s.append(recordsOf(half))
+			}
+			s.finishAppend(half, err)
 		}
+		return
+	}
+	switch {
+	case fault.Is(err, fault.LogRejected):
+		s.manager.logger.Error("shard: records rejected by the log", "slot", s.number, "records", len(batches[0].recs), "bytes", recordBytes(batches[0].recs), "cause", err)
+		s.manager.counts.Count("shard.rejected", 1)
+	case err != nil:
+		err = slotLostFault().WithCause(err)
+		s.markLost(err) // before the writes end, so that a retry finds the slot dropped
+	}
+	for _, b := range batches {
+		b.err = err
+		close(b.done)
 	}
 }
 
+// recordsOf returns the records of the batches.
+func recordsOf(batches []*batch) []work.Record {
+	var recs []work.Record
+	for _, b := range batches {
+		recs = append(recs, b.recs...)
+	}
+	return recs
+}
+
 // nextAppend removes the batches of the next append from the queue.
 func (s *Slot) nextAppend() []*batch {
 	s.mu.Lock()
@@ -333,27 +354,27 @@
 	if s.writing {
 		s.appendStarted = time.Now()
 	}
-	if size > 0 {
-		s.appendNumber++
-	}
 	return batches
 }
 
-// append retries one append until it succeeds, another box turns out to own the slot, or the manager stops.
-// The log answers a repeated append number as it did the first time, so retries add no record twice.
+// append retries one append until it succeeds, the log rejects it, another box turns out to own the slot, or the manager
+// stops. The log answers a repeated append number as it did the first time, so retries add no record twice. A rejection
+// after an attempt of which nothing is known gives the slot up: the next append could not have the same number.
 func (s *Slot) append(recs []work.Record) error {
 	if len(recs) == 0 {
 		return nil
 	}
 	shard := work.Shard{Topic: work.Turns, Number: s.number}
-	writer := work.Writer{Epoch: s.epoch, Number: s.appendNumber}
+	writer := work.Writer{Epoch: s.epoch, Number: s.appendNumber + 1}
 	pause := minRetryDelay
+	mayBeAdded := false
 	for {
 		start := time.Now()
 		ctx, stop := context.WithTimeout(s.manager.ctx, callTimeout)
 		err := s.manager.log.Append(ctx, shard, writer, recs)
 		stop()
 		if err == nil {
+			s.appendNumber++
 			s.recordProof(start)
 			s.manager.counts.Time("shard.append_time", time.Since(start))
 			return nil
@@ -361,6 +382,13 @@
 		if fault.Is(err, fault.NotOwner) || s.manager.ctx.Err() != nil {
 			return err
 		}
+		if fault.Is(err, fault.LogRejected) {
+			if mayBeAdded {
+				return fault.Fail(fault.LogUnavailable, "an append was rejected after one without an answer").WithCause(err)
+			}
+			return err
+		}
+		mayBeAdded = mayBeAdded || !fault.From(err).NotRun
 		s.manager.counts.Count("shard.append_failed", 1)
 		s.manager.logger.Warn("shard: append failed", "slot", s.number, "cause", err, "took", time.Since(start))
 		select {
--- a/gate/turns/ledger.go
+++ b/gate/turns/ledger.go
@@ -134,10 +134,36 @@
 // complete for the caller.
 func (l *statefulLedger) finish(ctx context.Context) error {
 	text := slices.Concat(l.input, l.answer.collected.text)
+	pending := l.store((*chain.State).Finish, text)
+	start := time.Now()
+	err := l.slot.WaitOrForward(ctx, pending)
+	for fault.Is(err, fault.LogRejected) && l.shortenParts(len(text)) {
+		pending = l.store((*chain.State).StoreAgain, text)
+		if err = l.slot.WaitOrForward(ctx, pending); err == nil {
+			l.recordMaxText()
+		}
+	}
+	if err != nil {
+		l.log.Warn("turns: end of turn not confirmed by the log", "id", l.call.ID, "program", l.call.Turn.Program, "slot", l.slot.Number(), "cause", err)
+		l.counts.Count("turns.unconfirmed", 1)
+		go l.releaseReservation(context.Background(), pending) // returns at the latest when this box releases or loses the slot
+		return fault.Fail(fault.LogUnavailable, "the log did not confirm the answer").WithCause(err)
+	}
+	l.releaseReservation(ctx, pending)
+	l.counts.Time("turns.confirm_time", time.Since(start))
+	l.answered(time.Since(start))
+	return nil
+}
+
+// storeFunc is chain.State.Finish or StoreAgain.
+type storeFunc func(state *chain.State, now time.Time, o chain.OpenTurn, tokens int, text []byte) (*chain.Turn, []work.Record)
+
+// store stores the answered turn in the slot's state and queues its records.
+func (l *statefulLedger) store(as storeFunc, text []byte) *shard.PendingWrite {
 	tokens := l.answerTokens(l.answer.collected.count)
 	var pending *shard.PendingWrite
 	l.slot.Update(func(state *chain.State) {
-		finished, recs := state.Finish(time.Now(), l.open, tokens, text)
+		finished, recs := as(state, time.Now(), l.open, tokens, text)
 		finished.ReplicaRun = l.lease.Replica.RunID()
 		if l.call.Prompt != nil {
 			finished.CachedTokens = l.call.Prompt.Tokens + tokens
@@ -145,17 +171,32 @@
 		pending = l.slot.QueueLocked(recs)
 		l.ended = true
 	})
-	start := time.Now()
-	if err := l.slot.WaitOrForward(ctx, pending); err != nil {
-		l.log.Warn("turns: end of turn not confirmed by the log", "id", l.call.ID, "program", l.call.Turn.Program, "slot", l.slot.Number(), "cause", err)
-		l.counts.Count("turns.unconfirmed", 1)
-		go l.releaseReservation(context.Background(), pending) // returns at the latest when this box releases or loses the slot
-		return fault.Fail(fault.LogUnavailable, "the log did not confirm the answer").WithCause(err)
+	return pending
+}
+
+const (
+	// minTextBytes is the length in bytes up to which texts are not split further, and textDivisor how much shorter their
+	// parts become if the log rejects them.
+	minTextBytes = 4 << 10
+	textDivisor  = 4
+)
+
+// shortenParts makes the parts of this turn's text shorter, since the log has rejected one. It returns false if that
+// changes nothing for a text of the given length.
+func (l *statefulLedger) shortenParts(length int) bool {
+	longest := min(l.open.MaxText, length)
+	shorter := max(longest/textDivisor, minTextBytes)
+	if shorter >= longest {
+		return false
 	}
-	l.releaseReservation(ctx, pending)
-	l.counts.Time("turns.confirm_time", time.Since(start))
-	l.answered(time.Since(start))
-	return nil
+	l.open.MaxText = shorter
+	return true
+}
+
+// recordMaxText makes later turns use the parts that the log has taken.
+func (l *statefulLedger) recordMaxText() {
+	l.maxTextBytes.Store(min(l.maxTextBytes.Load(), int64(l.open.MaxText)))
+	l.log.Warn("turns: the log takes only shorter records than the settings say", "id", l.call.ID, "bytes", l.open.MaxText)
 }
 
 // releaseReservation makes the tokens that this turn had reserved available to the program's next turn, once
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"mulleingate.dev/base/fault"
@@ -66,15 +67,18 @@
 	sender  Sender
 	counts  Counts
 	log     *slog.Logger
-	// maxTextBytes is the number of bytes of a turn's text that fit into one log record.
-	maxTextBytes int
+	// maxTextBytes is the number of bytes of a turn's text that fit into one log record. It falls if the log rejects records
+	// that the settings allow.
+	maxTextBytes atomic.Int64
 	// memory bounds the long prompts in progress, and what is kept of answers until they end.
 	memory *memory.Budgets
 }
 
 // New returns a Runner. recordBytes is the largest record that the log accepts.
 func New(targets Targets, sender Sender, recordBytes int, budgets *memory.Budgets, counts Counts, log *slog.Logger) *Runner {
-	return &Runner{targets: targets, sender: sender, counts: counts, log: log, maxTextBytes: recordBytes - recordSpare, memory: budgets}
+	r := &Runner{targets: targets, sender: sender, counts: counts, log: log, memory: budgets}
+	r.maxTextBytes.Store(int64(recordBytes - recordSpare))
+	return r
 }
 
 // turn is the state of one turn in progress.
@@ -126,7 +130,7 @@
 	defer stop()
 	t := &turn{Runner: r, slot: slot, call: call, route: route, input: call.Body, lease: &target.Lease{}}
 	t.open = chain.OpenTurn{
-		ID: call.QualifiedName(call.ID), Program: call.QualifiedName(call.Turn.Program), Previous: call.QualifiedName(call.Turn.Previous), MaxTokens: maxAnswerTokens(call), Retention: route.Retention, MaxText: r.maxTextBytes,
+		ID: call.QualifiedName(call.ID), Program: call.QualifiedName(call.Turn.Program), Previous: call.QualifiedName(call.Turn.Previous), MaxTokens: maxAnswerTokens(call), Retention: route.Retention, MaxText: int(r.maxTextBytes.Load()),
 	}
 	t.answer = newAnswerWriter(t, out)
 	t.ledger = newLedger(t)
