mirror: keep the settings recent enough for the bound on revoked keys

Cause: a read waits up to 1 s for new records whatever the bound, and proves nothing about the time in which it waits. Change: reads of the settings wait so little that the bound holds. With 5 s, as deployments have it, nothing changes. Evidence: TestSettingsAreRecentEnough.

--- a/gate/mirror/mirror.go
+++ b/gate/mirror/mirror.go
@@ -51,13 +51,15 @@
 	decoder Decoder
 	logger  *slog.Logger
 	// onLevels is called with the levels of this box's part of the replicas.
-	onLevels  func(levels subset.Levels)
-	ranking   *sourceRanking
-	backoff   *sourceBackoff
-	roster    *roster
-	directory *sourceDirectory
-	cancel    context.CancelFunc
-	done      sync.WaitGroup
+	onLevels func(levels subset.Levels)
+	// maxSettingsAge bounds the age of what a box knows of the settings; zero if it need not be bounded.
+	maxSettingsAge time.Duration
+	ranking        *sourceRanking
+	backoff        *sourceBackoff
+	roster         *roster
+	directory      *sourceDirectory
+	cancel         context.CancelFunc
+	done           sync.WaitGroup
 	// membersReady is closed once the members of the fleet have been read for the first time.
 	membersReady chan struct{}
 
--- a/gate/mirror/mirror_test.go
+++ b/gate/mirror/mirror_test.go
@@ -470,3 +470,20 @@
 		}
 	})
 }
+
+// TestSettingsAreRecentEnough guards against a bound on revoked keys that is shorter than what the waits of the reads allow: all
+// keys were refused most of the time.
+func TestSettingsAreRecentEnough(t *testing.T) {
+	const readWait, pause = time.Second, 150 * time.Millisecond
+	for _, maxAge := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second} {
+		for shared, reads := range map[bool]time.Duration{false: 1, true: 2} {
+			wait := min(readWait, settingsWait(maxAge, shared))
+			if age := reads * (2*wait + pause); age >= maxAge {
+				t.Errorf("bound %v, shared %v: with waits of %v, the settings are up to %v old", maxAge, shared, wait, age)
+			}
+		}
+	}
+	if got := settingsWait(5*time.Second, true); got < readWait {
+		t.Errorf("with a bound of 5 s, reads wait only %v", got)
+	}
+}
--- a/gate/mirror/topics.go
+++ b/gate/mirror/topics.go
@@ -211,8 +211,36 @@
 	return part, nil
 }
 
+// SetMaxSettingsAge makes reads of the settings wait so little for new records that what a box knows of them is proven to be
+// no older than the given age, as long as the log answers. Zero sets no limit. It must be called before Start.
+func (m *Mirror) SetMaxSettingsAge(age time.Duration) {
+	m.maxSettingsAge = age
+}
+
+const (
+	// readOverhead is the part of the age of what a box knows that does not come from waiting: the pause between two
+	// reads, and their answers on the way.
+	readOverhead = 400 * time.Millisecond
+	// minSettingsWait is the least time that a read of the settings may wait.
+	minSettingsWait = 100 * time.Millisecond
+)
+
+// settingsWait returns the longest time that a read of the settings may wait. What a read proves is known to be
+// current when it was sent, and lasts until the next one is answered, which is two waits later. By way of a source, it
+// comes on top of the age of the source's copy.
+func settingsWait(maxAge time.Duration, shared bool) time.Duration {
+	reads := time.Duration(1)
+	if shared {
+		reads = 2
+	}
+	return max((maxAge-reads*readOverhead)/(2*reads), minSettingsWait)
+}
+
 // Read implements feed.Log.
 func (m *Mirror) Read(ctx context.Context, topic work.Topic, from int64, wait time.Duration) (work.Page, error) {
+	if topic == work.Settings && m.maxSettingsAge > 0 {
+		wait = min(wait, settingsWait(m.maxSettingsAge, m.IsSource() || len(m.sourcesToAsk()) > 0))
+	}
 	if m.IsSource() {
 		return m.readAsSource(ctx, topic, from, wait)
 	}
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -105,6 +105,7 @@
 	n.targets = target.New(deps.Self.Zone, deps.Replicas, crashes, log)
 	detourLog := detour.New(deps.Log, logProxies{n}, log)
 	n.mirror = mirror.New(deps.Self, deps.Zones, detourLog, lateView{n}, n.peers, deps.Decoder, log)
+	n.mirror.SetMaxSettingsAge(deps.Access.Revocation)
 	n.feed = feed.New(n.mirror, deps.Decoder, n.targets, log)
 	n.view = view.New(deps.Self, n.mirror, deps.Timing, log)
 	n.targets.SetBounds(target.Bounds{Regions: deps.Regions, Cold: deps.Cold})
