shard, view: slots have regions, so that bound programs find an allowed owner

Cause: the owner of a slot was ranked over the boxes of all regions, and could become one that the program's route does not allow. The refusal kept the data in its region, but the program could not go on anywhere. Change: with several regions each slot has one, and is owned by a box of it while one is live. A bound program has a slot of an allowed region. With one region nothing changes.

--- a/gate/entry/entry.go
+++ b/gate/entry/entry.go
@@ -314,7 +314,7 @@
 		e.log.Info("entry: turn refused, this box is cut off", "id", call.ID, "program", call.Turn.Program, "route", route.Name)
 		return fault.Refuse(fault.OwnerUnavailable, "this box is cut off from the others").WithRetryAfter(e.connectivity.RetryDelay())
 	}
-	home := e.layout.SlotOf(call.QualifiedName(call.Turn.Program))
+	home := e.layout.SlotOf(call.QualifiedName(call.Turn.Program), call.Regions)
 	if box, ok := e.boxes.Owner(e.layout.Name(home)); ok && e.leavesRegions(call, box) {
 		return e.refuseNoRegion(call, route, box.Name, "the owner of the program is outside of the allowed regions")
 	}
--- a/gate/entry/find.go
+++ b/gate/entry/find.go
@@ -139,7 +139,7 @@
 		got.err = fault.Refuse(fault.PeerUnreachable, "a recent attempt to reach the box failed")
 		return got
 	}
-	home := s.layout.SlotOf(s.call.QualifiedName(s.call.Turn.Program))
+	home := s.layout.SlotOf(s.call.QualifiedName(s.call.Turn.Program), s.call.Regions)
 	got.text, got.slots, got.err = s.peers.Find(ctx, box, turn, home, s.confirm)
 	if fault.Is(got.err, fault.PeerUnreachable) && ctx.Err() == nil {
 		s.boxes.MarkUnreachable(box)
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -95,7 +95,7 @@
 
 // New returns a box whose services are not started.
 func New(deps Deps) *Node {
-	layout := shard.NewLayout(deps.Slots)
+	layout := shard.NewLayout(deps.Slots).WithRegions(deps.Regions)
 	n := &Node{deps: deps, layout: layout, kern: kernel.New(deps.Logger), schedule: drain.NewSchedule(deps.Grace)}
 	n.drain = drain.New(n.schedule)
 	n.peers = remote.NewClient(n.isNear, n.successors)
@@ -108,6 +108,7 @@
 	n.mirror.SetMaxSettingsAge(deps.Access.Revocation)
 	n.feed = feed.New(n.mirror, deps.Decoder, n.targets, log)
 	n.view = view.New(deps.Self, n.mirror, deps.Timing, log)
+	n.view.SetSlotRegions(deps.Regions, layout.Regions())
 	n.targets.SetBounds(target.Bounds{Regions: deps.Regions, Cold: deps.Cold})
 	n.detector = newCutOffDetector(deps.Self.Name, n.view, n.peers, log)
 	n.failover = view.NewFailover(n.view, deps.Regions, n.peers, n.detector, deps.Meter)
--- a/gate/view/owners.go
+++ b/gate/view/owners.go
@@ -9,6 +9,10 @@
 // call to a program looks them up.
 type rankCache struct {
 	live []work.Box
+	// regions maps each availability zone to its region, and slotRegions each slot to its region, by name; empty if slots
+	// have none.
+	regions     work.Regions
+	slotRegions map[string]string
 	// owners holds the first cachedOwners boxes of each slot's rendezvous ranking, best first, by slot name.
 	owners map[string][]work.Box
 	// counters holds the box that counts a workspace's quota in a zone. Its name is empty if the zone has no
@@ -26,17 +30,35 @@
 // topOwners returns the n highest-ranked boxes for the slot.
 func (r *rankCache) topOwners(live []work.Box, slot string, n int) []work.Box {
 	if n > cachedOwners {
-		return rankOwners(live, slot, n)
+		return r.rank(live, slot, n)
 	}
 	r.resetIfChanged(live)
 	cached, ok := r.owners[slot]
 	if !ok {
-		cached = rankOwners(live, slot, cachedOwners)
+		cached = r.rank(live, slot, cachedOwners)
 		r.owners[slot] = cached
 	}
 	return cached[:min(n, len(cached)):min(n, len(cached))]
 }
 
+// rank returns the n highest-ranked boxes for the slot: those of its region, then all others.
+func (r *rankCache) rank(live []work.Box, slot string, n int) []work.Box {
+	region, ok := r.slotRegions[slot]
+	if !ok {
+		return rankOwners(live, slot, n)
+	}
+	var own, others []work.Box
+	for _, box := range live {
+		if r.regions[box.Zone] == region {
+			own = append(own, box)
+		} else {
+			others = append(others, box)
+		}
+	}
+	ranked := rankOwners(own, slot, n)
+	return append(ranked, rankOwners(others, slot, n-len(ranked))...)
+}
+
 // resetIfChanged clears the cache if the list of live boxes was replaced.
 func (r *rankCache) resetIfChanged(live []work.Box) {
 	if r.owners == nil || !sameSlice(r.live, live) {
@@ -113,6 +135,11 @@
 	return v.rankCache.quotaCounter(v.live, workspace, zone)
 }
 
+// SetSlotRegions sets the region of each availability zone, and of each slot by its name. It must be called before Start.
+func (v *View) SetSlotRegions(regions work.Regions, slots map[string]string) {
+	v.rankCache.regions, v.rankCache.slotRegions = regions, slots
+}
+
 // Owner returns the live box that should own the slot, by weighted rendezvous hashing; false if there is none.
 func (v *View) Owner(slot string) (work.Box, bool) {
 	owners := v.Owners(slot, 1)
--- a/gate/view/view_test.go
+++ b/gate/view/view_test.go
@@ -542,3 +542,25 @@
 		stopViews(views)
 	})
 }
+
+// TestSlotsStayInTheirRegion guards against slots that move to boxes of another region, where programs that are bound to the
+// slot's region can't go on, although a box of that region is live.
+func TestSlotsStayInTheirRegion(t *testing.T) {
+	v := New(work.Box{Name: "a"}, nil, DefaultTiming(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	v.SetSlotRegions(work.Regions{"z1": "north", "z2": "south"}, map[string]string{"0": "north", "1": "south"})
+	all := []work.Box{{Name: "a", Zone: "z1"}, {Name: "b", Zone: "z1"}}
+	for n := range 20 {
+		all = append(all, work.Box{Name: "c" + strconv.Itoa(n), Zone: "z2", Cores: 8, Link: 1000})
+	}
+	for len(all) > 0 {
+		v.live = slices.Clone(all)
+		for slot, region := range map[string]string{"0": "z1", "1": "z2"} {
+			owners := v.Owners(slot, 4)
+			own := slices.ContainsFunc(all, func(box work.Box) bool { return box.Zone == region })
+			if len(owners) != min(4, len(all)) || (owners[0].Zone == region) != own {
+				t.Errorf("%d boxes: slot %s belongs to %v", len(all), slot, owners)
+			}
+		}
+		all = all[1:]
+	}
+}
