crash: check a replica again that answers after it broke an answer off

Cause: a replica that answers a check counts as alive for good, although it may be about to end. Change: after an answer broke off, a replica that answers its check is checked again 30 ms later. Evidence: TestLingeringReplicas, 'answers for 5 ms': 12 replicas in each of the four kinds of calls before, 3 now. A replica that answers for longer than 30 ms and then ends is still not counted.

--- a/gate/crash/check.go
+++ b/gate/crash/check.go
@@ -12,6 +12,9 @@
 	checkTimeout = 150 * time.Millisecond
 	// probeInterval is the time between two tries of a check.
 	probeInterval = 20 * time.Millisecond
+	// confirmDelay is how long after a replica that broke an answer off has answered a check it is checked again: one that is
+	// about to end may still answer for some milliseconds.
+	confirmDelay = 30 * time.Millisecond
 	// givenUpDelay is how long after it was given up an attempt's replica is checked. The replica may still run the request
 	// until it notices that its connection was closed.
 	givenUpDelay = 100 * time.Millisecond
@@ -102,6 +105,10 @@
 	go func() {
 		time.Sleep(delay)
 		result := t.probe(rep)
+		if result == Alive && when == onBreak {
+			time.Sleep(confirmDelay)
+			result = t.probe(rep)
+		}
 		t.send(t.endCheck(rep, c, result)) // before a caller that waits for the check can turn to another box
 		close(c.done)
 	}()
