shard: ask an owner outside of the view only whether it keeps the slot

An owner that yields, or a later incarnation of it, was then asked for a handover, after which it does not claim the slot for 1.5 s. It is fenced off and told instead. Tests unchanged.

--- a/gate/shard/claim.go
+++ b/gate/shard/claim.go
@@ -62,10 +62,8 @@
 func (m *Manager) acquire(number int, fenced func()) (*Slot, error) {
 	ranked, _ := m.boxes.Owner(m.layout.Name(number))
 	shard := work.Shard{Topic: work.Turns, Number: number}
-	loader, next, answer, err := m.load(number)
-	if answer.keeps {
-		m.logger.Info("shard: slot kept by its owner", "slot", number, "owner", answer.owner.Box.Name)
-		m.LearnOwner(number, answer.owner)
+	loader, next, kept, err := m.load(number)
+	if kept {
 		return nil, errKept
 	}
 	if err != nil {
@@ -73,7 +71,7 @@
 	}
 	ctx, stop := context.WithTimeout(m.ctx, callTimeout+handoverTimeout)
 	defer stop()
-	released := m.requestHandover(ctx, number, loader.owner, answer)
+	released := m.requestHandover(ctx, number, loader.owner)
 	if released {
 		// The previous owner may have written many records after the load; catchUp reads them.
 		m.logger.Info("shard: slot handed over", "slot", number, "from", loader.owner.Box)
@@ -148,8 +146,8 @@
 }
 
 // load returns the records of the slot, as read by Prepare or read now, the offset from which catchUp reads
-// the rest, and the answer of the slot's owner.
-func (m *Manager) load(number int) (*slotLoader, int64, keepsAnswer, error) {
+// the rest, and whether the slot's owner keeps it.
+func (m *Manager) load(number int) (loader *slotLoader, next int64, kept bool, err error) {
 	m.mu.Lock()
 	p := m.preloads[number]
 	delete(m.preloads, number)
@@ -157,15 +155,15 @@
 	if p != nil {
 		<-p.done
 		if p.err == nil {
-			return p.loader, p.next, m.askOwner(number, m.boxOf(p.loader.owner)), nil
+			return p.loader, p.next, m.isKept(number, m.boxOf(p.loader.owner)), nil
 		}
 	}
-	asked := make(chan keepsAnswer, 1)
+	asked := make(chan bool, 1)
 	go func() {
 		owner, _ := m.LookUpOwner(m.ctx, number)
-		asked <- m.askOwner(number, owner)
+		asked <- m.isKept(number, owner)
 	}()
-	loader, next, err := m.read(number)
+	loader, next, err = m.read(number)
 	return loader, next, <-asked, err
 }
 
@@ -179,11 +177,8 @@
 
 // requestHandover asks the previous owner to release the slot, if it is alive. The claim continues
 // without an answer, since the fence prevents further writes by the previous owner.
-func (m *Manager) requestHandover(ctx context.Context, number int, previous ownerRecord, answer keepsAnswer) bool {
+func (m *Manager) requestHandover(ctx context.Context, number int, previous ownerRecord) bool {
 	box, ok := m.boxes.Find(previous.Box, previous.Incarnation)
-	if !ok && answer.alive && answer.owner.Epoch == previous.Epoch {
-		box, ok = answer.owner.Box, true
-	}
 	if !ok || box.Name == m.self.Name {
 		return false
 	}
--- a/gate/shard/keep.go
+++ b/gate/shard/keep.go
@@ -15,23 +15,21 @@
 // errKept ends a claim since the owner of the slot is alive and keeps it: the views of both boxes differ.
 var errKept error = fault.Refuse(fault.NotOwner, "the owner keeps the slot")
 
-// keepsAnswer is what the owner of a slot says to a claim.
-type keepsAnswer struct {
-	owner work.Owner
-	// alive is set if the owner answered, keeps if it keeps the slot.
-	alive, keeps bool
-}
-
-// askOwner asks the owner that the log names whether it keeps the slot, even if this box's view does not have it: a view may
+// isKept asks the owner that the log names whether it keeps the slot, even if this box's view does not have it: a view may
 // lack a box that works, and to fence that off would end its turns.
-func (m *Manager) askOwner(number int, owner work.Owner) keepsAnswer {
+func (m *Manager) isKept(number int, owner work.Owner) bool {
 	if owner.Box.Name == "" || owner.Box.Name == m.self.Name || m.boxes.Failed(owner.Box) {
-		return keepsAnswer{}
+		return false
 	}
 	ctx, stop := context.WithTimeout(m.ctx, keepsTimeout)
 	defer stop()
 	keeps, err := m.peers.Keeps(ctx, owner.Box, number, work.Owner{Box: m.self, Epoch: owner.Epoch})
-	return keepsAnswer{owner: owner, alive: err == nil, keeps: keeps && err == nil}
+	if err != nil || !keeps {
+		return false
+	}
+	m.logger.Info("shard: slot kept by its owner", "slot", number, "owner", owner.Box.Name)
+	m.LearnOwner(number, owner)
+	return true
 }
 
 // Keeps reports whether this box owns the slot and keeps it from the claimant: it should own the slot by its own view, in
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -49,8 +49,8 @@
 // Log is the part of the log that slot owners use.
 type Log interface {
 	// Append adds all of the records or none. NotOwner means that another writer has fenced this one
-	// off, LogRejected that the log will never take these records, and NotRun that nothing was added; after any other fault the records may have been added. An
-	// append may be retried with the same number.
+	// off, LogRejected that the log will never take these records, and NotRun that nothing was added; after any
+	// other fault the records may have been added. An append may be retried with the same number.
 	Append(ctx context.Context, shard work.Shard, writer work.Writer, recs []work.Record) error
 	// Newest returns the newest record of each key that sorts after the given key.
 	Newest(ctx context.Context, shard work.Shard, after string) (work.Batch, error)
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -96,9 +96,10 @@
 const (
 	// ownershipTTL is how long after a confirmed append turns begin without another one, so that busy slots need no
 	// appends only to prove their ownership. A multiple of the append's time is added, since a slow log is seldom written to.
-	ownershipTTL     = 500 * time.Millisecond
-	ttlAppends       = 4
-	maxOwnershipTTL  = 2 * time.Second
+	ownershipTTL    = 500 * time.Millisecond
+	ttlAppends      = 4
+	maxOwnershipTTL = 2 * time.Second
+	// ownershipTimeout is how long a turn waits for such an append.
 	ownershipTimeout = 150 * time.Millisecond
 )
 
