--- a/gate/target/budget_test.go
+++ b/gate/target/budget_test.go
@@ -26,12 +26,12 @@
 		bad := w.firstChoice(t, impatient, sharingPrefix(0)) // its callers leave after 1 s
 		const calls = 120
 		for i := range calls {
-			w.calls.Wait()
+			w.awaitCalls()
 			w.send(t, 0, sharingPrefix(0)(i))
 		}
 		if got := w.takenBy(bad); got > calls/2 { // a fair share is a third
 			t.Errorf("the silent replica took %d of %d calls, want at most half: %v", got, calls+1, w.taken)
 		}
-		w.calls.Wait()
+		w.awaitCalls()
 	})
 }
--- a/gate/target/hang_test.go
+++ b/gate/target/hang_test.go
@@ -37,7 +37,7 @@
 				if len(hung) > 3 {
 					t.Errorf("the request hung %d of 8 replicas in 1.5 s, want at most 3: %v", len(hung), hung)
 				}
-				w.calls.Wait()
+				w.awaitCalls()
 			})
 		})
 	}
--- a/gate/target/silence_test.go
+++ b/gate/target/silence_test.go
@@ -63,6 +63,12 @@
 	taken, open map[string]int
 }
 
+// awaitCalls waits for the calls, and for the checks of the replicas that broke one off, which end soon after it.
+func (w *silenceWorld) awaitCalls() {
+	w.calls.Wait()
+	time.Sleep(time.Second)
+}
+
 // newSilenceWorld returns boxes that know n replicas, which serve a model if model is set.
 func newSilenceWorld(boxes, n int, model bool) *silenceWorld {
 	w := &silenceWorld{model: model, behaviors: map[string]behavior{}, taken: map[string]int{}, open: map[string]int{}}
@@ -233,7 +239,7 @@
 				if got := w.takenBy(bad); got > 5 {
 					t.Errorf("the bad replica took %d of %d calls, want at most 5: %v", got, callsBefore, w.taken)
 				}
-				w.calls.Wait()
+				w.awaitCalls()
 			})
 		})
 	}
@@ -264,7 +270,7 @@
 				if bad := 2*callsBefore - w.takenBy(good); bad > 10 {
 					t.Errorf("the bad replicas took %d of %d calls, want at most 10: %v", bad, 2*callsBefore, w.taken)
 				}
-				w.calls.Wait()
+				w.awaitCalls()
 			})
 		})
 	}
@@ -285,7 +291,7 @@
 		if len(w.taken) > crash.MaxTogether {
 			t.Errorf("%d replicas run the request, want at most %d: %v", len(w.taken), crash.MaxTogether, w.taken)
 		}
-		w.calls.Wait()
+		w.awaitCalls()
 	})
 }
 
@@ -308,7 +314,7 @@
 						t.Errorf("%s took %d of %d calls, want at most half: %v", id, got, 2*callsBefore, w.taken)
 					}
 				}
-				w.calls.Wait()
+				w.awaitCalls()
 			})
 		})
 	}
@@ -331,7 +337,7 @@
 						t.Errorf("%s took %d of %d calls, want at least %d: %v", id, got, calls, calls/4, w.taken)
 					}
 				}
-				w.calls.Wait()
+				w.awaitCalls()
 			})
 		})
 	}
@@ -357,7 +363,7 @@
 				if got := w.takenBy("r0"); got < calls/5 {
 					t.Errorf("the replica took %d of %d calls once it answered again, want at least %d", got, calls, calls/5)
 				}
-				w.calls.Wait()
+				w.awaitCalls()
 			})
 		})
 	}
--- a/gate/target/slowdown_test.go
+++ b/gate/target/slowdown_test.go
@@ -49,7 +49,7 @@
 				} else {
 					t.Logf("at most %d calls at a replica, a fair share is %d", most, fair)
 				}
-				w.calls.Wait()
+				w.awaitCalls()
 			})
 		})
 	}
--- a/gate/target/unconfirmed_test.go
+++ b/gate/target/unconfirmed_test.go
@@ -21,7 +21,7 @@
 				if got := w.takenBy(bad); got > 5 {
 					t.Errorf("the bad replica took %d of %d calls, want at most 5: %v", got, callsBefore, w.taken)
 				}
-				w.calls.Wait()
+				w.awaitCalls()
 			})
 		})
 	}
@@ -45,7 +45,7 @@
 				if bad := 2*callsBefore - w.takenBy(good); bad > 10 {
 					t.Errorf("the bad replicas took %d of %d calls, want at most 10: %v", bad, 2*callsBefore, w.taken)
 				}
-				w.calls.Wait()
+				w.awaitCalls()
 			})
 		})
 	}
@@ -65,7 +65,7 @@
 		if got := w.takenBy(bad); got > 5 {
 			t.Errorf("the silent replica took %d of %d turns, want at most %d: %v", got, turns+1, 5, w.taken)
 		}
-		w.calls.Wait()
+		w.awaitCalls()
 	})
 }
 
@@ -101,7 +101,7 @@
 				if got := w.takenBy(home); got > 5 {
 					t.Errorf("the silent replica took %d of %d turns, want at most 5: %v", got, callsBefore, w.taken)
 				}
-				w.calls.Wait()
+				w.awaitCalls()
 			})
 		})
 	}
@@ -139,7 +139,7 @@
 			t.Errorf("%v took %d of %d turns of %d boxes, want at most 5 of each box: %v", preferred, got, turns, boxes, w.taken)
 		}
 		t.Logf("%v took %d of %d turns: %v", preferred, w.takenBy(preferred...), turns, w.taken)
-		w.calls.Wait()
+		w.awaitCalls()
 	})
 }
 
