--- a/review/lab/memory.go
+++ b/review/lab/memory.go
@@ -19,7 +19,7 @@
 	survivors = 2
 	// longInput is the size of long inputs, a quarter of what the configuration allows, and usualInput that on the sheet.
 	longInput, usualInput = 1 << 20, 5100
-	// turnsPerSecond is the rate of turns, less than half of that on the sheet, and turnsFor the time for which they come.
+	// turnsPerSecond is the rate of turns, far below that on the sheet, and turnsFor the time for which they come.
 	// All inputs together are less than what the store keeps.
 	turnsPerSecond, turnsFor = 8, 34 * time.Second
 	// laterPerSecond is the rate of the turns that go on from these, and laterFor the time for which they come.
--- a/review/lab/search.go
+++ b/review/lab/search.go
@@ -11,8 +11,10 @@
 const (
 	// searchTurns is the number of turns of the program that others go on from, and searchInput the size of their inputs.
 	searchTurns, searchInput = 4, 1 << 20
-	// searchWaves is how often programs come at once, searchPrograms how many each time, and searchPause the time between.
-	searchWaves, searchPrograms, searchPause = 5, 40, 4 * time.Second
+	// searchWaves is how often programs come, searchPrograms how many each time, searchWithin the time in which these come,
+	// and searchPause the time between: 13 turns in a second for each box, where the sheet of bloedplan has 12 and bursts of
+	// 2.1 times that.
+	searchWaves, searchPrograms, searchWithin, searchPause = 5, 40, time.Second, 4 * time.Second
 )
 
 // longSearches lets many programs go on at once from a long chain of an earlier one.
@@ -53,6 +55,7 @@
 		for n := range programs {
 			all.Go(func() {
 				rng := rand.New(rand.NewPCG(uint64(wave), uint64(n))) //nolint:gosec // not for secrets
+				time.Sleep(rand.N(searchWithin))
 				f.sendTurn(rng, fmt.Sprintf("w%d-%d", wave, n), 0, old, []byte("and then?"))
 			})
 		}
