--- a/review/probe/budget.go
+++ b/review/probe/budget.go
@@ -10,21 +10,21 @@
 	tokenBudget = 270
 	mostTokens  = 135
 	// loopingPrograms is the number of programs, and loopSpread the time over which they begin.
-	loopingPrograms = 100
+	loopingPrograms = 160
 	loopSpread      = 5500 * time.Millisecond
 	// toolBudget is the time budget of a tool call and toolWork the time that it takes: at most 1,500 ms by the sheet.
 	toolBudget = 6 * time.Second
-	toolWork   = 1150 * time.Millisecond
+	toolWork   = 1170 * time.Millisecond
 	// slowReplicas of the tool's replicas turn slowFactor times as slow for slowTime.
 	slowReplicas = 4
 	slowFactor   = 5
 	slowTime     = 6500 * time.Millisecond
 	// pause is the time between the end of a tool call and the next turn.
-	pause = 500 * time.Millisecond
+	pause = 600 * time.Millisecond
 	// resendPause is the time after which a turn that failed is sent again, twice at most.
-	resendPause = 350 * time.Millisecond
+	resendPause = 400 * time.Millisecond
 	// returnMargin is how long before the end of retention_s a stopped program comes again.
-	returnMargin = 800 * time.Millisecond
+	returnMargin = 600 * time.Millisecond
 )
 
 // budgets checks that a program which was stopped with 402 and comes again within retention_s keeps what it has spent.
