--- a/review/probe/budget.go
+++ b/review/probe/budget.go
@@ -10,7 +10,7 @@
 	tokenBudget = 270
 	mostTokens  = 135
 	// loopingPrograms is the number of programs, and loopSpread the time over which they begin.
-	loopingPrograms = 160
+	loopingPrograms = 220
 	loopSpread      = 5500 * time.Millisecond
 	// toolBudget is the time budget of a tool call and toolWork the time that it takes: at most 1,500 ms by the sheet.
 	toolBudget = 6 * time.Second
