shard: discard what the log rejects, and apply deliveries whole or not at all

Cause: records that the log rejects for good stayed in memory, so that later turns went on from a copy or an end that the next owner does not have. A delivery of which one record is malformed was refused after the records before it had been applied. Change: a slot marks the turns of rejected records as unknown; a turn counts as answered only if the chain that it goes on from is known once its own end is written; a turn whose end is rejected counts at its maximum again, also in the log. Deliveries are checked before any record is applied. Evidence: TestRejectedCopyIsNotUsed, TestRejectedEndCountsAtMost and TestMalformedDeliveryLeavesNothing fail without the change.

--- a/gate/chain/chain.go
+++ b/gate/chain/chain.go
@@ -19,8 +19,8 @@
 	previous string
 	expires  time.Time
 	tokens   int
-	// copied marks a copy of a turn of another program.
-	copied bool
+	// copied marks a copy of a turn of another program, and discarded a turn that the log has rejected.
+	copied, discarded bool
 	// Text is the part of the prompt of later turns that this turn adds: its input, then the data of each
 	// event of its answer, each followed by a line feed.
 	Text []byte
@@ -107,6 +107,28 @@
 	return nil
 }
 
+// Check reports whether Apply can decode the record.
+func Check(rec work.Record) error {
+	return New().Apply(rec)
+}
+
+// Discard makes the turns whose records the log has rejected unknown, so that no later turn goes on from one that the next
+// owner does not have. Their tokens stay counted.
+func (s *State) Discard(recs []work.Record) {
+	for _, rec := range recs {
+		if len(rec.Value) == 0 || len(rec.Key) < 2 || (rec.Key[0] != turnKeyPrefix && rec.Key[0] != copyKeyPrefix) {
+			continue
+		}
+		for _, prog := range s.programs {
+			for _, t := range prog.turns {
+				if t.key() == rec.Key {
+					t.discarded, t.Text = true, nil
+				}
+			}
+		}
+	}
+}
+
 func (s *State) applyTurn(id string, raw []byte) error {
 	if len(raw) == 0 {
 		s.dropTurn(id)
@@ -248,7 +270,11 @@
 // HasTurn reports whether the program has the turn.
 func (s *State) HasTurn(name, id string) bool {
 	prog, ok := s.programs[name]
-	return ok && prog.turns[id] != nil
+	if !ok {
+		return false
+	}
+	t := prog.turns[id]
+	return t != nil && !t.discarded
 }
 
 // HasStarted reports whether a turn of the program has run or is in progress.
@@ -303,7 +329,7 @@
 	var turns []*Turn
 	for at := id; at != ""; {
 		t, ok := prog.turns[at]
-		if !ok || len(turns) > len(prog.turns) {
+		if !ok || t.discarded || len(turns) > len(prog.turns) {
 			return nil, fault.Refuse(fault.NoTurn, "the previous turn is not stored")
 		}
 		turns = append(turns, t)
@@ -420,6 +446,23 @@
 	}
 }
 
+// Unfinish makes a turn whose end the log has rejected count at its maximum again, as the next owner counts it. It returns the
+// records to write.
+func (s *State) Unfinish(now time.Time, o OpenTurn) []work.Record {
+	prog := s.ensureProgram(o.Program)
+	if t, ok := prog.turns[o.ID]; ok && t.discarded {
+		prog.spent -= t.tokens
+		delete(prog.turns, o.ID)
+	}
+	if res, ok := prog.reservations[prog.reservationOf[o.ID]]; ok {
+		res.phase = phaseInUse
+		return nil
+	}
+	prog.reservations[o.ID] = &reservation{maxTokens: o.MaxTokens}
+	prog.expires = latest(prog.expires, now.Add(o.Retention))
+	return []work.Record{startRecord(o.ID, o.Program, o.MaxTokens, now.Add(o.Retention))}
+}
+
 // FreeReservation makes the reservation of a finished turn available to the program's next turn. It must only
 // be called once this owner has written the turn's end to the log: until then another owner may count the
 // reservation instead of the tokens that the turn has spent.
--- a/gate/shard/reject_test.go
+++ b/gate/shard/reject_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mulleingate.dev/base/fault"
+	"mulleingate.dev/gate/chain"
 	"mulleingate.dev/gate/work"
 )
 
@@ -75,3 +76,30 @@
 		}
 	})
 }
+
+// TestMalformedDeliveryLeavesNothing guards against records of a turn of which only some are applied: they stay in the state of
+// the owner that refuses the delivery, and no log holds them.
+func TestMalformedDeliveryLeavesNothing(t *testing.T) {
+	runDisputed(t, func(ctx context.Context, f *fleet, _ *memLog) {
+		o := newTurn("one", "")
+		o.Program = "delivered"
+		state := chain.New()
+		recs, err := state.BeginStateful(time.Now(), o, -1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		recs = append(recs, work.Record{Key: "tbad", Value: []byte{0xff}})
+		if err := f.managers["a"].Deliver(ctx, 0, recs); !fault.Is(err, fault.Protocol) {
+			t.Errorf("error %v", err)
+		}
+		slot, err := f.managers["a"].Get(ctx, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		slot.Update(func(state *chain.State) {
+			if state.HasStarted(o.Program) {
+				t.Error("the program's reservation is left behind")
+			}
+		})
+	})
+}
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -265,18 +265,21 @@
 	return s.manager.forward(ctx, s.number, p.records())
 }
 
-// applyAndWrite applies and writes the records of a turn that began at a previous owner.
+// applyAndWrite applies and writes the records of a turn that began at a previous owner: all of them or, if one is
+// malformed, none.
 func (s *Slot) applyAndWrite(ctx context.Context, recs []work.Record) error {
+	for _, rec := range recs {
+		if err := chain.Check(rec); err != nil {
+			return err
+		}
+	}
 	s.mu.Lock()
 	if s.closing || s.lost {
 		s.mu.Unlock()
 		return s.manager.notOwner(s.number, "this box is releasing the slot")
 	}
 	for _, rec := range recs {
-		if err := s.state.Apply(rec); err != nil {
-			s.mu.Unlock()
-			return err
-		}
+		_ = s.state.Apply(rec) // all of them have been checked
 	}
 	pending := s.QueueLocked(recs)
 	s.mu.Unlock()
@@ -317,6 +320,7 @@
 	case fault.Is(err, fault.LogRejected):
 		s.manager.logger.Error("shard: records rejected by the log", "slot", s.number, "records", len(batches[0].recs), "bytes", recordBytes(batches[0].recs), "cause", err)
 		s.manager.counts.Count("shard.rejected", 1)
+		s.Update(func(state *chain.State) { state.Discard(batches[0].recs) })
 	case err != nil:
 		err = slotLostFault().WithCause(err)
 		s.markLost(err) // before the writes end, so that a retry finds the slot dropped
--- a/gate/turns/copies_test.go
+++ b/gate/turns/copies_test.go
@@ -14,6 +14,7 @@
 	"mulleingate.dev/gate/chain"
 	"mulleingate.dev/gate/memory"
 	"mulleingate.dev/gate/shard"
+	"mulleingate.dev/gate/target"
 	"mulleingate.dev/gate/work"
 )
 
@@ -104,6 +105,7 @@
 	t.open = chain.OpenTurn{
 		ID: call.QualifiedName(id), Program: call.QualifiedName("p"), Previous: call.QualifiedName("earlier"), MaxTokens: 10, Retention: time.Minute, MaxText: 1 << 10,
 	}
+	t.lease = &target.Lease{Replica: work.Replica{ID: "r"}}
 	t.answer = newAnswerWriter(t, nil)
 	t.ledger = newLedger(t)
 	return t, slot.BeginTurn(t.enter)
@@ -154,3 +156,58 @@
 		})
 	}
 }
+
+// TestRejectedCopyIsNotUsed guards against a turn that is lost with its owner: it goes on from a copy that the log has rejected
+// for an earlier try, but that was still in memory.
+func TestRejectedCopyIsNotUsed(t *testing.T) {
+	log := &memLog{rejects: func(rec work.Record) bool { return rec.Key[0] == 'c' }}
+	slot := heldSlot(t, log)
+	r := New(nil, nil, 1<<20, memory.NewBudgets(0), noCounts{}, slog.New(slog.DiscardHandler))
+	base := make([]byte, 3<<10) // several records
+	first, err := startTurn(r, slot, "first", base, -1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := first.started.Wait(t.Context()); !fault.Is(err, fault.LogRejected) {
+		t.Errorf("the log has not rejected the copy: %v", err)
+	}
+	first.ledger.abort()
+	log.set(func() { log.rejects = nil })
+	second, err := startTurn(r, slot, "second", base, -1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := second.ledger.finish(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := log.state(t).History(second.open.Program, second.open.ID); err != nil {
+		t.Errorf("the next owner does not have the chain of an answered turn: %v", err)
+	}
+}
+
+// TestRejectedEndCountsAtMost checks that a turn whose end the log rejects is unknown to later turns, and counts at its maximum
+// here as it does at the next owner.
+func TestRejectedEndCountsAtMost(t *testing.T) {
+	log := &memLog{}
+	slot := heldSlot(t, log)
+	r := New(nil, nil, 1<<20, memory.NewBudgets(0), noCounts{}, slog.New(slog.DiscardHandler))
+	tr, err := startTurn(r, slot, "first", []byte("base"), -1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := tr.started.Wait(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	log.set(func() { log.rejects = func(rec work.Record) bool { return rec.Key[0] == 't' } })
+	if err := tr.ledger.finish(t.Context()); err == nil {
+		t.Error("the answer counts as whole")
+	}
+	slot.Update(func(state *chain.State) {
+		if state.HasTurn(tr.open.Program, tr.open.ID) {
+			t.Error("later turns may go on from the turn")
+		}
+		if diff := cmp.Diff(log.state(t).SpentTokens(tr.open.Program), state.SpentTokens(tr.open.Program)); diff != "" {
+			t.Errorf("tokens counted at the next owner and here (-next +here):\n%s", diff)
+		}
+	})
+}
--- a/gate/turns/ledger.go
+++ b/gate/turns/ledger.go
@@ -149,6 +149,16 @@
 			l.recordMaxText()
 		}
 	}
+	if err == nil {
+		err = l.checkHistory()
+	}
+	if fault.Is(err, fault.LogRejected) {
+		l.slot.Update(func(state *chain.State) {
+			if recs := state.Unfinish(time.Now(), l.open); len(recs) > 0 {
+				l.slot.QueueLocked(recs)
+			}
+		})
+	}
 	if err != nil {
 		l.log.Warn("turns: end of turn not confirmed by the log", "id", l.call.ID, "program", l.call.Turn.Program, "slot", l.slot.Number(), "cause", err)
 		l.counts.Count("turns.unconfirmed", 1)
@@ -161,6 +171,18 @@
 	return nil
 }
 
+// checkHistory reports whether the log holds what the turn goes on from, once it holds the turn: both were written in their
+// order, and a slot discards what the log rejects.
+func (l *statefulLedger) checkHistory() error {
+	var err error
+	l.slot.Update(func(state *chain.State) {
+		if state.HasTurn(l.open.Program, l.open.ID) {
+			_, err = state.History(l.open.Program, l.open.Previous)
+		}
+	})
+	return err
+}
+
 // storeFunc is chain.State.Finish or StoreAgain.
 type storeFunc func(state *chain.State, now time.Time, o chain.OpenTurn, tokens int, text []byte) (*chain.Turn, []work.Record)
 
