chain: keep a stopped program for its retention from its last answer

Cause: a program is dropped by the time of its last turn. A refusal renewed nothing, in memory or in the log, so that a program stopped more than clockSlack after its last turn was forgotten with what it had spent. Turns were kept from when their record was made, not from when the caller had the end of the answer, and a turn that reused a reservation and broke off renewed nothing in the log. Change: turns are kept from their deadline on. Every answer about a program renews it; a record that holds that is written only if the log would drop the program sooner, and adds a quarter of the retention, so that a series of answers needs few. A 402 waits until that record is in the log, or becomes a 503, since all boxes may be killed right after it.

--- a/gate/chain/chain.go
+++ b/gate/chain/chain.go
@@ -69,7 +69,17 @@
 	running int
 	// failures counts the consecutive failed attempts of a turn, by the ID of the turn that it continues.
 	failures map[string]int
-	expires  time.Time
+	// expires is the time from which the program may be dropped, and loggedUntil the time until which the records that the
+	// log holds, or that are queued, keep it at another owner.
+	expires, loggedUntil time.Time
+}
+
+// keepUntil extends the program's life. logged says that a record with that time is in the log or queued.
+func (p *program) keepUntil(expires time.Time, logged bool) {
+	p.expires = latest(p.expires, expires)
+	if logged {
+		p.loggedUntil = latest(p.loggedUntil, expires)
+	}
 }
 
 // State holds the programs of one slot. It is not safe for concurrent use.
@@ -176,7 +186,7 @@
 	}
 	prog := s.ensureProgram(name)
 	prog.reservations[id] = &reservation{maxTokens: maxTokens}
-	prog.expires = latest(prog.expires, expires)
+	prog.keepUntil(expires, true)
 	return nil
 }
 
@@ -197,7 +207,7 @@
 	}
 	prog.turns[t.id] = t
 	prog.spent += t.tokens
-	prog.expires = latest(prog.expires, t.expires)
+	prog.keepUntil(t.expires, true)
 }
 
 // dropTurn and dropStart search all programs, since the records do not name the program. Such records are
@@ -365,6 +375,8 @@
 	MaxTokens int
 	// Retention is how long the turn is kept after its end.
 	Retention time.Duration
+	// Deadline is the time by which the caller has the answer, if it gets one.
+	Deadline time.Time
 	// MaxText is the number of bytes of text that fit into one record; 0 means no limit.
 	MaxText int
 	// GrantedTokens is the size of the program's grant once the log holds the turn's record, for ConfirmGrant;
@@ -372,6 +384,12 @@
 	GrantedTokens int
 }
 
+// keptUntil returns the time until which a turn that ends, or is refused, now or later is kept: its caller may get the
+// answer as late as the deadline.
+func (o OpenTurn) keptUntil(now time.Time) time.Time {
+	return latest(now, o.Deadline).Add(o.Retention)
+}
+
 // BeginStateful begins a turn and reserves its tokens. It returns the record of the reservation, which must
 // be in the log before any output is delivered, or none if the turn reuses a reservation that is in the log.
 // A negative budget means no limit.
@@ -382,7 +400,8 @@
 		return nil, fault.Refuse(fault.BudgetSpent, "the program's budget does not allow another turn")
 	}
 	prog.running++
-	prog.expires = latest(prog.expires, now.Add(o.Retention))
+	until := o.keptUntil(now)
+	prog.keepUntil(until, false)
 	if id, ok := prog.smallestFree(o.MaxTokens); ok {
 		prog.reservations[id].phase = phaseInUse
 		prog.reservationOf[o.ID] = id
@@ -390,7 +409,8 @@
 	}
 	prog.reservations[o.ID] = &reservation{maxTokens: o.MaxTokens}
 	prog.reservationOf[o.ID] = o.ID
-	return []work.Record{startRecord(o.ID, o.Program, o.MaxTokens, now.Add(o.Retention))}, nil
+	prog.keepUntil(until, true)
+	return []work.Record{startRecord(o.ID, o.Program, o.MaxTokens, until)}, nil
 }
 
 // Cancel ends a turn that no replica has run and returns the records to write.
@@ -442,7 +462,7 @@
 func newTurn(now time.Time, o OpenTurn, tokens int, text []byte) *Turn {
 	return &Turn{
 		id: o.ID, program: o.Program, previous: o.Previous,
-		expires: now.Add(o.Retention), tokens: tokens, Text: text,
+		expires: o.keptUntil(now), tokens: tokens, Text: text,
 	}
 }
 
@@ -458,9 +478,37 @@
 		res.phase = phaseInUse
 		return nil
 	}
+	until := o.keptUntil(now)
 	prog.reservations[o.ID] = &reservation{maxTokens: o.MaxTokens}
-	prog.expires = latest(prog.expires, now.Add(o.Retention))
-	return []work.Record{startRecord(o.ID, o.Program, o.MaxTokens, now.Add(o.Retention))}
+	prog.keepUntil(until, true)
+	return []work.Record{startRecord(o.ID, o.Program, o.MaxTokens, until)}
+}
+
+const (
+	// renewalID follows the program in the ID of the reservation of no tokens that keeps the program. Names that callers send
+	// can't contain it.
+	renewalID = "\x00"
+	// renewalDivisor is the part of the retention that a renewal adds, so that a series of answers needs few of them.
+	renewalDivisor = 4
+)
+
+// Renew keeps the program for its retention from now on, since its caller gets an answer other than a turn: what the program
+// has spent counts when it comes again. It returns the record to write, if the log would not keep the program as long.
+func (s *State) Renew(now time.Time, o OpenTurn) []work.Record {
+	prog, ok := s.programs[o.Program]
+	if !ok {
+		return nil
+	}
+	until := now.Add(o.Retention)
+	prog.keepUntil(until, false)
+	if !prog.loggedUntil.Before(until) {
+		return nil
+	}
+	until = until.Add(o.Retention / renewalDivisor)
+	id := o.Program + renewalID
+	prog.reservations[id] = &reservation{}
+	prog.keepUntil(until, true)
+	return []work.Record{startRecord(id, o.Program, 0, until)}
 }
 
 // FreeReservation makes the reservation of a finished turn available to the program's next turn. It must only
--- a/gate/chain/grant.go
+++ b/gate/chain/grant.go
@@ -66,7 +66,7 @@
 	}
 	prog := s.ensureProgram(name)
 	prog.grant = grant{logged: tokens, confirmed: tokens, spent: tokens, active: map[string]int{}, expires: expires}
-	prog.expires = latest(prog.expires, expires)
+	prog.keepUntil(expires, true)
 	return nil
 }
 
@@ -81,11 +81,12 @@
 		return nil, fault.Refuse(fault.BudgetSpent, "the program's budget does not allow another turn")
 	}
 	prog.running++
-	prog.expires = latest(prog.expires, now.Add(o.Retention))
+	until := o.keptUntil(now)
+	prog.keepUntil(until, false)
 	g := &prog.grant
 	need := g.committedTokens() + o.MaxTokens
 	g.active[o.ID] = o.MaxTokens
-	if need <= g.confirmed && g.expires.After(now.Add(o.Retention)) {
+	if need <= g.confirmed && g.expires.After(until) {
 		return nil, nil
 	}
 	if need > g.logged {
@@ -95,8 +96,8 @@
 		}
 		g.logged = need + ahead
 	}
-	g.expires = latest(g.expires, now.Add(grantRetentions*o.Retention))
-	prog.expires = latest(prog.expires, g.expires)
+	g.expires = latest(g.expires, until.Add((grantRetentions-1)*o.Retention))
+	prog.keepUntil(g.expires, true)
 	return []work.Record{grantRecord(o.Program, g.logged, g.expires)}, nil
 }
 
--- a/gate/chain/parts.go
+++ b/gate/chain/parts.go
@@ -11,7 +11,7 @@
 // ImportCopy stores a copy of the turn that o continues, which belongs to another program. Its text covers the whole chain up
 // to it. The copy's tokens are not counted again. The records must be written in their order.
 func (s *State) ImportCopy(now time.Time, o OpenTurn, text []byte) []work.Record {
-	t := &Turn{id: o.Previous, program: o.Program, expires: now.Add(o.Retention), copied: true, Text: text}
+	t := &Turn{id: o.Previous, program: o.Program, expires: o.keptUntil(now), copied: true, Text: text}
 	return s.storeParts(t, o.MaxText)
 }
 
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -135,6 +135,15 @@
 	return s.QueueLocked([]work.Record{{Key: confirmKey}})
 }
 
+// BarrierLocked returns a write that ends once all records queued so far are written, or nil if they are. It is for callers
+// within BeginTurn or Update.
+func (s *Slot) BarrierLocked() *PendingWrite {
+	if !s.writing && !s.lost {
+		return nil
+	}
+	return s.QueueLocked([]work.Record{{Key: confirmKey}})
+}
+
 // doubtOwnership makes turns wait for the next append, since another box may own the slot.
 func (s *Slot) doubtOwnership() {
 	s.mu.Lock()
--- a/gate/turns/copies_test.go
+++ b/gate/turns/copies_test.go
@@ -211,3 +211,40 @@
 		}
 	})
 }
+
+// TestProgramIsStoppedOnceTheLogKnows checks that a refusal that ends a program only goes out once the log holds how long its
+// spending is kept: all boxes may be killed right after it.
+func TestProgramIsStoppedOnceTheLogKnows(t *testing.T) {
+	log := &memLog{}
+	slot := heldSlot(t, log)
+	r := New(nil, nil, 1<<20, memory.NewBudgets(0), noCounts{}, slog.New(slog.DiscardHandler))
+	tr, err := startTurn(r, slot, "first", []byte("base"), 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := tr.ledger.finish(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	call := *tr.call
+	call.ID, call.Turn = "second", &work.Turn{Program: "p", Budget: 9}
+	route := *tr.route
+	route.Retention = time.Hour // longer than the log keeps the program
+	log.set(func() { log.down = true })
+	if err := r.Run(t.Context(), slot, &call, &route, nil); !fault.Is(err, fault.LogUnavailable) || !fault.From(err).NotRun {
+		t.Errorf("without the log: %v", err)
+	}
+	log.set(func() { log.down = false })
+	for range 100 {
+		if err = r.Run(t.Context(), slot, &call, &route, nil); fault.Is(err, fault.BudgetSpent) {
+			break
+		}
+	}
+	if !fault.Is(err, fault.BudgetSpent) {
+		t.Fatalf("with the log: %v", err)
+	}
+	state := log.state(t)
+	state.Expire(time.Now().Add(route.Retention), 100)
+	if got := state.SpentTokens(tr.open.Program); got == 0 {
+		t.Error("the next owner has forgotten what the program has spent")
+	}
+}
--- a/gate/turns/turns.go
+++ b/gate/turns/turns.go
@@ -130,13 +130,13 @@
 	defer stop()
 	t := &turn{Runner: r, slot: slot, call: call, route: route, input: call.Body, lease: &target.Lease{}}
 	t.open = chain.OpenTurn{
-		ID: call.QualifiedName(call.ID), Program: call.QualifiedName(call.Turn.Program), Previous: call.QualifiedName(call.Turn.Previous), MaxTokens: maxAnswerTokens(call), Retention: route.Retention, MaxText: int(r.maxTextBytes.Load()),
+		ID: call.QualifiedName(call.ID), Program: call.QualifiedName(call.Turn.Program), Previous: call.QualifiedName(call.Turn.Previous), MaxTokens: maxAnswerTokens(call), Retention: route.Retention, Deadline: call.Deadline, MaxText: int(r.maxTextBytes.Load()),
 	}
 	t.answer = newAnswerWriter(t, out)
 	t.ledger = newLedger(t)
 	defer t.releaseMemory()
 	if err := slot.BeginTurn(t.enter); err != nil {
-		return err
+		return t.keepProgram(ctx, err)
 	}
 	err := slot.AwaitOwnership(ctx)
 	if err == nil {
@@ -146,6 +146,31 @@
 		t.abandon(ctx, err)
 	}
 	t.slot.Update(func(state *chain.State) { t.recordResult(state, err) })
+	return t.keepProgram(ctx, err)
+}
+
+// keepProgram keeps what the program has spent for its retention from now on, when the turn ends with err. A refusal since the
+// budget is spent ends the program, and only goes out once the log holds that; otherwise the caller is to come again.
+func (t *turn) keepProgram(ctx context.Context, err error) error {
+	if fault.Is(err, fault.NotOwner) {
+		return err
+	}
+	var pending *shard.PendingWrite
+	t.slot.Update(func(state *chain.State) {
+		if recs := state.Renew(time.Now(), t.open); len(recs) > 0 {
+			pending = t.slot.QueueLocked(recs)
+		} else if fault.Is(err, fault.BudgetSpent) {
+			pending = t.slot.BarrierLocked() // the record of an earlier refusal may be queued
+		}
+	})
+	if pending == nil || !fault.Is(err, fault.BudgetSpent) {
+		return err
+	}
+	ctx, stop := context.WithTimeout(ctx, logUnavailableAfter)
+	defer stop()
+	if cause := pending.Wait(ctx); cause != nil {
+		return fault.Refuse(fault.LogUnavailable, "the log did not confirm the end of the program").WithRetryAfter(retryAfter).WithCause(cause)
+	}
 	return err
 }
 
