shard: take a slot back that its next owner does not claim

Cause: the release was final. Change: the owner that has released a slot keeps it until the log shows that the claimant has fenced it off. If its own append is still taken after a second, the slot is its own, and turns run there again; grants hold no more than the log says. Records that end in between are written by it, not forwarded.

--- a/bench/mutant/list.go
+++ b/bench/mutant/list.go
@@ -212,6 +212,10 @@
 			Name: "reads_unbounded", Property: "every program has an owner", File: "gate/shard/read.go", TestPackage: shardTests,
 			Old: "for q.running < q.limit && len(q.waiting) > 0 {", New: "for len(q.waiting) > 0 {",
 		},
+		{
+			Name: "released_for_good", Property: "every program has an owner", File: "gate/shard/slot.go", TestPackage: shardTests,
+			Old: "s.manager.startTakeBack(s, claimant)", New: "_ = claimant",
+		},
 		{
 			Name: "claim_without_tail", Property: "history is never lost", File: "gate/shard/claim.go", TestPackage: shardTests,
 			Old: "if err := c.readRest(); err != nil {", New: "if err := m.ctx.Err(); err != nil {",
@@ -222,7 +226,7 @@
 		},
 		{
 			Name: "lost_taken_for_written", Property: "history is never lost", File: "gate/shard/slot.go", TestPackage: shardTests,
-			Old: "return s.manager.forward(ctx, s.number, p.batch.recs)", New: "return nil",
+			Old: "return s.manager.forward(ctx, s.number, p.records())", New: "return nil",
 		},
 		{
 			Name: "shared_epochs", Property: "one writer per slot", File: "gate/shard/claim.go", TestPackage: shardTests,
--- a/gate/chain/grant.go
+++ b/gate/chain/grant.go
@@ -32,8 +32,11 @@
 	// active maps each turn in progress to its maximum number of tokens.
 	active map[string]int
 	// released is set once the slot is being released: each turn that ends from then on is recorded
-	// separately.
+	// separately. settled holds the tokens of such turns, and recorded those in progress that are recorded so though the slot
+	// was not released in the end.
 	released bool
+	settled  map[string]int
+	recorded map[string]bool
 	// expires is the time from which the log may drop the grant.
 	expires time.Time
 }
@@ -124,12 +127,20 @@
 	if !ok {
 		return nil
 	}
-	if _, ok := prog.grant.active[o.ID]; !ok {
+	_, active := prog.grant.active[o.ID]
+	if !active && !prog.grant.recorded[o.ID] {
 		return nil
 	}
 	delete(prog.grant.active, o.ID)
+	delete(prog.grant.recorded, o.ID)
 	prog.running--
+	if !active {
+		prog.reservations[o.ID] = &reservation{maxTokens: tokens}
+	}
 	if prog.grant.released {
+		prog.grant.settled[o.ID] = tokens
+	}
+	if !active || prog.grant.released {
 		return []work.Record{startRecord(o.ID, o.Program, tokens, prog.grant.expires)}
 	}
 	prog.grant.spent += tokens
@@ -144,10 +155,30 @@
 	if g.empty() || g.released {
 		return nil
 	}
-	g.released = true
+	g.released, g.settled = true, map[string]int{}
 	recs := []work.Record{grantRecord(name, g.spent, g.expires)}
 	for id, maxTokens := range g.active {
 		recs = append(recs, startRecord(id, name, maxTokens, g.expires))
 	}
 	return recs
 }
+
+// Reopen makes the state of a slot that was to be released, but was not, that of its owner again. Grants hold no more than what
+// ReleaseUnused has left of them.
+func (s *State) Reopen() {
+	for _, prog := range s.programs {
+		g := &prog.grant
+		if !g.released {
+			continue
+		}
+		g.released, g.logged, g.confirmed, g.recorded = false, g.spent, g.spent, map[string]bool{}
+		for id, tokens := range g.settled {
+			prog.reservations[id] = &reservation{maxTokens: tokens}
+		}
+		for id, maxTokens := range g.active {
+			prog.reservations[id] = &reservation{maxTokens: maxTokens}
+			g.recorded[id] = true
+			delete(g.active, id)
+		}
+	}
+}
--- a/gate/chain/grant_test.go
+++ b/gate/chain/grant_test.go
@@ -136,3 +136,35 @@
 		t.Errorf("%d records drop the program", len(drops))
 	}
 }
+
+// TestReopenedStateCountsAsLogged checks that an owner that has released a slot in vain counts no less than the log does, and
+// begins no turn on a grant that it has given up.
+func TestReopenedStateCountsAsLogged(t *testing.T) {
+	s := New()
+	var recs []work.Record
+	begin := func(id string) {
+		more, err := s.BeginStateless(start, open(id, "", 60), 1000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		recs = append(recs, more...)
+		s.ConfirmGrant("p", s.GrantedTokens("p"))
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		begin(id)
+	}
+	recs = append(recs, s.EndStateless(open("a", "", 60), 7)...)
+	recs = append(recs, s.ReleaseUnused()...)
+	recs = append(recs, s.EndStateless(open("b", "", 60), 9)...)
+	s.Reopen()
+	recs = append(recs, s.EndStateless(open("c", "", 60), 11)...)
+	if diff := cmp.Diff([]int{7 + 9 + 11, 7 + 9 + 11}, []int{s.SpentTokens("p"), rebuild(t, recs).SpentTokens("p")}); diff != "" {
+		t.Errorf("tokens counted by the owner and by the next (-want +got):\n%s", diff)
+	}
+	if more, err := s.BeginStateless(start, open("d", "", 60), 1000); err != nil || len(more) == 0 {
+		t.Errorf("a turn begins without a grant in the log: %v", err)
+	}
+	if s.programs["p"].running != 1 {
+		t.Errorf("%d turns are in progress", s.programs["p"].running)
+	}
+}
--- a/gate/shard/link_test.go
+++ b/gate/shard/link_test.go
@@ -264,3 +264,27 @@
 		}
 	})
 }
+
+// TestSlotIsTakenBack guards against a slot without an owner after its owner has released it to a box that can't claim it any
+// more. What the owner has written in between counts.
+func TestSlotIsTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &linkLog{memLog: newLog(), pageTime: 100 * time.Millisecond}
+		log.fill(t, 1, 30)
+		log.pageNewest(10, 0)
+		log.setCut(true)
+		gap, f := moveSlot(t, log, func(at time.Duration, f *fleet) {
+			if at > 10*time.Second {
+				f.setOwner("a", "a") // b is found to have failed
+				f.setOwner("b", "a")
+			}
+		})
+		defer f.stop()
+		if !f.managers["a"].Holds(0) {
+			t.Error("the owner has not taken the slot back")
+		}
+		if gap > takeBackDelay+time.Second {
+			t.Errorf("no turn ran for %v", gap)
+		}
+	})
+}
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -194,7 +194,7 @@
 	defer m.mu.Unlock()
 	var held []*Slot
 	for _, slot := range m.slots {
-		if slot != nil {
+		if slot != nil && !slot.handedOver.Load() {
 			held = append(held, slot)
 		}
 	}
@@ -267,7 +267,11 @@
 	if number < 0 || number >= len(m.slots) {
 		return nil, nil
 	}
-	return m.slots[number], m.claiming[number]
+	slot := m.slots[number]
+	if slot != nil && slot.handedOver.Load() {
+		slot = nil
+	}
+	return slot, m.claiming[number]
 }
 
 // claimIfDue starts a claim if this box should own the slot or take it over. It returns nil if no claim is in
@@ -372,7 +376,7 @@
 	return m.stopping
 }
 
-// Handover releases the slot to the claimant. Boxes of earlier versions do not name themselves.
+// Handover releases the slot to the claimant; see Slot.handOver. Boxes of earlier versions do not name themselves.
 func (m *Manager) Handover(ctx context.Context, number int, claimant work.Owner) error {
 	if number < 0 || number >= len(m.slots) {
 		return fault.Refuse(fault.BadRequest, "no such slot")
@@ -382,9 +386,18 @@
 	if slot := m.slots[number]; slot != nil {
 		claimant.Epoch = max(claimant.Epoch, slot.epoch)
 	}
+	slot := m.slots[number]
+	stopping := m.stopping
 	m.mu.Unlock()
 	m.LearnOwner(number, claimant)
-	m.Release(ctx, number)
+	if slot == nil {
+		return nil
+	}
+	if stopping {
+		slot.release(ctx)
+		return nil
+	}
+	slot.handOver(ctx, claimant)
 	return nil
 }
 
