dial: an answer without a length is whole only if its connection was not reset

Cause: the kernel reports a reset once. If the writer of the request gets it, the reader of the answer sees the end of the connection, which counts as the end of an unframed body. A plain close with unread bytes is a reset as well. Change: at the end of an unframed body the reader asks whether the write of the request has failed and whether the socket has an error or is closed in both directions, as a reset leaves it. All answers of replicas, boxes and the store are read there.

--- a/gate/dial/send.go
+++ b/gate/dial/send.go
@@ -86,8 +86,7 @@
 }
 
 // Send sends the request once. A fault with NotRun means that the peer has not received the whole
-// request, and one of kind Protocol that the peer sent too much before the response. The caller must call Close on the response. When ctx ends, reads and writes on the connection
-// fail.
+// request, and one of kind Protocol that the peer sent too much before the response. The caller must call Close on the response. When ctx ends, reads and writes on the connection fail.
 func (p *Pool) Send(ctx context.Context, req Request) (*Response, error) {
 	if req.MaxIdle == 0 {
 		req.MaxIdle = maxIdleTime
@@ -217,13 +216,25 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if !r.Framed && !r.acceptUnframed {
-		return n, io.ErrUnexpectedEOF
+	if err := r.checkEnd(); err != nil {
+		return n, err
 	}
 	r.bodyEnded = true
 	return n, io.EOF
 }
 
+// checkEnd returns an error if the body at whose end the reader is may not be whole. One that is not framed ends with its
+// connection: it is whole only if the peer has closed its sending side in order.
+func (r *Response) checkEnd() error {
+	if r.Framed {
+		return nil
+	}
+	if !r.acceptUnframed || r.conn.wasReset() || r.writeFailed.Load() {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
 // Close returns the connection to the pool if it can be reused, and closes it otherwise.
 func (r *Response) Close() {
 	if r.closed {
