dial: refuse answers whose head, chunks or trailer are not HTTP

Cause: package net/http passes over fields that it can't use, such as one with a blank before the colon, and takes any version and status. A length or an encoding named in such a field is not seen, so that the body is read to the end of the connection; a field was left out of what went to the caller. Evidence: TestMalformedHeadIsNoAnswer and TestOddChunksAreNotWhole fail before: blanks before the colon, versions above 1.1, statuses beyond 599, continued lines, a length together with chunks, and trailers with such names. Change: the bytes of a head are checked while they are read, in all pieces in which they may come: version, status, names and values of fields. A head with both a length and an encoding, an encoding in HTTP/1.0, and a continued line are refused. The names and values of a trailer are checked at the end of the body. Malformed heads are failures of the target, as before. Result: both tests pass; unusual but valid heads and chunks are read (TestUsualHeadsAreRead). Liveness checks, reports, other boxes and the store are read by the same code.

--- a/gate/dial/head.go
+++ b/gate/dial/head.go
@@ -24,6 +24,7 @@
 	// read, including those of the body in the last read.
 	limited     bool
 	left, lines int
+	syntax      headSyntax
 }
 
 // read reads from the connection as far as the limit allows, beyond which the connection seems to have ended.
@@ -40,17 +41,28 @@
 	n, err := from.Read(data[:min(len(data), l.left)])
 	l.left -= n
 	l.lines += bytes.Count(data[:n], []byte("\n"))
+	if malformed := l.syntax.check(data[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
 // readHead reads the head of the response to req from in, whose reads are limited by l.
 func (l *headLimit) readHead(in *bufio.Reader, req *http.Request) (*http.Response, error) {
+	l.syntax = headSyntax{}
+	buffered, _ := in.Peek(in.Buffered()) // they were read with an earlier head
+	if err := l.syntax.check(buffered); err != nil {
+		return nil, err
+	}
 	l.limited, l.left, l.lines = true, maxHeadBytes, 0
 	resp, err := http.ReadResponse(in, req)
 	l.limited = false
 	if err != nil && l.left == 0 {
 		return nil, fault.Fail(fault.Protocol, "the head of the response is too long").WithCause(err)
 	}
+	if malformed := l.syntax.result(); malformed != nil {
+		return nil, malformed
+	}
 	return resp, shortened(err)
 }
 
--- a/gate/dial/send.go
+++ b/gate/dial/send.go
@@ -73,6 +73,8 @@
 	pool *Pool
 	conn *conn
 	body io.ReadCloser
+	// trailer is filled in at the end of the body.
+	trailer func() http.Header
 	// unwatch stops the watch on the caller's context; it returns false if that context has ended.
 	unwatch func() bool
 	// written is closed once the whole request has been written or a write has failed.
@@ -205,6 +207,7 @@
 func (r *Response) setHead(resp *http.Response, skipped, acceptUnframed bool) {
 	r.Status, r.Header, r.Length, r.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
 	r.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
+	r.trailer = func() http.Header { return resp.Trailer }
 	r.acceptUnframed = acceptUnframed
 	r.reusable = !resp.Close && !skipped
 }
@@ -227,7 +230,7 @@
 // connection: it is whole only if the peer has closed its sending side in order.
 func (r *Response) checkEnd() error {
 	if r.Framed {
-		return nil
+		return checkTrailer(r.trailer())
 	}
 	if !r.acceptUnframed || r.conn.wasReset() || r.writeFailed.Load() {
 		return io.ErrUnexpectedEOF
