--- a/bench/mutant/list.go
+++ b/bench/mutant/list.go
@@ -213,7 +213,7 @@
 			Old: "for q.running < q.limit && len(q.waiting) > 0 {", New: "for len(q.waiting) > 0 {",
 		},
 		{
-			Name: "released_for_good", Property: "every program has an owner", File: "gate/shard/slot.go", TestPackage: shardTests,
+			Name: "released_for_good", Property: "every program has an owner", File: "gate/shard/handover.go", TestPackage: shardTests,
 			Old: "s.manager.startTakeBack(s, claimant)", New: "_ = claimant",
 		},
 		{
--- a/gate/chain/chain.go
+++ b/gate/chain/chain.go
@@ -9,9 +9,6 @@
 	"mulleingate.dev/gate/work"
 )
 
-// clockSlack is how much longer than its retention a program is kept, since the clocks of boxes differ.
-const clockSlack = 5 * time.Second
-
 // Turn is an answered turn.
 type Turn struct {
 	id, program string
@@ -74,14 +71,6 @@
 	expires, loggedUntil time.Time
 }
 
-// keepUntil extends the program's life. logged says that a record with that time is in the log or queued.
-func (p *program) keepUntil(expires time.Time, logged bool) {
-	p.expires = latest(p.expires, expires)
-	if logged {
-		p.loggedUntil = latest(p.loggedUntil, expires)
-	}
-}
-
 // State holds the programs of one slot. It is not safe for concurrent use.
 type State struct {
 	programs map[string]*program
@@ -117,28 +106,6 @@
 	return nil
 }
 
-// Check reports whether Apply can decode the record.
-func Check(rec work.Record) error {
-	return New().Apply(rec)
-}
-
-// Discard makes the turns whose records the log has rejected unknown, so that no later turn goes on from one that the next
-// owner does not have. Their tokens stay counted.
-func (s *State) Discard(recs []work.Record) {
-	for _, rec := range recs {
-		if len(rec.Value) == 0 || len(rec.Key) < 2 || (rec.Key[0] != turnKeyPrefix && rec.Key[0] != copyKeyPrefix) {
-			continue
-		}
-		for _, prog := range s.programs {
-			for _, t := range prog.turns {
-				if t.key() == rec.Key {
-					t.discarded, t.Text = true, nil
-				}
-			}
-		}
-	}
-}
-
 func (s *State) applyTurn(id string, raw []byte) error {
 	if len(raw) == 0 {
 		s.dropTurn(id)
@@ -384,12 +351,6 @@
 	GrantedTokens int
 }
 
-// keptUntil returns the time until which a turn that ends, or is refused, now or later is kept: its caller may get the
-// answer as late as the deadline.
-func (o OpenTurn) keptUntil(now time.Time) time.Time {
-	return latest(now, o.Deadline).Add(o.Retention)
-}
-
 // BeginStateful begins a turn and reserves its tokens. It returns the record of the reservation, which must
 // be in the log before any output is delivered, or none if the turn reuses a reservation that is in the log.
 // A negative budget means no limit.
@@ -466,51 +427,6 @@
 	}
 }
 
-// Unfinish makes a turn whose end the log has rejected count at its maximum again, as the next owner counts it. It returns the
-// records to write.
-func (s *State) Unfinish(now time.Time, o OpenTurn) []work.Record {
-	prog := s.ensureProgram(o.Program)
-	if t, ok := prog.turns[o.ID]; ok && t.discarded {
-		prog.spent -= t.tokens
-		delete(prog.turns, o.ID)
-	}
-	if res, ok := prog.reservations[prog.reservationOf[o.ID]]; ok {
-		res.phase = phaseInUse
-		return nil
-	}
-	until := o.keptUntil(now)
-	prog.reservations[o.ID] = &reservation{maxTokens: o.MaxTokens}
-	prog.keepUntil(until, true)
-	return []work.Record{startRecord(o.ID, o.Program, o.MaxTokens, until)}
-}
-
-const (
-	// renewalID follows the program in the ID of the reservation of no tokens that keeps the program. Names that callers send
-	// can't contain it.
-	renewalID = "\x00"
-	// renewalDivisor is the part of the retention that a renewal adds, so that a series of answers needs few of them.
-	renewalDivisor = 4
-)
-
-// Renew keeps the program for its retention from now on, since its caller gets an answer other than a turn: what the program
-// has spent counts when it comes again. It returns the record to write, if the log would not keep the program as long.
-func (s *State) Renew(now time.Time, o OpenTurn) []work.Record {
-	prog, ok := s.programs[o.Program]
-	if !ok {
-		return nil
-	}
-	until := now.Add(o.Retention)
-	prog.keepUntil(until, false)
-	if !prog.loggedUntil.Before(until) {
-		return nil
-	}
-	until = until.Add(o.Retention / renewalDivisor)
-	id := o.Program + renewalID
-	prog.reservations[id] = &reservation{}
-	prog.keepUntil(until, true)
-	return []work.Record{startRecord(id, o.Program, 0, until)}
-}
-
 // FreeReservation makes the reservation of a finished turn available to the program's next turn. It must only
 // be called once this owner has written the turn's end to the log: until then another owner may count the
 // reservation instead of the tokens that the turn has spent.
@@ -545,28 +461,3 @@
 	}
 	return drops
 }
-
-// Expire removes expired programs and returns the records that drop them. limit bounds the number of records
-// approximately: a program is dropped as a whole, and grants do not count.
-func (s *State) Expire(now time.Time, limit int) []work.Record {
-	var drops []work.Record
-	for name, prog := range s.programs {
-		if prog.running > 0 || now.Before(prog.expires.Add(clockSlack)) {
-			continue
-		}
-		if len(drops)+len(prog.turns)+len(prog.reservations) > limit && len(drops) > 0 {
-			continue
-		}
-		for _, t := range prog.turns {
-			drops = append(drops, work.Record{Key: t.key()})
-		}
-		for id := range prog.reservations {
-			drops = append(drops, work.Record{Key: string(startKeyPrefix) + id})
-		}
-		if prog.grant.logged > 0 {
-			drops = append(drops, work.Record{Key: string(grantKeyPrefix) + name})
-		}
-		delete(s.programs, name)
-	}
-	return drops
-}
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -376,31 +376,6 @@
 	return m.stopping
 }
 
-// Handover releases the slot to the claimant; see Slot.handOver. Boxes of earlier versions do not name themselves.
-func (m *Manager) Handover(ctx context.Context, number int, claimant work.Owner) error {
-	if number < 0 || number >= len(m.slots) {
-		return fault.Refuse(fault.BadRequest, "no such slot")
-	}
-	m.mu.Lock()
-	m.handedOverAt[number] = time.Now()
-	if slot := m.slots[number]; slot != nil {
-		claimant.Epoch = max(claimant.Epoch, slot.epoch)
-	}
-	slot := m.slots[number]
-	stopping := m.stopping
-	m.mu.Unlock()
-	m.LearnOwner(number, claimant)
-	if slot == nil {
-		return nil
-	}
-	if stopping {
-		slot.release(ctx)
-		return nil
-	}
-	slot.handOver(ctx, claimant)
-	return nil
-}
-
 // Deliver writes the records of a turn that began at a previous owner, if this box owns the slot.
 func (m *Manager) Deliver(ctx context.Context, number int, recs []work.Record) error {
 	slot, err := m.Get(ctx, number)
--- a/gate/shard/slot.go
+++ b/gate/shard/slot.go
@@ -474,50 +474,6 @@
 	s.manager.logger.Info("shard: released slot", "slot", s.number, "whole", drained, "took", time.Since(start))
 }
 
-const (
-	// takeBackDelay is how long a claimant may take to fence off the owner that has released the slot to it, before that one
-	// serves the slot again.
-	takeBackDelay = time.Second
-	// takeBackRetryDelay is the time between two tries to find out whether it did.
-	takeBackRetryDelay = 500 * time.Millisecond
-)
-
-// handOver refuses new turns once the queued records are written, or after drainTimeout, so that the claimant can fence this box
-// off. The slot stays here until the log shows that it did: a claimant that has failed meanwhile leaves it to this box.
-func (s *Slot) handOver(ctx context.Context, claimant work.Owner) {
-	start := time.Now()
-	s.handedOver.Store(true)
-	drained := s.drain(ctx)
-	s.manager.logger.Info("shard: released slot", "slot", s.number, "whole", drained, "took", time.Since(start))
-	s.manager.startTakeBack(s, claimant)
-}
-
-// takeBack waits until the claimant has fenced this box off, or serves the slot again.
-func (s *Slot) takeBack(ctx context.Context, claimant work.Owner) {
-	for delay := takeBackDelay; ; delay = takeBackRetryDelay {
-		select {
-		case <-time.After(delay):
-		case <-ctx.Done():
-			return
-		}
-		if s.isLost() || ctx.Err() != nil {
-			return
-		}
-		if s.ConfirmOwnership(ctx) != nil {
-			continue // it is fenced off, or the log does not say
-		}
-		s.mu.Lock()
-		s.closing = false
-		s.state.Reopen()
-		s.mu.Unlock()
-		s.handedOver.Store(false)
-		s.manager.ForgetOwner(s.number, claimant.Box)
-		s.manager.counts.Count("shard.taken_back", 1)
-		s.manager.logger.Warn("shard: slot taken back, the next owner did not claim it", "slot", s.number, "from", claimant.Box.Name)
-		return
-	}
-}
-
 // expire drops programs that have outlived their retention.
 func (s *Slot) expire(now time.Time) {
 	s.mu.Lock()
--- a/gate/shard/takeover.go
+++ b/gate/shard/takeover.go
@@ -109,15 +109,6 @@
 	})
 }
 
-// startTakeBack takes the slot back in the background unless the claimant to which it was released claims it.
-func (m *Manager) startTakeBack(slot *Slot, claimant work.Owner) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.stopping {
-		m.background.Go(func() { slot.takeBack(m.ctx, claimant) })
-	}
-}
-
 // NotifyRecovered tells a box whose failure is over which of its slots this box has taken over. It would learn that
 // only from the failure of its next turn.
 func (m *Manager) NotifyRecovered(box work.Box) {
