shard: a box that stops takes no slot back

Cause: a slot that was handed over just before a planned stop could be reopened between its release and its end. Change: the wait for the claimant ends once the box stops.

--- a/gate/shard/handover.go
+++ b/gate/shard/handover.go
@@ -58,7 +58,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if s.isLost() || ctx.Err() != nil {
+		if s.isLost() || s.manager.isStopping() {
 			return
 		}
 		if s.ConfirmOwnership(ctx) != nil {
