shard, dial: two comments as the code is now

Cause: reading the diff: a claim no longer ends when another box comes to rank first, and a comment had lost its line breaks. Change: comments only.

--- a/gate/dial/send.go
+++ b/gate/dial/send.go
@@ -88,7 +88,8 @@
 }
 
 // Send sends the request once. A fault with NotRun means that the peer has not received the whole
-// request, and one of kind Protocol that the peer sent too much before the response. The caller must call Close on the response. When ctx ends, reads and writes on the connection fail.
+// request, and one of kind Protocol that the peer sent too much before the response. The caller must call Close on the
+// response. When ctx ends, reads and writes on the connection fail.
 func (p *Pool) Send(ctx context.Context, req Request) (*Response, error) {
 	if req.MaxIdle == 0 {
 		req.MaxIdle = maxIdleTime
--- a/gate/shard/shard.go
+++ b/gate/shard/shard.go
@@ -309,8 +309,8 @@
 	return done
 }
 
-// claimUntilHeld retries the claim until it succeeds, another box should own the slot, or the service
-// stops. A slot that is won while the service stops is released.
+// claimUntilHeld retries the claim until it succeeds, the slot's owner keeps it, or the service stops; a takeover also ends if
+// the failed box answers again. A slot that is won while the service stops is released.
 func (m *Manager) claimUntilHeld(number int, done chan struct{}, fenced func()) {
 	start := time.Now()
 	var slot *Slot
