shard: read one page at a time over a slow link

Cause: two pages of 1 MB (1.4 MB as JSON) that share 30 Mbit/s take 0.75 s each, and longer beside calls. The detour asks another box for a page that takes 0.9 s, or 0.45 s when catching up, which then comes over the same link a second time. Change: one page at a time below 100 Mbit/s, which takes 0.37 s alone. Evidence: TestSlotsOnSlowLinkAreClaimed holds for it: all pages once, all slots claimed in the time that the link takes for them and 2 s.

--- a/gate/shard/read.go
+++ b/gate/shard/read.go
@@ -15,9 +15,10 @@
 	// that the box serves; the log ends sooner what does not arrive at all.
 	pageTimeout = 10 * time.Second
 	// slowLink is the bandwidth, in Mbit/s, below which slowLinkReads pages are read at once, and otherwise maxReads. More
-	// would only end later, and each takes the memory of a page.
+	// would only end later, and each takes the memory of a page. On a slow link, two that share it would also take so long
+	// that each is asked for through another box as well, over the same link.
 	slowLink      = 100
-	slowLinkReads = 2
+	slowLinkReads = 1
 	maxReads      = 4
 )
 
